--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,200 @@
+//! Plain types between callers and the decision module. Nothing here decides; times are seconds.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SearchId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueryTypeId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TenantId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ShardId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CellId(pub u64);
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReplicaId(pub std::rc::Rc<str>);
+
+/// Whether a part may run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Idempotent,
+    /// Repeats are dropped for `window` seconds from the first send that may have run; by any holder of
+    /// the shard if `any_holder`, else only by the replica that had it.
+    Tokened {
+        window: f64,
+        any_holder: bool,
+    },
+    NonIdempotent,
+}
+
+/// One row for each query type: what the module reads of it.
+#[derive(Clone, Debug)]
+pub struct QueryType {
+    pub latency_target: f64,
+    pub client_timeout: f64,
+    pub value: f64,
+    pub late_value: f64,
+    pub repeat: Repeat,
+    pub need: f64,
+    pub floor: f64,
+    /// Parts of the second step; 0 = one step only.
+    pub second_step: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct ColdRule {
+    pub from: f64,
+    pub time: f64,
+    pub tip_multiple: f64,
+    pub tip_time: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct BudgetRule {
+    pub free: f64,
+    pub share: f64,
+    pub window: f64,
+}
+
+/// Start-up settings. An absent option means that the feature or rule is off.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub seed: u64,
+    pub siblings: usize,
+    pub tick: f64,
+    pub query_types: Vec<QueryType>,
+    /// Share of the service, a row each tenant.
+    pub tenants: Vec<f64>,
+    pub over_share_value: f64,
+    pub cells: u64,
+    pub span: u64,
+    pub per_call: usize,
+    pub sub_requests_cap: usize,
+    pub may_cancel: bool,
+    pub may_copy: bool,
+    pub longest_retry_advice: Option<f64>,
+    pub cold: Option<ColdRule>,
+    pub budget: Option<BudgetRule>,
+}
+
+/// A line of the list. `ready_at`: the most recent start, if it was not long ago.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub replica: ReplicaId,
+    pub open: bool,
+    pub cell: CellId,
+    pub ready_at: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Errored,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Cancelled,
+    NeverSent,
+}
+
+/// How one sub-request ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub part: PartId,
+    pub nth: usize,
+    pub replica: ReplicaId,
+    pub ending: Ending,
+    pub latency: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct SubRequest {
+    pub replica: ReplicaId,
+    pub sent_at: f64,
+    pub ending: Option<Ending>,
+    pub trial: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub id: PartId,
+    pub shard: ShardId,
+    pub weight: f64,
+    pub step: usize,
+    pub answered: bool,
+    /// The replica it waits for, while held.
+    pub held: Option<ReplicaId>,
+    pub subs: Vec<SubRequest>,
+}
+
+/// A search in hand: the caller keeps it, the module reads and updates it.
+#[derive(Clone, Debug)]
+pub struct Search {
+    pub id: SearchId,
+    pub query_type: QueryTypeId,
+    pub tenant: TenantId,
+    pub arrived: f64,
+    /// When this try's client stops waiting.
+    pub ends: f64,
+    pub parts: Vec<Part>,
+    pub step: usize,
+    pub first_whole: bool,
+    /// When the client first asked, as far as can be told; set by the module.
+    pub asked: Option<f64>,
+    /// Queuing deadline of the step in hand; set by the module.
+    pub queue_by: Option<f64>,
+    /// The final answer has been given.
+    pub over: bool,
+}
+
+impl Search {
+    pub fn new(id: SearchId, query_type: QueryTypeId, tenant: TenantId, arrived: f64, ends: f64) -> Self {
+        Search {
+            id,
+            query_type,
+            tenant,
+            arrived,
+            ends,
+            parts: Vec::new(),
+            step: 1,
+            first_whole: false,
+            asked: None,
+            queue_by: None,
+            over: false,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// From the parts that came; `whole` if none that counts is missing.
+    Answered {
+        whole: bool,
+    },
+    /// Asking again is harmless, best after `retry_after` seconds (0: no advice).
+    Shed {
+        retry_after: f64,
+    },
+    Errored,
+}
+
+/// Where a part goes, and for how long it may run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    pub part: PartId,
+    pub replica: ReplicaId,
+    pub timeout: f64,
+}
+
+/// What to do now, in this order: cancel, send, reply, then ask again about the searches named.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub cancel: Vec<(PartId, usize)>,
+    pub send: Vec<Placement>,
+    pub reply: Option<Reply>,
+    pub ask_again: Vec<SearchId>,
+    /// Lines for on-call staff.
+    pub notes: Vec<String>,
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,695 @@
+//! Every decision of woadreach: where the parts of a search go, when they leave, when it is answered.
+//!
+//! Callers (adapters; one `Balancer` for each co-ordinator) keep the clock, the timers and the searches in
+//! hand, and pass them in. They ask three things: `place` (where to send this search, or not yet, or never),
+//! `after` (what to do after this outcome) and `wait` (how long until the search should be asked about
+//! again). `list` and `left` hand in facts. The types of the interface are in `api.rs`; a `Plan` says what
+//! to cancel, send and reply, and which held searches to ask about next, in that order.
+//!
+//! The mechanism is that of docs/design.md: a queuing deadline for each search from its replicas' unloaded
+//! samples, release of held parts by that deadline, a skip of parts that can no longer make it, and the
+//! replica with the fewest own parts out.
+
+use crate::api::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Sums of weights may fall this short, from rounding.
+const ROUNDING: f64 = 1e-4;
+
+#[derive(Clone, Copy)]
+struct Running {
+    sent_at: f64,
+    alone: bool,
+}
+
+/// Held back after a full or timed-out answer: while more than `above` own parts are out. It ends once
+/// `answers` have come, by when the queue that gave the answer has turned over.
+struct Hold {
+    above: usize,
+    answers: usize,
+}
+
+/// Out of use but for trials, after too many bad marks.
+struct Distrust {
+    next_trial: f64,
+    gap: f64,
+    good: usize,
+}
+
+#[derive(Default)]
+struct Replica {
+    open: bool,
+    cell: u64,
+    ready_at: Option<f64>,
+    running: BTreeMap<(PartId, usize), Running>,
+    hold: Option<Hold>,
+    unloaded: VecDeque<f64>,
+    loaded: VecDeque<(f64, f64)>,
+    marks: VecDeque<bool>,
+    answers: usize,
+    answered_at: f64,
+    cold_sends: VecDeque<f64>,
+    distrust: Option<Distrust>,
+}
+
+enum Pick {
+    Go(ReplicaId),
+    /// Its replica is held, or earlier parts wait there.
+    Hold(ReplicaId),
+    /// A rule guard keeps every holder closed for now.
+    Later,
+    /// No holder at all, or the part can no longer make it.
+    Never,
+}
+
+pub struct Balancer {
+    set: Settings,
+    rng: oorandom::Rand64,
+    replicas: BTreeMap<ReplicaId, Replica>,
+    held: BTreeMap<ReplicaId, BTreeSet<(i64, SearchId, PartId)>>,
+    /// Latencies of the last answered parts, with when they came.
+    recent: VecDeque<(f64, f64)>,
+    /// Value a part of the last searches, and their tenants.
+    arrivals: VecDeque<(f64, TenantId)>,
+    longest_left: Vec<f64>,
+    taken: VecDeque<(f64, usize)>,
+    further: VecDeque<f64>,
+    overloaded: bool,
+}
+
+fn push<T>(window: &mut VecDeque<T>, item: T, size: usize) {
+    if window.len() == size {
+        window.pop_front();
+    }
+    window.push_back(item);
+}
+
+/// Smallest sample with at least `p` of them at or under it.
+fn quantile(mut samples: Vec<f64>, p: f64) -> Option<f64> {
+    samples.sort_by(f64::total_cmp);
+    let at = (p * samples.len() as f64).ceil() as usize;
+    samples.get(at.max(1) - 1).or(samples.last()).copied()
+}
+
+fn proven_unrun(sub: &SubRequest) -> bool {
+    matches!(sub.ending, Some(Ending::Full | Ending::Unreachable | Ending::NeverSent))
+}
+
+fn out(part: &Part) -> bool {
+    part.subs.iter().any(|s| s.ending.is_none())
+}
+
+impl Balancer {
+    pub fn new(set: Settings) -> Self {
+        Balancer {
+            rng: oorandom::Rand64::new(u128::from(set.seed)),
+            longest_left: vec![0.0; set.query_types.len()],
+            set,
+            replicas: BTreeMap::new(),
+            held: BTreeMap::new(),
+            recent: VecDeque::new(),
+            arrivals: VecDeque::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            overloaded: false,
+        }
+    }
+
+    /// The list names these; a full one names all there are. Drains: a replica that is not open gets
+    /// nothing new from this call on, held parts and copies included.
+    pub fn list(&mut self, full: bool, lines: &[Listed]) {
+        if full {
+            self.replicas.values_mut().for_each(|r| r.open = false);
+        }
+        for line in lines {
+            let r = self.replicas.entry(line.replica.clone()).or_default();
+            if line.open && r.ready_at != line.ready_at {
+                // A new process: cold, and nothing known of the old one holds for it. Also a machine that
+                // comes back under its id. Harm: a list that wavers makes it cold again for a while.
+                let running = std::mem::take(&mut r.running);
+                *r = Replica { running, ready_at: line.ready_at, ..Replica::default() };
+            }
+            r.open = line.open;
+            r.cell = line.cell.0;
+        }
+    }
+
+    /// Where to send this search: called when it or its second step arrives, and whenever `wait` is over.
+    pub fn place(&mut self, now: f64, q: &mut Search) -> Plan {
+        let mut plan = Plan::default();
+        self.decide(now, q, &mut plan);
+        plan
+    }
+
+    /// What to do after this outcome; the search is absent if the caller no longer holds it.
+    pub fn after(&mut self, now: f64, q: Option<&mut Search>, outcome: &Outcome) -> Plan {
+        let mut plan = Plan::default();
+        self.learn(now, outcome, &mut plan);
+        if let Some(q) = q {
+            if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part) {
+                if let Some(sub) = part.subs.get_mut(outcome.nth) {
+                    sub.ending = Some(outcome.ending);
+                }
+                part.answered |= outcome.ending == Ending::Answered;
+            }
+            self.decide(now, q, &mut plan);
+        }
+        self.next_held(&outcome.replica, &mut plan);
+        plan
+    }
+
+    /// The client has left: nothing is owed any more.
+    pub fn left(&mut self, q: &mut Search) -> Plan {
+        let mut plan = Plan::default();
+        self.close(q, None, &mut plan);
+        plan
+    }
+
+    /// How long until the search should be asked about again, if no outcome comes before.
+    pub fn wait(&self, now: f64, q: &Search) -> f64 {
+        let (target, until) = self.ends(q);
+        let mut due = until;
+        if target > now {
+            due = due.min(target);
+        }
+        let copy_after = self.copy_after();
+        for part in q.parts.iter().filter(|p| p.step == q.step && !p.answered) {
+            match part.subs.iter().rev().find(|s| s.ending.is_none()) {
+                Some(sub) if sub.sent_at + copy_after > now => due = due.min(sub.sent_at + copy_after),
+                // Guards open with time alone, and a copy may become affordable: look again soon. A tenth
+                // of a second is short beside every latency target that allows a resend at all.
+                _ => due = due.min(now + 0.1),
+            }
+        }
+        (due - now).max(self.set.tick)
+    }
+
+    // ---- what is known of replicas ----
+
+    fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) {
+        let late = o.latency > self.copy_after();
+        let Some(r) = self.replicas.get_mut(&o.replica) else { return };
+        let Some(run) = r.running.remove(&(o.part, o.nth)) else { return };
+        let left_out = r.running.len();
+        if o.ending == Ending::Answered {
+            r.answers += 1;
+            r.answered_at = now;
+            if run.alone {
+                // 32 samples: a window that turns over in seconds and still has a 0.97 quantile.
+                push(&mut r.unloaded, o.latency, 32);
+            }
+            push(&mut r.loaded, (now, o.latency), 8);
+            push(&mut self.recent, (now, o.latency), 128);
+            if let Some(h) = &mut r.hold {
+                h.answers = h.answers.saturating_sub(1);
+                if h.answers == 0 {
+                    r.hold = None;
+                }
+            }
+        }
+        if matches!(o.ending, Ending::Full | Ending::TimedOut) {
+            r.hold = Some(Hold { above: left_out, answers: left_out.max(1) });
+        }
+        let bad = match o.ending {
+            Ending::Answered => late,
+            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Broken => true,
+            // Called off after losing to its copy: late too.
+            Ending::Cancelled if late => true,
+            Ending::Full | Ending::Cancelled | Ending::NeverSent => return,
+        };
+        self.mark(now, &o.replica, bad, plan);
+    }
+
+    /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
+    /// its failures leave few own parts out. Three bad of its last six outcomes take it out of use while
+    /// others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad luck
+    /// costs a sound replica a second or two; with every holder bad, nothing changes.
+    fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
+        let Some(r) = self.replicas.get_mut(id) else { return };
+        push(&mut r.marks, bad, 6);
+        match &mut r.distrust {
+            None if r.marks.iter().filter(|b| **b).count() >= 3 => {
+                r.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
+                plan.notes.push(format!("replica {} distrusted", id.0));
+            }
+            None => {}
+            // Two good answers in a row end it; trials grow rarer, to every 4 s, while it stays bad.
+            Some(d) if bad => (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0)),
+            Some(d) => {
+                d.good += 1;
+                if d.good >= 2 {
+                    r.distrust = None;
+                    r.marks.clear();
+                    plan.notes.push(format!("replica {} trusted again", id.0));
+                }
+            }
+        }
+    }
+
+    fn all_unloaded(&self) -> Vec<f64> {
+        self.replicas
+            .values()
+            .filter(|r| r.distrust.is_none())
+            .flat_map(|r| r.unloaded.iter().copied())
+            .collect()
+    }
+
+    /// Unloaded samples of a replica; the average of all where it has none. Exception to the design: a
+    /// distrusted replica counts as average too, or its swollen samples would push the queuing deadlines of
+    /// its searches below zero and their parts would jump every queue.
+    fn unloaded(&self, id: &ReplicaId) -> Vec<f64> {
+        match self.replicas.get(id) {
+            Some(r) if r.distrust.is_none() && !r.unloaded.is_empty() => r.unloaded.iter().copied().collect(),
+            _ => self.all_unloaded(),
+        }
+    }
+
+    /// Start value before any sample: a tenth of the latency target, so that neither skip nor deadline binds.
+    fn start_value(&self, q: &Search) -> f64 {
+        self.set.query_types[q.query_type.0].latency_target / 10.0
+    }
+
+    /// p = 0.95: with four to ten parts it asks for the 0.99 quantile of a part, the most 32 samples give.
+    const P: f64 = 0.95;
+
+    /// Smallest t with the product of the replicas' unloaded distributions at P or more.
+    fn unloaded_search(&self, q: &Search, replicas: &[ReplicaId]) -> f64 {
+        let mut sets: Vec<Vec<f64>> = replicas.iter().map(|r| self.unloaded(r)).collect();
+        sets.iter_mut().for_each(|s| s.sort_by(f64::total_cmp));
+        let mut ts: Vec<f64> = sets.iter().flatten().copied().collect();
+        ts.sort_by(f64::total_cmp);
+        let product = |t: f64| -> f64 {
+            sets.iter()
+                .filter(|s| !s.is_empty())
+                .map(|s| s.partition_point(|x| *x <= t) as f64 / s.len() as f64)
+                .product()
+        };
+        ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or_else(|| self.start_value(q))
+    }
+
+    fn unloaded_tail(&self, q: &Search, id: &ReplicaId) -> f64 {
+        let parts = q.parts.iter().filter(|p| p.step == q.step).count();
+        quantile(self.unloaded(id), Self::P.powf(1.0 / parts.max(1) as f64))
+            .unwrap_or_else(|| self.start_value(q))
+    }
+
+    /// A sub-request out for longer than this is late: the 0.95 quantile of all recent answers, loaded or
+    /// not, so that about one in twenty is copied on an even day whatever the load.
+    fn copy_after(&self) -> f64 {
+        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
+        if self.recent.len() < 20 {
+            return shortest / 3.0;
+        }
+        quantile(self.recent.iter().map(|x| x.1).collect(), 0.95)
+            .unwrap_or(shortest / 3.0)
+            .min(shortest / 2.0)
+    }
+
+    /// Time that a part now queues at a replica, going by its last answers and by what is overdue there.
+    fn queuing(&self, now: f64, id: &ReplicaId) -> f64 {
+        let Some(r) = self.replicas.get(id) else { return 0.0 };
+        // Two seconds: older answers tell nothing of a queue that turns over faster than that.
+        let fresh = r.loaded.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
+        let plain = quantile(self.unloaded(id), 0.5).unwrap_or(0.0);
+        (quantile(fresh, 0.5).unwrap_or(0.0) - plain).max(0.0)
+    }
+
+    /// Overload: recent answers queue, at the median, for over a quarter of the shortest latency target.
+    fn see_overload(&mut self, now: f64, plan: &mut Plan) {
+        let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
+        let plain = quantile(self.all_unloaded(), 0.5).unwrap_or(0.0);
+        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
+        let over = quantile(fresh, 0.5).unwrap_or(0.0) - plain > shortest / 4.0;
+        if over != self.overloaded {
+            self.overloaded = over;
+            plan.notes.push(format!("overload {}", if over { "begun" } else { "ended" }));
+        }
+    }
+
+    // ---- guards of the rules ----
+
+    /// Danger: a cold replica falls over if all co-ordinators together send it more than a multiple of what
+    /// it can do, over any window; one of them may carry nearly all traffic, or all may. Each keeps to its
+    /// even share, counted in parts at the unloaded latency of warm replicas on one core, and in flight to
+    /// one more than its answers so far. Copies and trials count. Harm: a cold replica warms up slowly.
+    fn cold_closed(&self, now: f64, r: &Replica) -> bool {
+        let (Some(rule), Some(ready)) = (&self.set.cold, r.ready_at) else { return false };
+        let warmth = (now - ready) / rule.time;
+        if warmth >= 1.0 {
+            return false;
+        }
+        if r.running.len() > r.answers / 2 {
+            return true;
+        }
+        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
+        let work = quantile(self.all_unloaded(), 0.5).unwrap_or(shortest / 5.0);
+        let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
+        let share = rule.tip_multiple * capacity * rule.tip_time / work / self.set.siblings.max(1) as f64;
+        let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count();
+        sent as f64 + 1.0 > share.max(1.0)
+    }
+
+    /// Budget: sub-requests beyond a part's first, within any window. A tick of slack on both edges.
+    fn budget_left(&mut self, now: f64) -> bool {
+        let Some(rule) = &self.set.budget else { return true };
+        let from = now - rule.window;
+        self.further.retain(|t| *t >= from - self.set.tick);
+        self.taken.retain(|t| t.0 > from + self.set.tick);
+        let taken: usize = self.taken.iter().map(|t| t.1).sum();
+        self.further.len() as f64 + 1.0 <= rule.free + rule.share * taken as f64
+    }
+
+    /// No effect twice: whether the part may be sent once more, and to which replica alone if not any.
+    fn may_repeat(&self, now: f64, q: &Search, part: &Part) -> Option<Option<ReplicaId>> {
+        let risky: Vec<&SubRequest> = part.subs.iter().filter(|s| !proven_unrun(s)).collect();
+        let first = match risky.first() {
+            None => return Some(None),
+            Some(first) => first,
+        };
+        match self.set.query_types[q.query_type.0].repeat {
+            Repeat::Idempotent => Some(None),
+            Repeat::Tokened { window, any_holder } if now < first.sent_at + window - 2.0 * self.set.tick => {
+                Some((!any_holder).then(|| first.replica.clone()))
+            }
+            _ => None,
+        }
+    }
+
+    // ---- one search ----
+
+    /// The latency target of the step in hand, and the last moment at which an answer still earns value.
+    fn ends(&self, q: &Search) -> (f64, f64) {
+        // Four ticks: one to be asked, one to reply, and the way to the client.
+        let margin = 4.0 * self.set.tick;
+        let t = &self.set.query_types[q.query_type.0];
+        let end = q.ends - margin;
+        let target = (q.asked.unwrap_or(q.arrived) + t.latency_target - margin).min(end);
+        // Late value is given up under overload: a late answer costs as much work as one in time.
+        let until = if t.late_value > 0.0 && !self.overloaded { end } else { target };
+        let reserve = if q.step == 1 && t.second_step > 0 {
+            let tail = quantile(self.all_unloaded(), Self::P.powf(1.0 / t.second_step as f64));
+            tail.unwrap_or(t.latency_target / 10.0)
+        } else {
+            0.0
+        };
+        (target - reserve, until)
+    }
+
+    fn come(&self, q: &Search) -> f64 {
+        q.parts.iter().filter(|p| p.step == q.step && p.answered).map(|p| p.weight).sum()
+    }
+
+    fn decide(&mut self, now: f64, q: &mut Search, plan: &mut Plan) {
+        if q.over {
+            return;
+        }
+        let t = self.set.query_types[q.query_type.0].clone();
+        self.see_overload(now, plan);
+        if q.asked.is_none() {
+            self.arrive(now, q, &t);
+        }
+        let step: Vec<usize> = (0..q.parts.len()).filter(|i| q.parts[*i].step == q.step).collect();
+        if step.is_empty() {
+            // The second step's parts are on their way.
+            if q.step == 1 || now >= self.ends(q).1 {
+                self.give_up(q, plan);
+            }
+            return;
+        }
+        let need = if q.step == 1 { t.need } else { 1.0 };
+        let come = self.come(q);
+        if come >= need - ROUNDING && (q.step == 1 || step.iter().all(|i| q.parts[*i].answered)) {
+            let whole = q.step == 1 || q.first_whole;
+            return self.close(q, Some(Reply::Answered { whole }), plan);
+        }
+        let (target, until) = self.ends(q);
+        let floor_met = come >= t.floor - ROUNDING && come > 0.0 && t.floor < t.need;
+        if now >= until || (now >= target && floor_met) {
+            return self.give_up(q, plan);
+        }
+        let first_look = q.queue_by.is_none();
+        let picks = self.pick_all(now, until, q, &step);
+        if first_look {
+            self.taken.push_back((now, step.len()));
+            let chosen: Vec<ReplicaId> = picks
+                .iter()
+                .filter_map(|(_, p)| match p {
+                    Pick::Go(r) | Pick::Hold(r) => Some(r.clone()),
+                    _ => None,
+                })
+                .collect();
+            q.queue_by = Some(target - self.unloaded_search(q, &chosen));
+            if q.step == 1 && self.shed_early(now, q, &t, &chosen) {
+                return self.give_up(q, plan);
+            }
+        }
+        let lost =
+            |i: &usize| picks.iter().any(|(j, p)| i == j && matches!(p, Pick::Never)) && !out(&q.parts[*i]);
+        let open: Vec<&usize> = step.iter().filter(|i| !q.parts[**i].answered && !lost(i)).collect();
+        let possible = come + open.iter().map(|i| q.parts[**i].weight).sum::<f64>();
+        if open.is_empty() || possible < t.floor - ROUNDING {
+            return self.give_up(q, plan);
+        }
+        for (i, pick) in picks {
+            self.act(now, until, q, i, pick, plan);
+            if first_look {
+                self.try_distrusted(now, until, q, i, plan);
+            }
+        }
+    }
+
+    /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
+    /// while nobody waits for it in time any more. Its time left is shorter than that of a first try, and
+    /// then ends with the client timeout counted from the first. Harm: none seen; with client timeouts that
+    /// differ between clients the shorter ones would be taken for retries.
+    fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
+        let left = q.ends - q.arrived;
+        let longest = &mut self.longest_left[q.query_type.0];
+        *longest = longest.max(left);
+        // 50 ms: more than clocks and links differ by, less than any client's pause before a retry.
+        let retry = left < *longest - 0.05;
+        q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
+        push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
+        self.taken.push_back((now, 1));
+    }
+
+    /// Danger: beyond capacity every queue grows until all answers are late. A search whose replicas queue
+    /// for longer than its queuing deadline leaves is shed on arrival; those worth more than the average
+    /// for each part are let in for longer, those of a tenant beyond its share are shed first. Covers
+    /// bursts, floods, costly searches, lost replicas. Harm: a stale view sheds for up to two seconds.
+    fn shed_early(&self, now: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
+        let mut delays: Vec<f64> = chosen.iter().map(|r| self.queuing(now, r)).collect();
+        delays.sort_by(f64::total_cmp);
+        let needed = (t.floor * delays.len() as f64).ceil() as usize;
+        let Some(delay) = delays.get(needed.max(1) - 1) else { return false };
+        let n = self.arrivals.len() as f64;
+        let mean = self.arrivals.iter().map(|a| a.0).sum::<f64>() / n;
+        let mine = self.arrivals.iter().filter(|a| a.1 == q.tenant).count() as f64 / n;
+        let mut worth = t.value / q.parts.len().max(1) as f64 / mean.max(1e-9);
+        if self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share) {
+            worth *= self.set.over_share_value;
+        }
+        *delay > (q.queue_by.unwrap_or(now) - now) * worth.clamp(0.25, 1.25)
+    }
+
+    /// A pick for each part of the step that has nothing out and no answer.
+    fn pick_all(&mut self, now: f64, until: f64, q: &Search, step: &[usize]) -> Vec<(usize, Pick)> {
+        let mut extra: BTreeMap<ReplicaId, usize> = BTreeMap::new();
+        let mut picks = Vec::new();
+        for &i in step {
+            let part = &q.parts[i];
+            if part.answered {
+                continue;
+            }
+            let late = part
+                .subs
+                .iter()
+                .filter(|s| s.ending.is_none())
+                .all(|s| now >= s.sent_at + self.copy_after() - 1e-9);
+            if !late {
+                continue;
+            }
+            let pick = self.pick(now, until, q, part, &extra);
+            if let Pick::Go(r) = &pick {
+                *extra.entry(r.clone()).or_default() += 1;
+            }
+            picks.push((i, pick));
+        }
+        picks
+    }
+
+    fn pick(
+        &mut self,
+        now: f64,
+        until: f64,
+        q: &Search,
+        part: &Part,
+        extra: &BTreeMap<ReplicaId, usize>,
+    ) -> Pick {
+        let mut only = None;
+        if !part.subs.is_empty() {
+            // Carry-over: no further sub-requests under overload, else up to two.
+            let spent =
+                self.overloaded || part.subs.len() > 2 || part.subs.len() >= self.set.sub_requests_cap;
+            let copy_barred = out(part) && !self.set.may_copy;
+            match self.may_repeat(now, q, part) {
+                Some(r) if !spent && !copy_barred && self.budget_left(now) => only = r,
+                _ => return Pick::Never,
+            }
+        }
+        let copy_after = self.copy_after();
+        let mut at: Vec<&ReplicaId> = self
+            .replicas
+            .iter()
+            .filter(|(id, r)| self.holds(r, part.shard) && only.as_ref().is_none_or(|o| o == *id))
+            .map(|x| x.0)
+            .collect();
+        let keep = |at: &mut Vec<&ReplicaId>, f: &dyn Fn(&ReplicaId) -> bool| {
+            if at.iter().any(|id| f(id)) {
+                at.retain(|id| f(id));
+            }
+        };
+        if at.is_empty() {
+            return Pick::Never;
+        }
+        keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
+        // Never all holders: each test applies only where some holder passes it.
+        keep(&mut at, &|id| {
+            let r = &self.replicas[id];
+            let silent =
+                r.running.values().any(|x| x.sent_at + copy_after < now && r.answered_at < x.sent_at);
+            r.distrust.is_none() && !silent
+        });
+        at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
+        let load = |id: &ReplicaId| {
+            let r = &self.replicas[id];
+            r.running.len() + extra.get(id).copied().unwrap_or(0)
+        };
+        let Some(least) = at.iter().map(|id| load(id)).min() else { return Pick::Later };
+        at.retain(|id| load(id) == least);
+        let id = at[self.rng.rand_range(0..at.len() as u64) as usize].clone();
+        if until - now < self.unloaded_tail(q, &id) {
+            return Pick::Never;
+        }
+        let r = &self.replicas[&id];
+        let due = (self.due(q), q.id, part.id);
+        let ahead = self.held.get(&id).and_then(|h| h.first()).is_some_and(|h| *h < due);
+        if ahead || r.hold.as_ref().is_some_and(|h| least > h.above) { Pick::Hold(id) } else { Pick::Go(id) }
+    }
+
+    fn holds(&self, r: &Replica, shard: ShardId) -> bool {
+        let cells = self.set.cells.max(1);
+        r.open && (r.cell % cells + cells - shard.0 % cells) % cells < self.set.span
+    }
+
+    /// Queuing deadline as an ordered key, in microseconds.
+    fn due(&self, q: &Search) -> i64 {
+        (q.queue_by.unwrap_or(q.arrived) * 1e6) as i64
+    }
+
+    fn act(&mut self, now: f64, until: f64, q: &mut Search, i: usize, pick: Pick, plan: &mut Plan) {
+        self.unhold(q, i, plan);
+        let key = (self.due(q), q.id, q.parts[i].id);
+        match pick {
+            Pick::Go(id) => self.send(now, until, q, i, id, plan),
+            // A held copy is pointless: its part is out already.
+            Pick::Hold(id) if !out(&q.parts[i]) => {
+                self.held.entry(id.clone()).or_default().insert(key);
+                q.parts[i].held = Some(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, now: f64, until: f64, q: &mut Search, i: usize, id: ReplicaId, plan: &mut Plan) {
+        let part = &mut q.parts[i];
+        let Some(r) = self.replicas.get_mut(&id) else { return };
+        if !part.subs.is_empty() {
+            self.further.push_back(now);
+        }
+        let nth = part.subs.len();
+        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty() });
+        push(&mut r.cold_sends, now, 64);
+        part.subs.push(SubRequest { replica: id.clone(), sent_at: now, ending: None, trial: false });
+        plan.send.push(Placement { part: part.id, replica: id, timeout: until - now });
+    }
+
+    /// Trial traffic: a second copy of a part whose first is out, to a distrusted holder with nothing out, so
+    /// that no search waits on it. Where copies are barred a distrusted replica is used again only once
+    /// the other holders are no better.
+    fn try_distrusted(&mut self, now: f64, until: f64, q: &mut Search, i: usize, plan: &mut Plan) {
+        let part = &q.parts[i];
+        if !self.set.may_copy || !out(part) || self.may_repeat(now, q, part) != Some(None) {
+            return;
+        }
+        let ready = |id: &ReplicaId, r: &Replica| {
+            self.holds(r, part.shard)
+                && r.running.is_empty()
+                && r.distrust.as_ref().is_some_and(|d| now >= d.next_trial)
+                && !part.subs.iter().any(|s| s.replica == *id)
+                && !self.cold_closed(now, r)
+        };
+        let Some(id) = self.replicas.iter().find(|(id, r)| ready(id, r)).map(|x| x.0.clone()) else { return };
+        if self.budget_left(now) {
+            if let Some(d) = self.replicas.get_mut(&id).and_then(|r| r.distrust.as_mut()) {
+                d.next_trial = now + d.gap;
+            }
+            self.send(now, until, q, i, id, plan);
+        }
+    }
+
+    fn unhold(&mut self, q: &mut Search, i: usize, plan: &mut Plan) {
+        let key = (self.due(q), q.id, q.parts[i].id);
+        if let Some(id) = q.parts[i].held.take() {
+            if let Some(h) = self.held.get_mut(&id) {
+                h.remove(&key);
+            }
+            self.next_held(&id, plan);
+        }
+    }
+
+    /// Held parts leave earliest queuing deadline first: the first one is asked about as soon as it may go.
+    fn next_held(&self, id: &ReplicaId, plan: &mut Plan) {
+        let Some(r) = self.replicas.get(id) else { return };
+        if r.hold.as_ref().is_none_or(|h| r.running.len() <= h.above) {
+            plan.ask_again.extend(self.held.get(id).and_then(|h| h.first()).map(|h| h.1));
+        }
+    }
+
+    /// The best reply that honesty allows, at once: the parts that came if they meet the floor; else shed
+    /// where asking again is proven harmless; else an error.
+    fn give_up(&mut self, q: &mut Search, plan: &mut Plan) {
+        let t = &self.set.query_types[q.query_type.0];
+        let come = self.come(q);
+        let harmless =
+            t.repeat == Repeat::Idempotent || q.parts.iter().all(|p| p.subs.iter().all(proven_unrun));
+        let reply = if come > 0.0 && come >= t.floor - ROUNDING {
+            Reply::Answered { whole: false }
+        } else if harmless {
+            Reply::Shed { retry_after: self.set.longest_retry_advice.unwrap_or(0.0) }
+        } else {
+            Reply::Errored
+        };
+        self.close(q, Some(reply), plan);
+    }
+
+    fn close(&mut self, q: &mut Search, reply: Option<Reply>, plan: &mut Plan) {
+        for i in 0..q.parts.len() {
+            self.unhold(q, i, plan);
+            let part = &q.parts[i];
+            for (n, sub) in part.subs.iter().enumerate() {
+                if sub.ending.is_none() && self.set.may_cancel {
+                    plan.cancel.push((part.id, n));
+                }
+            }
+        }
+        let t = &self.set.query_types[q.query_type.0];
+        match reply {
+            Some(Reply::Answered { whole }) if q.step == 1 && t.second_step > 0 => {
+                (q.step, q.first_whole, q.queue_by) = (2, whole, None);
+            }
+            _ => q.over = true,
+        }
+        plan.reply = reply;
+    }
+}
