--- a/src/balance.rs
+++ b/src/balance.rs
@@ -591,6 +591,7 @@
         self.unhold(q, i, plan);
         let key = (self.due(q), q.id, q.parts[i].id);
         match pick {
+            Pick::Go(_) if !q.parts[i].subs.is_empty() && !self.budget_left(now) => {}
             Pick::Go(id) => self.send(now, until, q, i, id, plan),
             // A held copy is pointless: its part is out already.
             Pick::Hold(id) if !out(&q.parts[i]) => {
