--- a/src/balance.rs
+++ b/src/balance.rs
@@ -187,7 +187,7 @@
     // ---- what is known of replicas ----
 
     fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) {
-        let late = o.latency > self.copy_after();
+        let late = o.latency > self.late_after();
         let Some(r) = self.replicas.get_mut(&o.replica) else { return };
         let Some(run) = r.running.remove(&(o.part, o.nth)) else { return };
         let left_out = r.running.len();
@@ -221,14 +221,14 @@
     }
 
     /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
-    /// its failures leave few own parts out. Three bad of its last six outcomes take it out of use while
+    /// its failures leave few own parts out. Four bad of its last eight outcomes take it out of use while
     /// others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad luck
     /// costs a sound replica a second or two; with every holder bad, nothing changes.
     fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
         let Some(r) = self.replicas.get_mut(id) else { return };
-        push(&mut r.marks, bad, 6);
+        push(&mut r.marks, bad, 8);
         match &mut r.distrust {
-            None if r.marks.iter().filter(|b| **b).count() >= 3 => {
+            None if r.marks.iter().filter(|b| **b).count() >= 4 => {
                 r.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
                 plan.notes.push(format!("replica {} distrusted", id.0));
             }
@@ -293,33 +293,46 @@
             .unwrap_or_else(|| self.start_value(q))
     }
 
-    /// A sub-request out for longer than this is late: the 0.95 quantile of all recent answers, loaded or
-    /// not, so that about one in twenty is copied on an even day whatever the load.
-    fn copy_after(&self) -> f64 {
-        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
+    fn shortest_target(&self) -> f64 {
+        self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
+    }
+
+    /// A sub-request out for longer than this counts against its replica: beyond the 0.95 quantile of all
+    /// recent answers, loaded or not, and 2.5 medians, so that a fleet that is slow as a whole condemns none.
+    fn late_after(&self) -> f64 {
         if self.recent.len() < 20 {
-            return shortest / 3.0;
+            return self.shortest_target() / 3.0;
         }
-        quantile(self.recent.iter().map(|x| x.1).collect(), 0.95)
-            .unwrap_or(shortest / 3.0)
-            .min(shortest / 2.0)
+        let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
+        let median = quantile(all.clone(), 0.5).unwrap_or(0.0);
+        quantile(all, 0.95).unwrap_or(0.0).max(2.5 * median)
+    }
+
+    /// A sub-request out for this long gets a second copy; half the shortest latency target still leaves the
+    /// copy as much.
+    fn copy_after(&self) -> f64 {
+        self.late_after().min(self.shortest_target() / 2.0)
     }
 
-    /// Time that a part now queues at a replica, going by its last answers and by what is overdue there.
-    fn queuing(&self, now: f64, id: &ReplicaId) -> f64 {
-        let Some(r) = self.replicas.get(id) else { return 0.0 };
+    /// Chance that a part sent now is answered within `left`, by its replica's last answers; by those of all
+    /// replicas where it has given few of late.
+    fn chance(&self, now: f64, id: &ReplicaId, left: f64) -> f64 {
         // Two seconds: older answers tell nothing of a queue that turns over faster than that.
-        let fresh = r.loaded.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
-        let plain = quantile(self.unloaded(id), 0.5).unwrap_or(0.0);
-        (quantile(fresh, 0.5).unwrap_or(0.0) - plain).max(0.0)
+        let fresh =
+            |w: &VecDeque<(f64, f64)>| w.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect::<Vec<_>>();
+        let own = self.replicas.get(id).map(|r| fresh(&r.loaded)).unwrap_or_default();
+        let seen = if own.len() >= 4 { own } else { fresh(&self.recent) };
+        if seen.len() < 4 {
+            return 1.0;
+        }
+        seen.iter().filter(|x| **x <= left).count() as f64 / seen.len() as f64
     }
 
     /// Overload: recent answers queue, at the median, for over a quarter of the shortest latency target.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let plain = quantile(self.all_unloaded(), 0.5).unwrap_or(0.0);
-        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
-        let over = quantile(fresh, 0.5).unwrap_or(0.0) - plain > shortest / 4.0;
+        let over = quantile(fresh, 0.5).unwrap_or(0.0) - plain > self.shortest_target() / 4.0;
         if over != self.overloaded {
             self.overloaded = over;
             plan.notes.push(format!("overload {}", if over { "begun" } else { "ended" }));
@@ -341,8 +354,7 @@
         if r.running.len() > r.answers / 2 {
             return true;
         }
-        let shortest = self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
-        let work = quantile(self.all_unloaded(), 0.5).unwrap_or(shortest / 5.0);
+        let work = quantile(self.all_unloaded(), 0.5).unwrap_or(self.shortest_target() / 5.0);
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
         let share = rule.tip_multiple * capacity * rule.tip_time / work / self.set.siblings.max(1) as f64;
         let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count();
@@ -439,7 +451,7 @@
                 })
                 .collect();
             q.queue_by = Some(target - self.unloaded_search(q, &chosen));
-            if q.step == 1 && self.shed_early(now, q, &t, &chosen) {
+            if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
                 return self.give_up(q, plan);
             }
         }
@@ -473,15 +485,15 @@
         self.taken.push_back((now, 1));
     }
 
-    /// Danger: beyond capacity every queue grows until all answers are late. A search whose replicas queue
-    /// for longer than its queuing deadline leaves is shed on arrival; those worth more than the average
-    /// for each part are let in for longer, those of a tenant beyond its share are shed first. Covers
-    /// bursts, floods, costly searches, lost replicas. Harm: a stale view sheds for up to two seconds.
-    fn shed_early(&self, now: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
-        let mut delays: Vec<f64> = chosen.iter().map(|r| self.queuing(now, r)).collect();
-        delays.sort_by(f64::total_cmp);
-        let needed = (t.floor * delays.len() as f64).ceil() as usize;
-        let Some(delay) = delays.get(needed.max(1) - 1) else { return false };
+    /// Danger: beyond capacity every queue grows until all answers are late. A search is shed on arrival if
+    /// its replicas' last answers give it too little chance to make its latency target; one that is worth
+    /// more than the average for each part is let in at less, that of a tenant beyond its share at more.
+    /// Covers bursts, floods, costly searches, lost replicas. Harm: a stale view sheds for up to 2 s.
+    fn shed_early(&self, now: f64, target: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
+        let mut chances: Vec<f64> = chosen.iter().map(|r| self.chance(now, r, target - now)).collect();
+        chances.sort_by(|a, b| b.total_cmp(a));
+        let needed = (t.floor * chances.len() as f64).ceil() as usize;
+        let chance: f64 = chances.iter().take(needed).product();
         let n = self.arrivals.len() as f64;
         let mean = self.arrivals.iter().map(|a| a.0).sum::<f64>() / n;
         let mine = self.arrivals.iter().filter(|a| a.1 == q.tenant).count() as f64 / n;
@@ -489,7 +501,8 @@
         if self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share) {
             worth *= self.set.over_share_value;
         }
-        *delay > (q.queue_by.unwrap_or(now) - now) * worth.clamp(0.25, 1.25)
+        // A third: below it a search of average worth costs others more than it is likely to bring.
+        chance < 0.35 / worth.clamp(0.5, 2.0)
     }
 
     /// A pick for each part of the step that has nothing out and no answer.
@@ -537,7 +550,7 @@
                 _ => return Pick::Never,
             }
         }
-        let copy_after = self.copy_after();
+        let late_after = self.late_after();
         let mut at: Vec<&ReplicaId> = self
             .replicas
             .iter()
@@ -557,7 +570,7 @@
         keep(&mut at, &|id| {
             let r = &self.replicas[id];
             let silent =
-                r.running.values().any(|x| x.sent_at + copy_after < now && r.answered_at < x.sent_at);
+                r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at);
             r.distrust.is_none() && !silent
         });
         at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
