--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,7 +71,8 @@
     recent: VecDeque<(f64, f64)>,
     /// Value a part of the last searches, and their tenants.
     arrivals: VecDeque<(f64, TenantId)>,
-    longest_left: Vec<f64>,
+    /// Time left that the last searches of each query type came with.
+    lefts: Vec<VecDeque<f64>>,
     taken: VecDeque<(f64, usize)>,
     further: VecDeque<f64>,
     overloaded: bool,
@@ -103,7 +104,7 @@
     pub fn new(set: Settings) -> Self {
         Balancer {
             rng: oorandom::Rand64::new(u128::from(set.seed)),
-            longest_left: vec![0.0; set.query_types.len()],
+            lefts: vec![VecDeque::new(); set.query_types.len()],
             set,
             replicas: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -269,8 +270,9 @@
         self.set.query_types[q.query_type.0].latency_target / 10.0
     }
 
-    /// p = 0.95: with four to ten parts it asks for the 0.99 quantile of a part, the most 32 samples give.
-    const P: f64 = 0.95;
+    /// p = 0.5: a part is skipped only where its search is more likely to fail than not. Samples hold other
+    /// co-ordinators' queues, so a high p would take their worst for the replica's own time.
+    const P: f64 = 0.5;
 
     /// Smallest t with the product of the replicas' unloaded distributions at P or more.
     fn unloaded_search(&self, q: &Search, replicas: &[ReplicaId]) -> f64 {
@@ -424,7 +426,7 @@
         if step.is_empty() {
             // The second step's parts are on their way.
             if q.step == 1 || now >= self.ends(q).1 {
-                self.give_up(q, plan);
+                self.give_up(now, q, plan);
             }
             return;
         }
@@ -437,7 +439,7 @@
         let (target, until) = self.ends(q);
         let floor_met = come >= t.floor - ROUNDING && come > 0.0 && t.floor < t.need;
         if now >= until || (now >= target && floor_met) {
-            return self.give_up(q, plan);
+            return self.give_up(now, q, plan);
         }
         let first_look = q.queue_by.is_none();
         let picks = self.pick_all(now, until, q, &step);
@@ -452,7 +454,7 @@
                 .collect();
             q.queue_by = Some(target - self.unloaded_search(q, &chosen));
             if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
-                return self.give_up(q, plan);
+                return self.give_up(now, q, plan);
             }
         }
         let lost =
@@ -460,7 +462,7 @@
         let open: Vec<&usize> = step.iter().filter(|i| !q.parts[**i].answered && !lost(i)).collect();
         let possible = come + open.iter().map(|i| q.parts[**i].weight).sum::<f64>();
         if open.is_empty() || possible < t.floor - ROUNDING {
-            return self.give_up(q, plan);
+            return self.give_up(now, q, plan);
         }
         for (i, pick) in picks {
             self.act(now, until, q, i, pick, plan);
@@ -471,15 +473,17 @@
     }
 
     /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
-    /// while nobody waits for it in time any more. Its time left is shorter than that of a first try, and
-    /// then ends with the client timeout counted from the first. Harm: none seen; with client timeouts that
-    /// differ between clients the shorter ones would be taken for retries.
+    /// while nobody waits for it in time any more. First tries of a query type all have the same time left;
+    /// a retry's is what remains of the client timeout. Harm: where retries are most of a type's searches, or
+    /// clients differ, a first try passes for a retry and is dropped.
     fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
         let left = q.ends - q.arrived;
-        let longest = &mut self.longest_left[q.query_type.0];
-        *longest = longest.max(left);
+        let lefts = &mut self.lefts[q.query_type.0];
+        // 64: enough for a median that a burst of retries does not move.
+        push(lefts, left, 64);
+        let first = quantile(lefts.iter().copied().collect(), 0.5).unwrap_or(left);
         // 50 ms: more than clocks and links differ by, less than any client's pause before a retry.
-        let retry = left < *longest - 0.05;
+        let retry = (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
         push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
         self.taken.push_back((now, 1));
@@ -672,7 +676,7 @@
 
     /// The best reply that honesty allows, at once: the parts that came if they meet the floor; else shed
     /// where asking again is proven harmless; else an error.
-    fn give_up(&mut self, q: &mut Search, plan: &mut Plan) {
+    fn give_up(&mut self, now: f64, q: &mut Search, plan: &mut Plan) {
         let t = &self.set.query_types[q.query_type.0];
         let come = self.come(q);
         let harmless =
@@ -680,7 +684,10 @@
         let reply = if come > 0.0 && come >= t.floor - ROUNDING {
             Reply::Answered { whole: false }
         } else if harmless {
-            Reply::Shed { retry_after: self.set.longest_retry_advice.unwrap_or(0.0) }
+            // Back when half its spare time is gone, if a later try can still make it; else late, for relief.
+            let longest = self.set.longest_retry_advice.unwrap_or(0.0);
+            let spare = q.queue_by.unwrap_or(now) - now;
+            Reply::Shed { retry_after: if spare > 0.0 { longest.min(spare / 2.0) } else { longest } }
         } else {
             Reply::Errored
         };
