--- a/src/balance.rs
+++ b/src/balance.rs
@@ -548,7 +548,7 @@
             // Carry-over: no further sub-requests under overload, else up to two.
             let spent =
                 self.overloaded || part.subs.len() > 2 || part.subs.len() >= self.set.sub_requests_cap;
-            let copy_barred = out(part) && !self.set.may_copy;
+            let copy_barred = out(part);
             match self.may_repeat(now, q, part) {
                 Some(r) if !spent && !copy_barred && self.budget_left(now) => only = r,
                 _ => return Pick::Never,
