--- a/src/balance.rs
+++ b/src/balance.rs
@@ -548,13 +548,12 @@
             // Carry-over: no further sub-requests under overload, else up to two.
             let spent =
                 self.overloaded || part.subs.len() > 2 || part.subs.len() >= self.set.sub_requests_cap;
-            let copy_barred = out(part);
+            let copy_barred = out(part) && !(self.set.may_copy && self.stuck(now, part));
             match self.may_repeat(now, q, part) {
                 Some(r) if !spent && !copy_barred && self.budget_left(now) => only = r,
                 _ => return Pick::Never,
             }
         }
-        let late_after = self.late_after();
         let mut at: Vec<&ReplicaId> = self
             .replicas
             .iter()
@@ -573,9 +572,7 @@
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| {
             let r = &self.replicas[id];
-            let silent =
-                r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at);
-            r.distrust.is_none() && !silent
+            r.distrust.is_none() && !self.silent(now, r)
         });
         at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
         let load = |id: &ReplicaId| {
@@ -594,6 +591,20 @@
         if ahead || r.hold.as_ref().is_some_and(|h| least > h.above) { Pick::Hold(id) } else { Pick::Go(id) }
     }
 
+    /// Has answered nothing since it took a part that is late by now.
+    fn silent(&self, now: f64, r: &Replica) -> bool {
+        let late_after = self.late_after();
+        r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at)
+    }
+
+    /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
+    /// second copy worth its load: where queues are the cause, copies lengthen them.
+    fn stuck(&self, now: f64, part: &Part) -> bool {
+        part.subs.iter().filter(|s| s.ending.is_none()).all(|s| {
+            self.replicas.get(&s.replica).is_none_or(|r| r.distrust.is_some() || self.silent(now, r))
+        })
+    }
+
     fn holds(&self, r: &Replica, shard: ShardId) -> bool {
         let cells = self.set.cells.max(1);
         r.open && (r.cell % cells + cells - shard.0 % cells) % cells < self.set.span
