--- a/src/balance.rs
+++ b/src/balance.rs
@@ -330,11 +330,12 @@
         seen.iter().filter(|x| **x <= left).count() as f64 / seen.len() as f64
     }
 
-    /// Overload: recent answers queue, at the median, for over a quarter of the shortest latency target.
+    /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose: further
+    /// sub-requests hurt long before searches are late.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let plain = quantile(self.all_unloaded(), 0.5).unwrap_or(0.0);
-        let over = quantile(fresh, 0.5).unwrap_or(0.0) - plain > self.shortest_target() / 4.0;
+        let over = quantile(fresh, 0.5).unwrap_or(0.0) > 1.5 * plain;
         if over != self.overloaded {
             self.overloaded = over;
             plan.notes.push(format!("overload {}", if over { "begun" } else { "ended" }));
@@ -582,7 +583,8 @@
         let Some(least) = at.iter().map(|id| load(id)).min() else { return Pick::Later };
         at.retain(|id| load(id) == least);
         let id = at[self.rng.rand_range(0..at.len() as u64) as usize].clone();
-        if until - now < self.unloaded_tail(q, &id) {
+        // A copy goes only where nothing of ours is out: it must not lengthen a queue.
+        if until - now < self.unloaded_tail(q, &id) || (out(part) && least > 0) {
             return Pick::Never;
         }
         let r = &self.replicas[&id];
