--- a/src/balance.rs
+++ b/src/balance.rs
@@ -208,6 +208,9 @@
                 }
             }
         }
+        if matches!(o.ending, Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0 {
+            push(&mut r.loaded, (now, o.latency), 8);
+        }
         if matches!(o.ending, Ending::Full | Ending::TimedOut) {
             r.hold = Some(Hold { above: left_out, answers: left_out.max(1) });
         }
@@ -316,18 +319,21 @@
         self.late_after().min(self.shortest_target() / 2.0)
     }
 
-    /// Chance that a part sent now is answered within `left`, by its replica's last answers; by those of all
-    /// replicas where it has given few of late.
+    /// Chance that a part sent now is answered within `left`: its replica's unloaded samples, put off by the
+    /// queue there. Danger: answers alone tell of a queue only once it has passed, and nothing once none
+    /// come, so what is out counts by its age and what ended unanswered by its time.
     fn chance(&self, now: f64, id: &ReplicaId, left: f64) -> f64 {
-        // Two seconds: older answers tell nothing of a queue that turns over faster than that.
-        let fresh =
-            |w: &VecDeque<(f64, f64)>| w.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect::<Vec<_>>();
-        let own = self.replicas.get(id).map(|r| fresh(&r.loaded)).unwrap_or_default();
-        let seen = if own.len() >= 4 { own } else { fresh(&self.recent) };
-        if seen.len() < 4 {
+        let Some(r) = self.replicas.get(id) else { return 0.0 };
+        let samples = self.unloaded(id);
+        if samples.is_empty() {
             return 1.0;
         }
-        seen.iter().filter(|x| **x <= left).count() as f64 / seen.len() as f64
+        // Two seconds: older answers tell nothing of a queue that turns over faster than that.
+        let fresh = r.loaded.iter().rev().take(4).filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
+        let oldest = r.running.values().map(|x| now - x.sent_at).fold(0.0, f64::max);
+        let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
+        let queue = (seen - quantile(samples.clone(), 0.5).unwrap_or(0.0)).max(0.0);
+        samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
     /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose: further
