--- a/src/balance.rs
+++ b/src/balance.rs
@@ -237,11 +237,12 @@
                 plan.notes.push(format!("replica {} distrusted", id.0));
             }
             None => {}
-            // Two good answers in a row end it; trials grow rarer, to every 4 s, while it stays bad.
+            // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials grow rarer, to every 4 s, while it stays bad.
             Some(d) if bad => (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0)),
             Some(d) => {
                 d.good += 1;
-                if d.good >= 2 {
+                d.next_trial = now;
+                if d.good >= 4 {
                     r.distrust = None;
                     r.marks.clear();
                     plan.notes.push(format!("replica {} trusted again", id.0));
