--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -32,15 +32,19 @@
         let batch: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
         let now = batch.get("simTimeMs").and_then(decode::seconds).ok_or("no simTimeMs")?;
         let groups = batch.get("groups").and_then(Value::as_array).ok_or("no groups")?;
-        let mut replies = Vec::new();
+        // An instance may come in several groups; a restart in a later one voids what an earlier one asked.
+        let mut outs: BTreeMap<i64, Vec<Value>> = BTreeMap::new();
         for group in groups {
             let id =
                 group.get("co-ordinatorId").and_then(Value::as_i64).ok_or("a group has no co-ordinatorId")?;
             let events = group.get("in").and_then(Value::as_array).ok_or("a group has no in")?;
-            let mut out = Vec::new();
+            let out = outs.entry(id).or_default();
             for event in events {
-                self.event(now, id, event, &mut out);
+                self.event(now, id, event, out);
             }
+        }
+        let mut replies = Vec::new();
+        for (id, mut out) in outs {
             if let Some(instance) = self.instances.get_mut(&id) {
                 for search in std::mem::take(&mut instance.fresh) {
                     instance.ask(now, search, &mut out);
--- /dev/null
+++ b/tests/balance.rs
@@ -0,0 +1,310 @@
+//! Tables of cases for the decision module; no bench needed.
+
+mod common;
+use common::*;
+use rstest::rstest;
+use woadreach::api::*;
+
+const MAYBE_RUN: [Ending; 4] = [Ending::Errored, Ending::TimedOut, Ending::Broken, Ending::Cancelled];
+
+#[rstest]
+#[case::spread_over_two(&["a", "b"], 4, &[2, 2])]
+#[case::spread_over_three(&["a", "b", "c"], 6, &[2, 2, 2])]
+fn fewest_own_parts_out(#[case] names: &[&str], #[case] parts: usize, #[case] each: &[usize]) {
+    let mut b = balancer(settings(), names);
+    let plan = b.place(0.0, &mut search(1, parts, 0.0, 3.0));
+    let counts: Vec<usize> =
+        names.iter().map(|n| plan.send.iter().filter(|p| p.replica == id(n)).count()).collect();
+    assert_eq!(counts, each);
+}
+
+/// Full at two own parts out: a third waits; an answer lets the search with the earliest deadline go.
+#[rstest]
+#[case::after_full(Ending::Full)]
+#[case::after_time_out(Ending::TimedOut)]
+fn held_parts_leave_by_deadline(#[case] trigger: Ending) {
+    let mut set = settings();
+    set.query_types.push(QueryType { latency_target: 0.5, ..query_type() });
+    // Chance must not shed the held ones: no replica has answered late.
+    let mut b = balancer(set, &["a"]);
+    let mut first = search(1, 3, 0.0, 3.0);
+    let sent = b.place(0.0, &mut first).send;
+    b.after(0.1, None, &ended(&sent[2], 0, trigger, 0.1));
+    let (mut slow, mut fast) = (search(2, 1, 0.1, 3.0), search(3, 1, 0.12, 3.0));
+    fast.query_type = QueryTypeId(1);
+    let let_in = b.place(0.1, &mut slow);
+    assert_eq!(let_in.send.len(), 1, "two are out, as at the answer: one more may go");
+    let mut later = search(4, 1, 0.1, 3.0);
+    assert!(b.place(0.1, &mut later).send.is_empty() && b.place(0.12, &mut fast).send.is_empty());
+    assert!(!later.over && !fast.over);
+    let plan = b.after(0.2, None, &ended(&sent[0], 0, Ending::Answered, 0.2));
+    assert_eq!(plan.ask_again, [SearchId(3)]);
+    assert_eq!(b.place(0.2, &mut fast).send.len(), 1);
+}
+
+/// The final answer comes before the client's time is up, whatever stands in the way.
+#[rstest]
+#[case::no_holder(&[], 3.0)]
+#[case::nearly_over(&["a"], 0.001)]
+#[case::already_over(&["a"], 0.0)]
+#[case::silence(&["a", "b"], 2.0)]
+fn no_search_is_lost(#[case] names: &[&str], #[case] left: f64) {
+    let mut b = balancer(settings(), names);
+    let mut q = search(1, 2, 5.0, left);
+    let (mut now, mut replies) = (5.0, 0);
+    for _ in 0..200 {
+        let plan = b.place(now, &mut q);
+        replies += usize::from(plan.reply.is_some());
+        assert!(plan.reply.is_none() || plan.send.is_empty());
+        if q.over {
+            break;
+        }
+        now += b.wait(now, &q);
+    }
+    assert!(q.over && replies == 1 && now <= 5.0 + left, "ended at {now}");
+    assert!(b.place(now, &mut q).reply.is_none(), "one final answer only");
+}
+
+/// Which types may be sent again after an outcome, and whether their search may be shed.
+#[rstest]
+#[case::idempotent(Repeat::Idempotent, true, true)]
+#[case::tokened(Repeat::Tokened { window: 2.0, any_holder: true }, true, false)]
+#[case::tokened_too_late(Repeat::Tokened { window: 0.05, any_holder: true }, false, false)]
+#[case::tokened_elsewhere(Repeat::Tokened { window: 2.0, any_holder: false }, true, false)]
+#[case::non_idempotent(Repeat::NonIdempotent, false, false)]
+fn no_effect_twice(#[case] repeat: Repeat, #[case] again: bool, #[case] shed: bool) {
+    for ending in MAYBE_RUN {
+        let mut set = settings();
+        set.query_types[0].repeat = repeat;
+        let mut b = balancer(set, &["a", "b", "c"]);
+        let mut q = search(1, 1, 0.0, 3.0);
+        let sent = b.place(0.0, &mut q).send[0].clone();
+        let plan = b.after(0.1, Some(&mut q), &ended(&sent, 0, ending, 0.1));
+        assert_eq!(!plan.send.is_empty(), again, "{ending:?}");
+        if matches!(repeat, Repeat::Tokened { any_holder: false, .. }) {
+            assert_eq!(plan.send[0].replica, sent.replica);
+        }
+        let end = if again { b.place(2.999, &mut q) } else { plan };
+        assert_eq!(matches!(end.reply, Some(Reply::Shed { .. })), shed, "{ending:?}");
+        assert!(end.reply.is_some());
+    }
+}
+
+#[rstest]
+#[case::full(Ending::Full)]
+#[case::unreachable(Ending::Unreachable)]
+#[case::never_sent(Ending::NeverSent)]
+fn proven_unrun_may_go_again(#[case] ending: Ending) {
+    let mut set = settings();
+    set.query_types[0].repeat = Repeat::NonIdempotent;
+    let mut b = balancer(set, &["a", "b"]);
+    let mut q = search(1, 1, 0.0, 3.0);
+    let sent = b.place(0.0, &mut q).send[0].clone();
+    assert_eq!(b.after(0.1, Some(&mut q), &ended(&sent, 0, ending, 0.1)).send.len(), 1);
+}
+
+/// Nothing new to a replica that drains or is gone, from the moment the list says so.
+#[rstest]
+#[case::draining(false, vec![line("a", false, None)])]
+#[case::absent_from_full(true, vec![line("b", true, None)])]
+fn drains_are_kept(#[case] full: bool, #[case] lines: Vec<Listed>) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    b.list(full, &lines);
+    for n in 0..20 {
+        let plan = b.place(0.0, &mut search(n, 2, 0.0, 3.0));
+        assert!(plan.send.iter().all(|p| p.replica == id("b")));
+    }
+}
+
+/// A cold replica alone: what leaves in any window stays under this co-ordinator's share of the limit.
+#[rstest]
+#[case::just_started(0.0, Ending::Answered)]
+#[case::half_warm(5.0, Ending::Answered)]
+#[case::refusing(0.0, Ending::Full)]
+fn cold_replica_is_not_pushed_over(#[case] age: f64, #[case] ending: Ending) {
+    let mut set = settings();
+    set.cold = Some(ColdRule { from: 0.2, time: 10.0, tip_multiple: 2.5, tip_time: 1.0 });
+    let mut b = balancer(set, &[]);
+    b.list(true, &[line("a", true, Some(10.0 - age))]);
+    let mut sent = 0;
+    for n in 0..100 {
+        let now = 10.0 + 0.01 * n as f64;
+        let mut q = search(n + 1, 1, now, 3.0);
+        for p in b.place(now, &mut q).send {
+            sent += 1;
+            b.after(now, Some(&mut q), &ended(&p, 0, ending, 0.005));
+        }
+    }
+    // Unloaded answers of 5 ms or, without any, a fifth of the target: 200 parts or 5 a second, by half.
+    let warmth = 0.2 + 0.8 * (age + 1.0) / 10.0;
+    let work = if ending == Ending::Answered { 0.005 } else { 0.2 };
+    assert!(sent >= 1 && f64::from(sent) <= (2.5 * warmth / work / 2.0_f64).max(1.0), "{sent} sent");
+}
+
+/// Fresh replicas start with one in flight, more as they answer.
+#[rstest]
+#[case::none_yet(0, 1)]
+#[case::four_answers(4, 3)]
+fn in_flight_cap_grows(#[case] answers: u64, #[case] cap: usize) {
+    let mut set = settings();
+    set.cold = Some(ColdRule { from: 1.0, time: 100.0, tip_multiple: 1e6, tip_time: 1.0 });
+    let mut b = balancer(set, &[]);
+    b.list(true, &[line("a", true, Some(1.0))]);
+    for n in 0..answers {
+        let mut q = search(n + 1, 1, 2.0, 3.0);
+        let p = b.place(2.0, &mut q).send[0].clone();
+        b.after(2.0, Some(&mut q), &ended(&p, 0, Ending::Answered, 0.01));
+    }
+    let sent: usize = (50..60).map(|n| b.place(2.1, &mut search(n, 1, 2.1, 3.0)).send.len()).sum();
+    assert_eq!(sent, cap);
+}
+
+/// Further sub-requests, errors all the way: never over free + share x (searches and parts taken).
+#[rstest]
+#[case::free_only(2.0, 0.0, 2)]
+#[case::share_only(0.0, 0.25, 5)]
+fn budget_is_kept(#[case] free: f64, #[case] share: f64, #[case] most: usize) {
+    let mut set = settings();
+    set.budget = Some(BudgetRule { free, share, window: 10.0 });
+    let mut b = balancer(set, &["a", "b", "c"]);
+    let mut further = 0;
+    for n in 0..5 {
+        let mut q = search(n + 1, 3, 0.0, 3.0);
+        for p in b.place(0.0, &mut q).send {
+            further += b.after(0.1, Some(&mut q), &ended(&p, 0, Ending::Errored, 0.1)).send.len();
+        }
+    }
+    assert!(further <= most, "{further}");
+    assert!(further > 0);
+}
+
+/// What is answered, from how much, and marked how.
+#[rstest]
+#[case::all(1.0, 0.5, 4, Some(Reply::Answered { whole: true }))]
+#[case::need_under_one(0.75, 0.75, 3, Some(Reply::Answered { whole: true }))]
+#[case::over_floor(1.0, 0.5, 2, Some(Reply::Answered { whole: false }))]
+#[case::under_floor(1.0, 0.5, 1, Some(Reply::Shed { retry_after: 0.5 }))]
+#[case::no_floor(1.0, 1.0, 3, Some(Reply::Shed { retry_after: 0.5 }))]
+fn answers_are_honest(
+    #[case] need: f64,
+    #[case] floor: f64,
+    #[case] answered: usize,
+    #[case] reply: Option<Reply>,
+) {
+    let mut set = settings();
+    (set.query_types[0].need, set.query_types[0].floor) = (need, floor);
+    let mut b = balancer(set, &["a", "b", "c", "d"]);
+    let mut q = search(1, 4, 0.0, 3.0);
+    let sent = b.place(0.0, &mut q).send;
+    let mut last = None;
+    for p in &sent[..answered] {
+        last = b.after(0.1, Some(&mut q), &ended(p, 0, Ending::Answered, 0.1)).reply;
+        // A part counts once.
+        b.after(0.1, Some(&mut q), &ended(p, 0, Ending::Answered, 0.1));
+    }
+    assert_eq!(last.or_else(|| b.place(0.99, &mut q).reply), reply);
+}
+
+/// The second step is whole only if the first was and all its parts are in.
+#[rstest]
+#[case::both_whole(4, 2, true)]
+#[case::first_partial(3, 2, false)]
+#[case::second_partial(4, 1, false)]
+fn two_steps(#[case] first: usize, #[case] second: usize, #[case] whole: bool) {
+    let mut set = settings();
+    (set.query_types[0].floor, set.query_types[0].second_step) = (0.5, 2);
+    let mut b = balancer(set, &["a", "b"]);
+    let mut q = search(1, 4, 0.0, 3.0);
+    for p in &b.place(0.0, &mut q).send[..first] {
+        b.after(0.1, Some(&mut q), &ended(p, 0, Ending::Answered, 0.1));
+    }
+    b.place(0.94, &mut q);
+    assert!(q.step == 2 && !q.over);
+    add_parts(&mut q, 900, 2);
+    let mut reply = None;
+    for p in &b.place(0.945, &mut q).send[..second] {
+        reply = b.after(0.95, Some(&mut q), &ended(p, 0, Ending::Answered, 0.1)).reply;
+    }
+    assert_eq!(reply.or_else(|| b.place(0.99, &mut q).reply), Some(Reply::Answered { whole }));
+    assert!(q.over);
+}
+
+/// Whatever makes a replica's outcomes bad takes it out of use, until four good trials in a row.
+#[rstest]
+#[case::errors(Ending::Errored, 0.01)]
+#[case::time_outs(Ending::TimedOut, 1.0)]
+#[case::unreachable(Ending::Unreachable, 0.25)]
+#[case::resets(Ending::Broken, 0.1)]
+#[case::far_slower(Ending::Answered, 0.9)]
+fn bad_replicas_are_avoided_and_tried(#[case] ending: Ending, #[case] latency: f64) {
+    let mut set = settings();
+    set.sub_requests_cap = 1;
+    let mut b = balancer(set, &["a", "b"]);
+    for n in 0..8 {
+        let now = f64::from(n) * 0.01;
+        let (_, p) = stuck_at(&mut b, "a", now);
+        b.after(now, None, &ended(&p, 0, ending, latency));
+    }
+    let sends = |b: &mut woadreach::balance::Balancer, now: f64| -> usize {
+        let plans: Vec<_> = (1..=10).map(|n| b.place(now, &mut search(n, 1, now, 3.0))).collect();
+        plans.iter().flat_map(|p| &p.send).filter(|p| p.replica == id("a")).count()
+    };
+    assert_eq!(sends(&mut b, 0.1), 0);
+    assert_eq!(sends(&mut b, 20.0), 1, "one trial at a time");
+}
+
+/// A replica that is bad still serves where it is the only holder.
+#[rstest]
+fn never_all_holders() {
+    let mut b = balancer(settings(), &["a"]);
+    for n in 0..12 {
+        let mut q = search(n + 1, 1, n as f64, 3.0);
+        let p = b.place(n as f64, &mut q).send[0].clone();
+        b.after(n as f64 + 0.1, Some(&mut q), &ended(&p, 0, Ending::Errored, 0.1));
+    }
+    assert_eq!(b.place(20.0, &mut search(99, 1, 20.0, 3.0)).send.len(), 1);
+}
+
+/// A retry is known by its time left, shorter or longer than that of first tries: when its client asked so
+/// long ago that no answer earns value, it is shed at once; first tries are not.
+#[rstest]
+#[case::first(1.8, false)]
+#[case::shorter(1.5, true)]
+#[case::last_try(1.9, true)]
+fn stale_retries_are_shed(#[case] left: f64, #[case] shed: bool) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    for n in 1..=10 {
+        b.place(0.0, &mut search(n, 1, 0.0, 1.8));
+    }
+    let mut q = search(50, 1, 1.0, left);
+    assert_eq!(matches!(b.place(1.0, &mut q).reply, Some(Reply::Shed { .. })), shed);
+}
+
+/// Admission sees a queue by what is out for long, also when no answer comes any more.
+#[rstest]
+#[case::idle(0.0, false)]
+#[case::out_for_long(0.95, true)]
+fn queues_are_seen_before_answers_come(#[case] age: f64, #[case] shed: bool) {
+    let mut b = balancer(settings(), &["a"]);
+    let mut q = search(1, 1, 0.0, 3.0);
+    let p = b.place(0.0, &mut q).send[0].clone();
+    b.after(0.2, Some(&mut q), &ended(&p, 0, Ending::Answered, 0.2));
+    b.place(1.0, &mut search(2, 1, 1.0, 3.0));
+    let mut late = search(3, 1, 1.0 + age, 3.0);
+    assert_eq!(b.place(1.0 + age, &mut late).reply.is_some(), shed);
+}
+
+/// Odd facts do no harm: outcomes of unknown replicas and parts, zero weights, unknown cells.
+#[rstest]
+fn odd_input_is_harmless() {
+    let mut b = balancer(Settings { cells: 0, ..settings() }, &["a"]);
+    let stray =
+        Outcome { part: PartId(1), nth: 3, replica: id("z"), ending: Ending::Answered, latency: f64::NAN };
+    assert!(b.after(0.0, None, &stray).send.is_empty());
+    let mut q = search(1, 2, 0.0, 3.0);
+    q.parts.iter_mut().for_each(|p| p.weight = 0.0);
+    let sent = b.place(0.0, &mut q).send;
+    b.after(0.1, Some(&mut q), &ended(&sent[0], 9, Ending::Answered, 0.1));
+    assert!(b.wait(0.1, &q).is_finite());
+    assert!(b.place(2.999, &mut q).reply.is_some());
+}
