--- a/src/balance.rs
+++ b/src/balance.rs
@@ -150,8 +150,8 @@
             if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part) {
                 if let Some(sub) = part.subs.get_mut(outcome.nth) {
                     sub.ending = Some(outcome.ending);
+                    part.answered |= outcome.ending == Ending::Answered;
                 }
-                part.answered |= outcome.ending == Ending::Answered;
             }
             self.decide(now, q, &mut plan);
         }
@@ -409,8 +409,9 @@
         // Late value is given up under overload: a late answer costs as much work as one in time.
         let until = if t.late_value > 0.0 && !self.overloaded { end } else { target };
         let reserve = if q.step == 1 && t.second_step > 0 {
+            // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
             let tail = quantile(self.all_unloaded(), Self::P.powf(1.0 / t.second_step as f64));
-            tail.unwrap_or(t.latency_target / 10.0)
+            2.0 * tail.unwrap_or(t.latency_target / 10.0)
         } else {
             0.0
         };
@@ -647,7 +648,10 @@
         }
         let nth = part.subs.len();
         r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty() });
-        push(&mut r.cold_sends, now, 64);
+        if let Some(rule) = &self.set.cold {
+            r.cold_sends.retain(|t| *t > now - rule.tip_time);
+            r.cold_sends.push_back(now);
+        }
         part.subs.push(SubRequest { replica: id.clone(), sent_at: now, ending: None, trial: false });
         plan.send.push(Placement { part: part.id, replica: id, timeout: until - now });
     }
