--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,6 +20,8 @@
 struct Running {
     sent_at: f64,
     alone: bool,
+    /// Parts sent there later that have been answered since.
+    overtaken: usize,
 }
 
 /// Held back after a full or timed-out answer: while more than `above` own parts are out. It ends once
@@ -195,6 +197,9 @@
         if o.ending == Ending::Answered {
             r.answers += 1;
             r.answered_at = now;
+            for x in r.running.values_mut().filter(|x| x.sent_at < run.sent_at) {
+                x.overtaken += 1;
+            }
             if run.alone {
                 // 32 samples: a window that turns over in seconds and still has a 0.97 quantile.
                 push(&mut r.unloaded, o.latency, 32);
@@ -607,11 +612,15 @@
         r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at)
     }
 
-    /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
-    /// second copy worth its load: where queues are the cause, copies lengthen them.
+    /// Whether every sub-request that is out waits on a replica that is silent or distrusted, or was overtaken
+    /// there by three parts sent later, as one that was swallowed is. Only then is a second copy worth its
+    /// load: where queues are the cause, copies lengthen them. Harm: a costly part may be overtaken too.
     fn stuck(&self, now: f64, part: &Part) -> bool {
-        part.subs.iter().filter(|s| s.ending.is_none()).all(|s| {
-            self.replicas.get(&s.replica).is_none_or(|r| r.distrust.is_some() || self.silent(now, r))
+        part.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none()).all(|(n, s)| {
+            self.replicas.get(&s.replica).is_none_or(|r| {
+                let overtaken = r.running.get(&(part.id, n)).is_some_and(|x| x.overtaken >= 3);
+                overtaken || r.distrust.is_some() || self.silent(now, r)
+            })
         })
     }
 
@@ -647,7 +656,7 @@
             self.further.push_back(now);
         }
         let nth = part.subs.len();
-        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty() });
+        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty(), overtaken: 0 });
         if let Some(rule) = &self.set.cold {
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
             r.cold_sends.push_back(now);
