--- a/src/balance.rs
+++ b/src/balance.rs
@@ -20,8 +20,6 @@
 struct Running {
     sent_at: f64,
     alone: bool,
-    /// Parts sent there later that have been answered since.
-    overtaken: usize,
 }
 
 /// Held back after a full or timed-out answer: while more than `above` own parts are out. It ends once
@@ -197,9 +195,6 @@
         if o.ending == Ending::Answered {
             r.answers += 1;
             r.answered_at = now;
-            for x in r.running.values_mut().filter(|x| x.sent_at < run.sent_at) {
-                x.overtaken += 1;
-            }
             if run.alone {
                 // 32 samples: a window that turns over in seconds and still has a 0.97 quantile.
                 push(&mut r.unloaded, o.latency, 32);
@@ -338,7 +333,8 @@
         let fresh = r.loaded.iter().rev().take(4).filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let oldest = r.running.values().map(|x| now - x.sent_at).fold(0.0, f64::max);
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
-        let queue = (seen - quantile(samples.clone(), 0.5).unwrap_or(0.0)).max(0.0);
+        // Half as much again: the queue grows while the answers that tell of it are on their way.
+        let queue = 1.5 * (seen - quantile(samples.clone(), 0.5).unwrap_or(0.0)).max(0.0);
         samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
@@ -366,7 +362,7 @@
         if warmth >= 1.0 {
             return false;
         }
-        if r.running.len() > r.answers / 2 {
+        if r.running.len() > r.answers {
             return true;
         }
         let work = quantile(self.all_unloaded(), 0.5).unwrap_or(self.shortest_target() / 5.0);
@@ -519,8 +515,8 @@
         if self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share) {
             worth *= self.set.over_share_value;
         }
-        // A third: below it a search of average worth costs others more than it is likely to bring.
-        chance < 0.35 / worth.clamp(0.5, 2.0)
+        // Half: below it a search of average worth costs others more than it is likely to bring.
+        chance < 0.5 / worth.clamp(0.6, 2.0)
     }
 
     /// A pick for each part of the step that has nothing out and no answer.
@@ -612,15 +608,11 @@
         r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at)
     }
 
-    /// Whether every sub-request that is out waits on a replica that is silent or distrusted, or was overtaken
-    /// there by three parts sent later, as one that was swallowed is. Only then is a second copy worth its
-    /// load: where queues are the cause, copies lengthen them. Harm: a costly part may be overtaken too.
+    /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
+    /// second copy worth its load: where queues are the cause, copies lengthen them.
     fn stuck(&self, now: f64, part: &Part) -> bool {
-        part.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none()).all(|(n, s)| {
-            self.replicas.get(&s.replica).is_none_or(|r| {
-                let overtaken = r.running.get(&(part.id, n)).is_some_and(|x| x.overtaken >= 3);
-                overtaken || r.distrust.is_some() || self.silent(now, r)
-            })
+        part.subs.iter().filter(|s| s.ending.is_none()).all(|s| {
+            self.replicas.get(&s.replica).is_none_or(|r| r.distrust.is_some() || self.silent(now, r))
         })
     }
 
@@ -656,7 +648,7 @@
             self.further.push_back(now);
         }
         let nth = part.subs.len();
-        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty(), overtaken: 0 });
+        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty() });
         if let Some(rule) = &self.set.cold {
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
             r.cold_sends.push_back(now);
