--- a/src/balance.rs
+++ b/src/balance.rs
@@ -362,7 +362,7 @@
         if warmth >= 1.0 {
             return false;
         }
-        if r.running.len() > r.answers {
+        if r.running.len() > r.answers / 4 {
             return true;
         }
         let work = quantile(self.all_unloaded(), 0.5).unwrap_or(self.shortest_target() / 5.0);
