--- a/src/balance.rs
+++ b/src/balance.rs
@@ -147,11 +147,11 @@
         let mut plan = Plan::default();
         self.learn(now, outcome, &mut plan);
         if let Some(q) = q {
-            if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part) {
-                if let Some(sub) = part.subs.get_mut(outcome.nth) {
-                    sub.ending = Some(outcome.ending);
-                    part.answered |= outcome.ending == Ending::Answered;
-                }
+            if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part)
+                && let Some(sub) = part.subs.get_mut(outcome.nth)
+            {
+                sub.ending = Some(outcome.ending);
+                part.answered |= outcome.ending == Ending::Answered;
             }
             self.decide(now, q, &mut plan);
         }
@@ -407,8 +407,9 @@
         let t = &self.set.query_types[q.query_type.0];
         let end = q.ends - margin;
         let target = (q.asked.unwrap_or(q.arrived) + t.latency_target - margin).min(end);
-        // Late value is given up under overload: a late answer costs as much work as one in time.
-        let until = if t.late_value > 0.0 && !self.overloaded { end } else { target };
+        // A late answer costs as much work as one in time: it is waited for only where it keeps over half its
+        // value, and not under overload.
+        let until = if t.late_value > 0.5 && !self.overloaded { end } else { target };
         let reserve = if q.step == 1 && t.second_step > 0 {
             // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
             let tail = quantile(self.all_unloaded(), Self::P.powf(1.0 / t.second_step as f64));
