--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -17,6 +17,7 @@
     searches: BTreeMap<SearchId, InHand>,
     by_number: BTreeMap<u64, SearchId>,
     by_part: BTreeMap<PartId, SearchId>,
+    query_types: usize,
     /// Arrived in this batch, or grew by a step: to be asked about once all their parts are in.
     fresh: Vec<SearchId>,
 }
@@ -131,6 +132,7 @@
 impl Instance {
     fn new(set: Settings) -> Self {
         Instance {
+            query_types: set.query_types.len(),
             balancer: Balancer::new(set),
             searches: BTreeMap::new(),
             by_number: BTreeMap::new(),
@@ -147,6 +149,9 @@
         if segment < 0.0 {
             let search = SearchId(id);
             let query_type = QueryTypeId(event.get(2)?.as_u64()? as usize);
+            if query_type.0 >= self.query_types {
+                return None;
+            }
             let tenant = TenantId(event.get(3).and_then(Value::as_u64).unwrap_or(0) as usize);
             let ends = now + event.get(5).and_then(decode::seconds)?;
             let search_in_hand = Search::new(search, query_type, tenant, now, ends);
