Refusing replicas count as bad; hopeless shards cost no work

Covers refusal, silence and cuts of all holders of a shard; may shed a search too many in the first 2 s after a shard is back.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -45,7 +45,7 @@
     hold: Option<Hold>,
     unloaded: VecDeque<f64>,
     loaded: VecDeque<(f64, f64)>,
-    marks: VecDeque<bool>,
+    marks: VecDeque<(f64, bool)>,
     answers: usize,
     answered_at: f64,
     cold_sends: VecDeque<f64>,
@@ -216,10 +216,10 @@
         }
         let bad = match o.ending {
             Ending::Answered => late,
-            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Broken => true,
+            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Broken | Ending::Full => true,
             // Called off after losing to its copy: late too.
             Ending::Cancelled if late => true,
-            Ending::Full | Ending::Cancelled | Ending::NeverSent => return,
+            Ending::Cancelled | Ending::NeverSent => return,
         };
         self.mark(now, &o.replica, bad, plan);
     }
@@ -230,9 +230,9 @@
     /// costs a sound replica a second or two; with every holder bad, nothing changes.
     fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
         let Some(r) = self.replicas.get_mut(id) else { return };
-        push(&mut r.marks, bad, 8);
+        push(&mut r.marks, (now, bad), 8);
         match &mut r.distrust {
-            None if r.marks.iter().filter(|b| **b).count() >= 4 => {
+            None if r.marks.iter().filter(|m| m.1).count() >= 4 => {
                 r.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
                 plan.notes.push(format!("replica {} distrusted", id.0));
             }
@@ -335,7 +335,12 @@
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
         // Half as much again: the queue grows while the answers that tell of it are on their way.
         let queue = 1.5 * (seen - quantile(samples.clone(), 0.5).unwrap_or(0.0)).max(0.0);
-        samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
+        let in_time = samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64;
+        // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing of
+        // late, the work on the search's other parts is lost. With no outcome for 2 s it gets another try.
+        let mut marks = r.marks.iter().filter(|m| m.0 > now - 2.0);
+        let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
+        if dead { 0.0 } else { in_time }
     }
 
     /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose: further
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -235,6 +235,7 @@
 #[case::time_outs(Ending::TimedOut, 0.4)]
 #[case::unreachable(Ending::Unreachable, 0.25)]
 #[case::resets(Ending::Broken, 0.1)]
+#[case::refusing_at_once(Ending::Full, 0.005)]
 #[case::far_slower(Ending::Answered, 0.9)]
 fn bad_replicas_are_avoided_and_tried(#[case] ending: Ending, #[case] latency: f64) {
     let mut set = settings();
@@ -274,6 +275,25 @@
     assert_eq!(b.place(20.0, &mut search(99, 1, 20.0, 3.0)).send.len(), 1);
 }
 
+/// Where the only holder answers nothing, searches are shed unsent, but tried again after a while.
+#[rstest]
+#[case::at_once(0.1, false)]
+#[case::after_a_while(2.5, true)]
+fn hopeless_shards_cost_no_work(#[case] later: f64, #[case] sent: bool) {
+    let mut b = balancer(settings(), &["a"]);
+    let mut q = search(1, 1, 0.0, 3.0);
+    let p = b.place(0.0, &mut q).send[0].clone();
+    b.after(0.1, Some(&mut q), &ended(&p, 0, Ending::Answered, 0.1));
+    for n in 0..4 {
+        let mut set_back = search(10 + n, 1, 1.0, 3.0);
+        let p = b.place(1.0, &mut set_back).send[0].clone();
+        b.after(1.0, None, &ended(&p, 0, Ending::Full, 0.005));
+    }
+    let plan = b.place(1.0 + later, &mut search(50, 1, 1.0 + later, 3.0));
+    assert_eq!(!plan.send.is_empty(), sent);
+    assert_eq!(plan.reply.is_some(), !sent);
+}
+
 /// A retry is known by its time left, shorter or longer than that of first tries: when its client asked so
 /// long ago that no answer earns value, it is shed at once; first tries are not.
 #[rstest]
