--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -285,11 +285,11 @@
     let p = b.place(0.0, &mut q).send[0].clone();
     b.after(0.1, Some(&mut q), &ended(&p, 0, Ending::Answered, 0.1));
     for n in 0..4 {
-        let mut set_back = search(10 + n, 1, 1.0, 3.0);
-        let p = b.place(1.0, &mut set_back).send[0].clone();
-        b.after(1.0, None, &ended(&p, 0, Ending::Full, 0.005));
+        let mut set_back = search(10 + n, 1, 5.0, 3.0);
+        let p = b.place(5.0, &mut set_back).send[0].clone();
+        b.after(5.0, None, &ended(&p, 0, Ending::Full, 0.005));
     }
-    let plan = b.place(1.0 + later, &mut search(50, 1, 1.0 + later, 3.0));
+    let plan = b.place(5.0 + later, &mut search(50, 1, 5.0 + later, 3.0));
     assert_eq!(!plan.send.is_empty(), sent);
     assert_eq!(plan.reply.is_some(), !sent);
 }
