--- a/src/balance.rs
+++ b/src/balance.rs
@@ -237,7 +237,8 @@
                 plan.notes.push(format!("replica {} distrusted", id.0));
             }
             None => {}
-            // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials grow rarer, to every 4 s, while it stays bad.
+            // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials
+            // grow rarer, to every 4 s, while it stays bad.
             Some(d) if bad => (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0)),
             Some(d) => {
                 d.good += 1;
@@ -252,11 +253,12 @@
     }
 
     fn all_unloaded(&self) -> Vec<f64> {
-        self.replicas
-            .values()
-            .filter(|r| r.distrust.is_none())
-            .flat_map(|r| r.unloaded.iter().copied())
-            .collect()
+        let all = |trusted: bool| -> Vec<f64> {
+            let of = self.replicas.values().filter(|r| !trusted || r.distrust.is_none());
+            of.flat_map(|r| r.unloaded.iter().copied()).collect()
+        };
+        let trusted = all(true);
+        if trusted.is_empty() { all(false) } else { trusted }
     }
 
     /// Unloaded samples of a replica; the average of all where it has none. Exception to the design: a
@@ -325,6 +327,13 @@
     /// come, so what is out counts by its age and what ended unanswered by its time.
     fn chance(&self, now: f64, id: &ReplicaId, left: f64) -> f64 {
         let Some(r) = self.replicas.get(id) else { return 0.0 };
+        // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing of
+        // late, the work on the search's other parts is lost. With no outcome for 2 s it gets another try.
+        let mut marks = r.marks.iter().filter(|m| m.0 > now - 2.0);
+        let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
+        if dead {
+            return 0.0;
+        }
         let samples = self.unloaded(id);
         if samples.is_empty() {
             return 1.0;
@@ -335,12 +344,7 @@
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
         // Half as much again: the queue grows while the answers that tell of it are on their way.
         let queue = 1.5 * (seen - quantile(samples.clone(), 0.5).unwrap_or(0.0)).max(0.0);
-        let in_time = samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64;
-        // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing of
-        // late, the work on the search's other parts is lost. With no outcome for 2 s it gets another try.
-        let mut marks = r.marks.iter().filter(|m| m.0 > now - 2.0);
-        let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
-        if dead { 0.0 } else { in_time }
+        samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
     /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose: further
