--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,16 @@
     distrust: Option<Distrust>,
 }
 
+impl Replica {
+    /// Own calls out, with `extra` parts about to leave now: parts sent at one time share calls.
+    fn calls(&self, now: f64, per_call: usize, extra: usize) -> usize {
+        let mut sent: Vec<f64> = self.running.values().map(|x| x.sent_at).collect();
+        sent.extend(std::iter::repeat_n(now, extra));
+        sent.sort_by(f64::total_cmp);
+        sent.chunk_by(|a, b| a == b).map(|c| c.len().div_ceil(per_call.max(1))).sum()
+    }
+}
+
 enum Pick {
     Go(ReplicaId),
     /// Its replica is held, or earlier parts wait there.
@@ -237,8 +247,8 @@
                 plan.notes.push(format!("replica {} distrusted", id.0));
             }
             None => {}
-            // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials
-            // grow rarer, to every 4 s, while it stays bad.
+            // Four good answers in a row end it, so that a replica that fails half its parts stays out;
+            // trials grow rarer, to every 4 s, while it stays bad.
             Some(d) if bad => (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0)),
             Some(d) => {
                 d.good += 1;
@@ -327,8 +337,8 @@
     /// come, so what is out counts by its age and what ended unanswered by its time.
     fn chance(&self, now: f64, id: &ReplicaId, left: f64) -> f64 {
         let Some(r) = self.replicas.get(id) else { return 0.0 };
-        // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing of
-        // late, the work on the search's other parts is lost. With no outcome for 2 s it gets another try.
+        // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing
+        // of late, the work on the other parts is lost. With no outcome for 2 s it gets another try.
         let mut marks = r.marks.iter().filter(|m| m.0 > now - 2.0);
         let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
         if dead {
@@ -347,8 +357,8 @@
         samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
-    /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose: further
-    /// sub-requests hurt long before searches are late.
+    /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose:
+    /// further sub-requests hurt long before searches are late.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let plain = quantile(self.all_unloaded(), 0.5).unwrap_or(0.0);
@@ -597,7 +607,7 @@
         at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
         let load = |id: &ReplicaId| {
             let r = &self.replicas[id];
-            r.running.len() + extra.get(id).copied().unwrap_or(0)
+            r.calls(now, self.set.per_call, extra.get(id).copied().unwrap_or(0))
         };
         let Some(least) = at.iter().map(|id| load(id)).min() else { return Pick::Later };
         at.retain(|id| load(id) == least);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -18,6 +18,21 @@
     assert_eq!(counts, each);
 }
 
+/// Where parts share calls, a replica's load is its calls out: three parts in one call tie with one part.
+#[rstest]
+#[case::one_part_a_call(1, false)]
+#[case::four_parts_a_call(4, true)]
+fn load_counts_calls(#[case] per_call: usize, #[case] ties: bool) {
+    let chosen = |seed: u64| {
+        let mut b = balancer(Settings { per_call, seed, ..settings() }, &["a"]);
+        b.place(0.0, &mut search(1, 3, 0.0, 3.0));
+        b.list(false, &[line("b", true, None)]);
+        b.place(0.1, &mut search(2, 1, 0.1, 3.0));
+        b.place(0.2, &mut search(3, 1, 0.2, 3.0)).send[0].replica.clone()
+    };
+    assert_eq!((0..20).any(|seed| chosen(seed) == id("a")), ties);
+}
+
 /// Full at two own parts out: a third waits; an answer lets the search with the earliest deadline go.
 #[rstest]
 #[case::after_full(Ending::Full)]
