--- a/src/api.rs
+++ b/src/api.rs
@@ -114,7 +114,6 @@
     pub replica: ReplicaId,
     pub sent_at: f64,
     pub ending: Option<Ending>,
-    pub trial: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -673,7 +673,7 @@
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
             r.cold_sends.push_back(now);
         }
-        part.subs.push(SubRequest { replica: id.clone(), sent_at: now, ending: None, trial: false });
+        part.subs.push(SubRequest { replica: id.clone(), sent_at: now, ending: None });
         plan.send.push(Placement { part: part.id, replica: id, timeout: until - now });
     }
 
