--- a/src/balance.rs
+++ b/src/balance.rs
@@ -286,9 +286,9 @@
         self.set.query_types[q.query_type.0].latency_target / 10.0
     }
 
-    /// p = 0.5: a part is skipped only where its search is more likely to fail than not. Samples hold other
-    /// co-ordinators' queues, so a high p would take their worst for the replica's own time.
-    const P: f64 = 0.5;
+    /// p = 0.7, from 0.5, 0.7 and 0.95: samples hold other co-ordinators' queues, so that at 0.95 a replica's
+    /// tail is the worst of them and sound replicas are skipped; at 0.5 hopeless parts still leave.
+    const P: f64 = 0.7;
 
     /// Smallest t with the product of the replicas' unloaded distributions at P or more.
     fn unloaded_search(&self, q: &Search, replicas: &[ReplicaId]) -> f64 {
