--- a/src/balance.rs
+++ b/src/balance.rs
@@ -598,13 +598,14 @@
         if at.is_empty() {
             return Pick::Never;
         }
+        // The rule's guard first: a distrusted replica is better than none.
+        at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| {
             let r = &self.replicas[id];
             r.distrust.is_none() && !self.silent(now, r)
         });
-        at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
         let load = |id: &ReplicaId| {
             let r = &self.replicas[id];
             r.calls(now, self.set.per_call, extra.get(id).copied().unwrap_or(0))
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -278,6 +278,27 @@
     assert_eq!(sends(&mut b, 20.0), 1, "one trial at a time");
 }
 
+/// A distrusted warm replica serves where the cold ones are closed.
+#[rstest]
+#[case::cold_open(0, "b")]
+#[case::cold_closed(1, "a")]
+fn distrusted_is_better_than_none(#[case] out_at_cold: u64, #[case] chosen: &str) {
+    let mut set = settings();
+    set.cold = Some(ColdRule { from: 0.2, time: 100.0, tip_multiple: 2.5, tip_time: 1.0 });
+    set.sub_requests_cap = 1;
+    let mut b = balancer(set, &["a"]);
+    for n in 0..4 {
+        let now = 0.01 * n as f64;
+        let (_, p) = stuck_at(&mut b, "a", now);
+        b.after(now, None, &ended(&p, 0, Ending::Errored, 0.01));
+    }
+    b.list(false, &[line("b", true, Some(9.0))]);
+    for n in 0..out_at_cold {
+        b.place(10.0, &mut search(n + 10, 1, 10.0, 3.0));
+    }
+    assert_eq!(b.place(10.01, &mut search(50, 1, 10.01, 3.0)).send[0].replica, id(chosen));
+}
+
 /// A replica that is bad still serves where it is the only holder.
 #[rstest]
 fn never_all_holders() {
