--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -18,6 +18,7 @@
     by_number: BTreeMap<u64, SearchId>,
     by_part: BTreeMap<PartId, SearchId>,
     query_types: usize,
+    marks_repeats: bool,
     /// Arrived in this batch, or grew by a step: to be asked about once all their parts are in.
     fresh: Vec<SearchId>,
 }
@@ -68,7 +69,8 @@
                 self.instances.remove(&id);
                 match decode::settings(event.get(1)?.as_u64()?, event.get(2)?) {
                     Ok(set) => {
-                        self.instances.insert(id, Instance::new(set));
+                        let marks = event.pointer("/2/clients/marksRetry").and_then(Value::as_bool);
+                        self.instances.insert(id, Instance::new(set, marks == Some(true)));
                     }
                     Err(why) => {
                         eprintln!("co-ordinator {id}: {why}");
@@ -130,8 +132,9 @@
 }
 
 impl Instance {
-    fn new(set: Settings) -> Self {
+    fn new(set: Settings, marks_repeats: bool) -> Self {
         Instance {
+            marks_repeats,
             query_types: set.query_types.len(),
             balancer: Balancer::new(set),
             searches: BTreeMap::new(),
@@ -154,8 +157,10 @@
             }
             let tenant = TenantId(event.get(3).and_then(Value::as_u64).unwrap_or(0) as usize);
             let ends = now + event.get(5).and_then(decode::seconds)?;
-            let search_in_hand = Search::new(search, query_type, tenant, now, ends);
-            self.searches.insert(search, InHand { search: search_in_hand, due: f64::INFINITY });
+            let mut in_hand = Search::new(search, query_type, tenant, now, ends);
+            let options = event.get(10).and_then(Value::as_u64).unwrap_or(0);
+            in_hand.repeated = self.marks_repeats.then_some(options & 2 != 0);
+            self.searches.insert(search, InHand { search: in_hand, due: f64::INFINITY });
             self.by_number.insert(number, search);
             self.fresh.push(search);
             return Some(());
--- a/src/api.rs
+++ b/src/api.rs
@@ -140,6 +140,8 @@
     pub parts: Vec<Part>,
     pub step: usize,
     pub first_whole: bool,
+    /// Whether the client says that it repeats itself; absent where clients do not mark that.
+    pub repeated: Option<bool>,
     /// When the client first asked, as far as can be told; set by the module.
     pub asked: Option<f64>,
     /// Queuing deadline of the step in hand; set by the module.
@@ -159,6 +161,7 @@
             parts: Vec::new(),
             step: 1,
             first_whole: false,
+            repeated: None,
             asked: None,
             queue_by: None,
             over: false,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -503,17 +503,22 @@
     }
 
     /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
-    /// while nobody waits for it in time any more. First tries of a query type all have the same time left;
-    /// a retry's is what remains of the client timeout. Harm: where retries are most of a type's searches, or
-    /// clients differ, a first try passes for a retry and is dropped.
+    /// while nobody waits for it in time any more. First tries of a query type all have the same time left,
+    /// a retry's is what remains of the client timeout, and differs from one to the next: the most common
+    /// value is that of first tries, also while retries are most of the traffic. Clients' own marks go
+    /// before. Harm: with clients that differ, without marks, some first tries pass for retries.
     fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
         let left = q.ends - q.arrived;
         let lefts = &mut self.lefts[q.query_type.0];
-        // 64: enough for a median that a burst of retries does not move.
-        push(lefts, left, 64);
-        let first = quantile(lefts.iter().copied().collect(), 0.5).unwrap_or(left);
+        if q.repeated != Some(true) {
+            // 64: some seconds of traffic, in which retries scatter.
+            push(lefts, left, 64);
+        }
+        // 10 ms: what jitter on the way does to a time left.
+        let alike = |x: &f64| lefts.iter().filter(|y| (*y - x).abs() < 0.01).count();
+        let first = lefts.iter().copied().max_by_key(alike).unwrap_or(left);
         // 50 ms: more than clocks and links differ by, less than any client's pause before a retry.
-        let retry = (left - first).abs() > 0.05;
+        let retry = q.repeated != Some(false) && (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
         push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
         self.taken.push_back((now, 1));
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -330,19 +330,25 @@
     assert_eq!(plan.reply.is_some(), !sent);
 }
 
-/// A retry is known by its time left, shorter or longer than that of first tries: when its client asked so
-/// long ago that no answer earns value, it is shed at once; first tries are not.
+/// A retry is known by its time left, shorter or longer than that of first tries, or by its client's mark: when
+/// its client asked so long ago that no answer earns value, it is shed at once. First tries are not, also while
+/// retries are most of what comes.
 #[rstest]
-#[case::first(1.8, false)]
-#[case::shorter(1.5, true)]
-#[case::last_try(1.9, true)]
-fn stale_retries_are_shed(#[case] left: f64, #[case] shed: bool) {
+#[case::first(1.8, None, false)]
+#[case::shorter(1.5, None, true)]
+#[case::last_try(1.9, None, true)]
+#[case::marked_shorter(1.5, Some(true), true)]
+#[case::marked_first_but_short(1.5, Some(false), false)]
+fn stale_retries_are_shed(#[case] left: f64, #[case] repeated: Option<bool>, #[case] shed: bool) {
     let mut b = balancer(settings(), &["a", "b"]);
     for n in 1..=10 {
         b.place(0.0, &mut search(n, 1, 0.0, 1.8));
+        b.place(0.0, &mut search(100 + n, 1, 0.0, 1.2 + 0.03 * n as f64));
+        b.place(0.0, &mut search(200 + n, 1, 0.0, 0.8 + 0.02 * n as f64));
     }
-    let mut q = search(50, 1, 1.0, left);
-    assert_eq!(matches!(b.place(1.0, &mut q).reply, Some(Reply::Shed { .. })), shed);
+    let mut q = search(50, 1, 0.5, left);
+    q.repeated = repeated;
+    assert_eq!(matches!(b.place(0.5, &mut q).reply, Some(Reply::Shed { .. })), shed);
 }
 
 /// Admission sees a queue by what is out for long, also when no answer comes any more.
