--- a/src/balance.rs
+++ b/src/balance.rs
@@ -536,12 +536,12 @@
         let n = self.arrivals.len() as f64;
         let mean = self.arrivals.iter().map(|a| a.0).sum::<f64>() / n;
         let mine = self.arrivals.iter().filter(|a| a.1 == q.tenant).count() as f64 / n;
-        let mut worth = t.value / q.parts.len().max(1) as f64 / mean.max(1e-9);
+        let mut value = t.value / q.parts.len().max(1) as f64 / mean.max(1e-9);
         if self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share) {
-            worth *= self.set.over_share_value;
+            value *= self.set.over_share_value;
         }
         // Half: below it a search of average worth costs others more than it is likely to bring.
-        chance < 0.5 / worth.clamp(0.6, 2.0)
+        chance < 0.5 / value.clamp(0.6, 2.0)
     }
 
     /// A pick for each part of the step that has nothing out and no answer.
