A time left that recurs under the latency target is an impatient client's first try

Cause: clients of one tenant that give up early and ask again at once come with one short time left; the module took each for the rest of a long wait and refused it unsent (seen in debug prints of refusals and in a recording of the times left).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -505,8 +505,10 @@
     /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
     /// while nobody waits for it in time any more. First tries of a query type all have the same time left,
     /// a retry's is what remains of the client timeout, and differs from one to the next: the most common
-    /// value is that of first tries, also while retries are most of the traffic. Clients' own marks go
-    /// before. Harm: with clients that differ, without marks, some first tries pass for retries.
+    /// value is that of first tries, also while retries are most of the traffic. One under the latency target
+    /// that recurs among the last few is a patience of its own (a tenant whose clients ask again early and
+    /// often), and as fresh as can be told. Clients' own marks go before. Harm: the first search of such a
+    /// patience passes for a retry, and a retry may recur by chance.
     fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
         let left = q.ends - q.arrived;
         let lefts = &mut self.lefts[q.query_type.0];
@@ -517,8 +519,11 @@
         // 10 ms: what jitter on the way does to a time left.
         let alike = |x: &f64| lefts.iter().filter(|y| (*y - x).abs() < 0.01).count();
         let first = lefts.iter().copied().max_by_key(alike).unwrap_or(left);
+        // 16: two retries of so many that lie within 10 ms are rare over client timeouts of seconds.
+        let alike_lately = lefts.iter().rev().take(16).filter(|y| (*y - left).abs() < 0.01).count();
+        let recurs = left < t.latency_target && alike_lately > 1;
         // 50 ms: more than clocks and links differ by, less than any client's pause before a retry.
-        let retry = q.repeated != Some(false) && (left - first).abs() > 0.05;
+        let retry = q.repeated != Some(false) && !recurs && (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
         push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
         self.taken.push_back((now, 1));
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -351,6 +351,20 @@
     assert_eq!(matches!(b.place(0.5, &mut q).reply, Some(Reply::Shed { .. })), shed);
 }
 
+/// Clients that ask again early show one time left again and again, under the latency target: no stale retries.
+#[rstest]
+#[case::recurs_under_target(0.6, 3, false)]
+#[case::scattered_under_target(0.6, 0, true)]
+#[case::recurs_over_target(1.5, 3, true)]
+fn impatient_clients_are_not_stale(#[case] left: f64, #[case] before: u64, #[case] shed: bool) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    for n in 1..=20 {
+        b.place(0.0, &mut search(n, 1, 0.0, 1.8));
+    }
+    (0..before).for_each(|n| drop(b.place(0.0, &mut search(100 + n, 1, 0.0, left))));
+    assert_eq!(b.place(0.5, &mut search(50, 1, 0.5, left)).reply.is_some(), shed);
+}
+
 /// Admission sees a queue by what is out for long, also when no answer comes any more.
 #[rstest]
 #[case::idle(0.0, false)]
