Health by zone, two bad marks where sight is sparse, overload by quartiles

Cause: at one search a second each replica gives an outcome every seven seconds, so four bad marks of eight came too late, and a long way was taken for overload, which barred leaving it.

--- a/crates/woadreach-simhost/src/decode.rs
+++ b/crates/woadreach-simhost/src/decode.rs
@@ -83,6 +83,7 @@
 pub fn listed(v: &Value) -> Option<Listed> {
     Some(Listed {
         open: v.get(0)?.as_str()? == "U",
+        zone: ZoneId(v.get(2)?.as_u64()?),
         cell: CellId(v.get(3)?.as_u64()?),
         replica: replica(v.get(4)?)?,
         ready_at: v.get(5).and_then(seconds).filter(|t| *t > 0.0),
--- a/src/api.rs
+++ b/src/api.rs
@@ -12,6 +12,8 @@
 pub struct ShardId(pub u64);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u64);
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReplicaId(pub std::rc::Rc<str>);
 
@@ -83,6 +85,7 @@
 pub struct Listed {
     pub replica: ReplicaId,
     pub open: bool,
+    pub zone: ZoneId,
     pub cell: CellId,
     pub ready_at: Option<f64>,
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,20 +36,56 @@
     good: usize,
 }
 
+/// What the last outcomes say of a replica, or of the way to a zone.
+#[derive(Default)]
+struct Health {
+    marks: VecDeque<(f64, bool)>,
+    distrust: Option<Distrust>,
+}
+
+impl Health {
+    /// Bad are half of the last `window` outcomes and at least `least`. Ten seconds: longer than a sparse
+    /// sight needs for two outcomes of one replica, shorter than most troubles.
+    fn mark(&mut self, now: f64, bad: bool, window: usize, least: usize) -> Option<&'static str> {
+        push(&mut self.marks, (now, bad), window);
+        let Some(d) = &mut self.distrust else {
+            let fresh = self.marks.iter().filter(|m| m.0 > now - 10.0);
+            let bads = fresh.clone().filter(|m| m.1).count();
+            if bads < least || bads * 2 < fresh.count() {
+                return None;
+            }
+            self.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
+            return Some("distrusted");
+        };
+        // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials
+        // grow rarer, to every 4 s, while it stays bad.
+        if bad {
+            (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0));
+        } else {
+            (d.good, d.next_trial) = (d.good + 1, now);
+        }
+        let back = d.good >= 4;
+        if back {
+            *self = Health::default();
+        }
+        back.then_some("trusted again")
+    }
+}
+
 #[derive(Default)]
 struct Replica {
     open: bool,
+    zone: Option<ZoneId>,
     cell: u64,
     ready_at: Option<f64>,
     running: BTreeMap<(PartId, usize), Running>,
     hold: Option<Hold>,
-    unloaded: VecDeque<f64>,
+    unloaded: VecDeque<(f64, f64)>,
     loaded: VecDeque<(f64, f64)>,
-    marks: VecDeque<(f64, bool)>,
+    health: Health,
     answers: usize,
     answered_at: f64,
     cold_sends: VecDeque<f64>,
-    distrust: Option<Distrust>,
 }
 
 impl Replica {
@@ -76,9 +112,16 @@
     set: Settings,
     rng: oorandom::Rand64,
     replicas: BTreeMap<ReplicaId, Replica>,
+    /// Who is in each cell, so that an event costs by the holders of its shards, not by the fleet.
+    cells: BTreeMap<u64, BTreeSet<ReplicaId>>,
+    ways: BTreeMap<ZoneId, Health>,
     held: BTreeMap<ReplicaId, BTreeSet<(i64, SearchId, PartId)>>,
     /// Latencies of the last answered parts, with when they came.
     recent: VecDeque<(f64, f64)>,
+    /// Unloaded samples of all trusted replicas: the average where one has too few of its own.
+    fleet: VecDeque<f64>,
+    /// Worked out from `recent` when that changes.
+    late_after: f64,
     /// Value a part of the last searches, and their tenants.
     arrivals: VecDeque<(f64, TenantId)>,
     /// Time left that the last searches of each query type came with.
@@ -110,13 +153,23 @@
     part.subs.iter().any(|s| s.ending.is_none())
 }
 
+impl Settings {
+    fn shortest_target(&self) -> f64 {
+        self.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
+    }
+}
+
 impl Balancer {
     pub fn new(set: Settings) -> Self {
         Balancer {
             rng: oorandom::Rand64::new(u128::from(set.seed)),
+            late_after: set.shortest_target() / 3.0,
             lefts: vec![VecDeque::new(); set.query_types.len()],
             set,
             replicas: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            fleet: VecDeque::new(),
             held: BTreeMap::new(),
             recent: VecDeque::new(),
             arrivals: VecDeque::new(),
@@ -140,8 +193,11 @@
                 let running = std::mem::take(&mut r.running);
                 *r = Replica { running, ready_at: line.ready_at, ..Replica::default() };
             }
-            r.open = line.open;
-            r.cell = line.cell.0;
+            (r.open, r.zone) = (line.open, Some(line.zone));
+            let cell = line.cell.0 % self.set.cells.max(1);
+            self.cells.entry(r.cell).or_default().remove(&line.replica);
+            self.cells.entry(cell).or_default().insert(line.replica.clone());
+            r.cell = cell;
         }
     }
 
@@ -156,6 +212,7 @@
     pub fn after(&mut self, now: f64, q: Option<&mut Search>, outcome: &Outcome) -> Plan {
         let mut plan = Plan::default();
         self.learn(now, outcome, &mut plan);
+        self.late_after = self.late();
         if let Some(q) = q {
             if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part)
                 && let Some(sub) = part.subs.get_mut(outcome.nth)
@@ -179,10 +236,7 @@
     /// How long until the search should be asked about again, if no outcome comes before.
     pub fn wait(&self, now: f64, q: &Search) -> f64 {
         let (target, until) = self.ends(q);
-        let mut due = until;
-        if target > now {
-            due = due.min(target);
-        }
+        let mut due = if target > now { until.min(target) } else { until };
         let copy_after = self.copy_after();
         for part in q.parts.iter().filter(|p| p.step == q.step && !p.answered) {
             match part.subs.iter().rev().find(|s| s.ending.is_none()) {
@@ -198,7 +252,7 @@
     // ---- what is known of replicas ----
 
     fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) {
-        let late = o.latency > self.late_after();
+        let (late, trusted) = (o.latency > self.late_after, !self.distrusted(&o.replica));
         let Some(r) = self.replicas.get_mut(&o.replica) else { return };
         let Some(run) = r.running.remove(&(o.part, o.nth)) else { return };
         let left_out = r.running.len();
@@ -207,18 +261,15 @@
             r.answered_at = now;
             if run.alone {
                 // 32 samples: a window that turns over in seconds and still has a 0.97 quantile.
-                push(&mut r.unloaded, o.latency, 32);
-            }
-            push(&mut r.loaded, (now, o.latency), 8);
-            push(&mut self.recent, (now, o.latency), 128);
-            if let Some(h) = &mut r.hold {
-                h.answers = h.answers.saturating_sub(1);
-                if h.answers == 0 {
-                    r.hold = None;
+                push(&mut r.unloaded, (now, o.latency), 32);
+                if trusted {
+                    push(&mut self.fleet, o.latency, 256);
                 }
             }
+            push(&mut self.recent, (now, o.latency), 128);
+            r.hold = r.hold.take().filter(|h| h.answers > 1).map(|h| Hold { answers: h.answers - 1, ..h });
         }
-        if matches!(o.ending, Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0 {
+        if matches!(o.ending, Ending::Answered | Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0 {
             push(&mut r.loaded, (now, o.latency), 8);
         }
         if matches!(o.ending, Ending::Full | Ending::TimedOut) {
@@ -235,50 +286,44 @@
     }
 
     /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
-    /// its failures leave few own parts out. Four bad of its last eight outcomes take it out of use while
-    /// others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad luck
-    /// costs a sound replica a second or two; with every holder bad, nothing changes.
+    /// its failures leave few own parts out. Half bad of its last outcomes, two at least, take it out of use
+    /// while others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad
+    /// luck costs a sound replica a second or two; with every holder bad, nothing changes.
+    /// Danger: a way that is cut, long or lossy makes every replica of a zone bad, each known by too few
+    /// outcomes. Those of all replicas that are not bad themselves count for their zone. Covers also a zone
+    /// that loses power. Harm: trouble spread over all zones may condemn one of them for a while.
     fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
         let Some(r) = self.replicas.get_mut(id) else { return };
-        push(&mut r.marks, (now, bad), 8);
-        match &mut r.distrust {
-            None if r.marks.iter().filter(|m| m.1).count() >= 4 => {
-                r.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
-                plan.notes.push(format!("replica {} distrusted", id.0));
-            }
-            None => {}
-            // Four good answers in a row end it, so that a replica that fails half its parts stays out;
-            // trials grow rarer, to every 4 s, while it stays bad.
-            Some(d) if bad => (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0)),
-            Some(d) => {
-                d.good += 1;
-                d.next_trial = now;
-                if d.good >= 4 {
-                    r.distrust = None;
-                    r.marks.clear();
-                    plan.notes.push(format!("replica {} trusted again", id.0));
-                }
-            }
+        let alone = r.health.distrust.is_some();
+        if let Some(what) = r.health.mark(now, bad, 8, 2) {
+            plan.notes.push(format!("replica {} {what}", id.0));
+        }
+        if let Some(zone) = r.zone.filter(|_| !alone)
+            && let Some(what) = self.ways.entry(zone).or_default().mark(now, bad, 32, 8)
+        {
+            plan.notes.push(format!("way to zone {} {what}", zone.0));
         }
     }
 
-    fn all_unloaded(&self) -> Vec<f64> {
-        let all = |trusted: bool| -> Vec<f64> {
-            let of = self.replicas.values().filter(|r| !trusted || r.distrust.is_none());
-            of.flat_map(|r| r.unloaded.iter().copied()).collect()
-        };
-        let trusted = all(true);
-        if trusted.is_empty() { all(false) } else { trusted }
+    fn way_bad(&self, r: &Replica) -> bool {
+        r.zone.and_then(|z| self.ways.get(&z)).is_some_and(|w| w.distrust.is_some())
     }
 
-    /// Unloaded samples of a replica; the average of all where it has none. Exception to the design: a
-    /// distrusted replica counts as average too, or its swollen samples would push the queuing deadlines of
-    /// its searches below zero and their parts would jump every queue.
-    fn unloaded(&self, id: &ReplicaId) -> Vec<f64> {
-        match self.replicas.get(id) {
-            Some(r) if r.distrust.is_none() && !r.unloaded.is_empty() => r.unloaded.iter().copied().collect(),
-            _ => self.all_unloaded(),
-        }
+    fn distrusted(&self, id: &ReplicaId) -> bool {
+        self.replicas.get(id).is_none_or(|r| r.health.distrust.is_some() || self.way_bad(r))
+    }
+
+    /// Unloaded samples of a replica within 20 s. Exception to the design: with under eight, or while it is
+    /// distrusted, the average of all counts, as for one without any. A quantile says nothing of so few, and
+    /// swollen samples push the queuing deadlines of its searches below zero: their parts jump every queue.
+    fn unloaded(&self, now: f64, id: &ReplicaId) -> Option<Vec<f64>> {
+        let r = self.replicas.get(id).filter(|_| !self.distrusted(id))?;
+        let own: Vec<f64> = r.unloaded.iter().filter(|x| x.0 > now - 20.0).map(|x| x.1).collect();
+        (own.len() >= 8).then_some(own)
+    }
+
+    fn average(&self) -> Vec<f64> {
+        self.fleet.iter().copied().collect()
     }
 
     /// Start value before any sample: a tenth of the latency target, so that neither skip nor deadline binds.
@@ -291,35 +336,36 @@
     const P: f64 = 0.7;
 
     /// Smallest t with the product of the replicas' unloaded distributions at P or more.
-    fn unloaded_search(&self, q: &Search, replicas: &[ReplicaId]) -> f64 {
-        let mut sets: Vec<Vec<f64>> = replicas.iter().map(|r| self.unloaded(r)).collect();
-        sets.iter_mut().for_each(|s| s.sort_by(f64::total_cmp));
-        let mut ts: Vec<f64> = sets.iter().flatten().copied().collect();
+    fn unloaded_search(&self, now: f64, q: &Search, replicas: &[ReplicaId]) -> f64 {
+        let mut sets: Vec<Vec<f64>> = replicas.iter().filter_map(|r| self.unloaded(now, r)).collect();
+        let like_all = (replicas.len() - sets.len()) as i32;
+        let mut all = self.average();
+        sets.iter_mut().chain([&mut all]).for_each(|s| s.sort_by(f64::total_cmp));
+        let mut ts: Vec<f64> = sets.iter().chain([&all]).flatten().copied().collect();
         ts.sort_by(f64::total_cmp);
-        let product = |t: f64| -> f64 {
-            sets.iter()
-                .filter(|s| !s.is_empty())
-                .map(|s| s.partition_point(|x| *x <= t) as f64 / s.len() as f64)
-                .product()
-        };
+        let share = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
+        let product =
+            |t: f64| sets.iter().map(|s| share(s, t)).product::<f64>() * share(&all, t).powi(like_all);
         ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or_else(|| self.start_value(q))
     }
 
-    fn unloaded_tail(&self, q: &Search, id: &ReplicaId) -> f64 {
+    fn unloaded_tail(&self, now: f64, q: &Search, id: &ReplicaId) -> f64 {
         let parts = q.parts.iter().filter(|p| p.step == q.step).count();
-        quantile(self.unloaded(id), Self::P.powf(1.0 / parts.max(1) as f64))
-            .unwrap_or_else(|| self.start_value(q))
+        let samples = self.unloaded(now, id).unwrap_or_else(|| self.average());
+        quantile(samples, Self::tail(parts)).unwrap_or_else(|| self.start_value(q))
     }
 
-    fn shortest_target(&self) -> f64 {
-        self.set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
+    /// p^(1/k), as far as 32 samples can tell: beyond 1 - 1/16 it is the one worst of them, and one stray
+    /// answer has parts of wide searches skipped.
+    fn tail(parts: usize) -> f64 {
+        Self::P.powf(1.0 / parts.max(1) as f64).min(1.0 - 1.0 / 16.0)
     }
 
     /// A sub-request out for longer than this counts against its replica: beyond the 0.95 quantile of all
     /// recent answers, loaded or not, and 2.5 medians, so that a fleet that is slow as a whole condemns none.
-    fn late_after(&self) -> f64 {
+    fn late(&self) -> f64 {
         if self.recent.len() < 20 {
-            return self.shortest_target() / 3.0;
+            return self.set.shortest_target() / 3.0;
         }
         let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
         let median = quantile(all.clone(), 0.5).unwrap_or(0.0);
@@ -329,7 +375,7 @@
     /// A sub-request out for this long gets a second copy; half the shortest latency target still leaves the
     /// copy as much.
     fn copy_after(&self) -> f64 {
-        self.late_after().min(self.shortest_target() / 2.0)
+        self.late_after.min(self.set.shortest_target() / 2.0)
     }
 
     /// Chance that a part sent now is answered within `left`: its replica's unloaded samples, put off by the
@@ -339,12 +385,12 @@
         let Some(r) = self.replicas.get(id) else { return 0.0 };
         // With every holder bad, a search is still sent to one. Danger: where that one has answered nothing
         // of late, the work on the other parts is lost. With no outcome for 2 s it gets another try.
-        let mut marks = r.marks.iter().filter(|m| m.0 > now - 2.0);
+        let mut marks = r.health.marks.iter().filter(|m| m.0 > now - 2.0);
         let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
         if dead {
             return 0.0;
         }
-        let samples = self.unloaded(id);
+        let samples = self.unloaded(now, id).unwrap_or_else(|| self.average());
         if samples.is_empty() {
             return 1.0;
         }
@@ -357,12 +403,13 @@
         samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
-    /// Overload: recent answers take, at the median, over 1.5 times the unloaded median. Low on purpose:
-    /// further sub-requests hurt long before searches are late.
+    /// Overload: recent answers take, at the lower quartile, over 1.5 times the unloaded one. Low on purpose:
+    /// further sub-requests hurt long before searches are late. Quartiles, since slow replicas or a slow way
+    /// under three quarters of the answers are no overload, and a part must be able to leave them.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
-        let plain = quantile(self.all_unloaded(), 0.5).unwrap_or(0.0);
-        let over = quantile(fresh, 0.5).unwrap_or(0.0) > 1.5 * plain;
+        let plain = quantile(self.average(), 0.25).unwrap_or(0.0);
+        let over = quantile(fresh, 0.25).unwrap_or(0.0) > 1.5 * plain;
         if over != self.overloaded {
             self.overloaded = over;
             plan.notes.push(format!("overload {}", if over { "begun" } else { "ended" }));
@@ -384,7 +431,7 @@
         if r.running.len() > r.answers / 4 {
             return true;
         }
-        let work = quantile(self.all_unloaded(), 0.5).unwrap_or(self.shortest_target() / 5.0);
+        let work = quantile(self.average(), 0.5).unwrap_or(self.set.shortest_target() / 5.0);
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
         let share = rule.tip_multiple * capacity * rule.tip_time / work / self.set.siblings.max(1) as f64;
         let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count();
@@ -403,11 +450,7 @@
 
     /// No effect twice: whether the part may be sent once more, and to which replica alone if not any.
     fn may_repeat(&self, now: f64, q: &Search, part: &Part) -> Option<Option<ReplicaId>> {
-        let risky: Vec<&SubRequest> = part.subs.iter().filter(|s| !proven_unrun(s)).collect();
-        let first = match risky.first() {
-            None => return Some(None),
-            Some(first) => first,
-        };
+        let Some(first) = part.subs.iter().find(|s| !proven_unrun(s)) else { return Some(None) };
         match self.set.query_types[q.query_type.0].repeat {
             Repeat::Idempotent => Some(None),
             Repeat::Tokened { window, any_holder } if now < first.sent_at + window - 2.0 * self.set.tick => {
@@ -431,7 +474,7 @@
         let until = if t.late_value > 0.5 && !self.overloaded { end } else { target };
         let reserve = if q.step == 1 && t.second_step > 0 {
             // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
-            let tail = quantile(self.all_unloaded(), Self::P.powf(1.0 / t.second_step as f64));
+            let tail = quantile(self.average(), Self::tail(t.second_step));
             2.0 * tail.unwrap_or(t.latency_target / 10.0)
         } else {
             0.0
@@ -482,7 +525,7 @@
                     _ => None,
                 })
                 .collect();
-            q.queue_by = Some(target - self.unloaded_search(q, &chosen));
+            q.queue_by = Some(target - self.unloaded_search(now, q, &chosen));
             if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
                 return self.give_up(now, q, plan);
             }
@@ -594,14 +637,10 @@
                 _ => return Pick::Never,
             }
         }
-        let mut at: Vec<&ReplicaId> = self
-            .replicas
-            .iter()
-            .filter(|(id, r)| self.holds(r, part.shard) && only.as_ref().is_none_or(|o| o == *id))
-            .map(|x| x.0)
-            .collect();
-        let keep = |at: &mut Vec<&ReplicaId>, f: &dyn Fn(&ReplicaId) -> bool| {
-            if at.iter().any(|id| f(id)) {
+        let mut at: Vec<ReplicaId> =
+            self.holders(part.shard).filter(|id| only.as_ref().is_none_or(|o| o == *id)).cloned().collect();
+        let keep = |at: &mut Vec<ReplicaId>, f: &dyn Fn(&ReplicaId) -> bool| {
+            if at.iter().any(f) {
                 at.retain(|id| f(id));
             }
         };
@@ -609,22 +648,23 @@
             return Pick::Never;
         }
         // The rule's guard first: a distrusted replica is better than none.
-        at.retain(|id| !self.cold_closed(now, &self.replicas[*id]));
+        at.retain(|id| !self.cold_closed(now, &self.replicas[id]));
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
+        keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
         keep(&mut at, &|id| {
             let r = &self.replicas[id];
-            r.distrust.is_none() && !self.silent(now, r)
+            r.health.distrust.is_none() && !self.silent(now, r)
         });
         let load = |id: &ReplicaId| {
             let r = &self.replicas[id];
             r.calls(now, self.set.per_call, extra.get(id).copied().unwrap_or(0))
         };
-        let Some(least) = at.iter().map(|id| load(id)).min() else { return Pick::Later };
+        let Some(least) = at.iter().map(load).min() else { return Pick::Later };
         at.retain(|id| load(id) == least);
         let id = at[self.rng.rand_range(0..at.len() as u64) as usize].clone();
         // A copy goes only where nothing of ours is out: it must not lengthen a queue.
-        if until - now < self.unloaded_tail(q, &id) || (out(part) && least > 0) {
+        if until - now < self.unloaded_tail(now, q, &id) || (out(part) && least > 0) {
             return Pick::Never;
         }
         let r = &self.replicas[&id];
@@ -635,21 +675,22 @@
 
     /// Has answered nothing since it took a part that is late by now.
     fn silent(&self, now: f64, r: &Replica) -> bool {
-        let late_after = self.late_after();
-        r.running.values().any(|x| x.sent_at + late_after < now && r.answered_at < x.sent_at)
+        r.running.values().any(|x| x.sent_at + self.late_after < now && r.answered_at < x.sent_at)
     }
 
     /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
     /// second copy worth its load: where queues are the cause, copies lengthen them.
     fn stuck(&self, now: f64, part: &Part) -> bool {
-        part.subs.iter().filter(|s| s.ending.is_none()).all(|s| {
-            self.replicas.get(&s.replica).is_none_or(|r| r.distrust.is_some() || self.silent(now, r))
-        })
+        part.subs
+            .iter()
+            .filter(|s| s.ending.is_none())
+            .all(|s| self.distrusted(&s.replica) || self.silent(now, &self.replicas[&s.replica]))
     }
 
-    fn holds(&self, r: &Replica, shard: ShardId) -> bool {
+    fn holders(&self, shard: ShardId) -> impl Iterator<Item = &ReplicaId> {
         let cells = self.set.cells.max(1);
-        r.open && (r.cell % cells + cells - shard.0 % cells) % cells < self.set.span
+        let of = (0..self.set.span.min(cells)).map(move |j| (shard.0 % cells + j) % cells);
+        of.filter_map(|c| self.cells.get(&c)).flatten().filter(|id| self.replicas[*id].open)
     }
 
     /// Queuing deadline as an ordered key, in microseconds.
@@ -696,16 +737,23 @@
         if !self.set.may_copy || !out(part) || self.may_repeat(now, q, part) != Some(None) {
             return;
         }
-        let ready = |id: &ReplicaId, r: &Replica| {
-            self.holds(r, part.shard)
-                && r.running.is_empty()
-                && r.distrust.as_ref().is_some_and(|d| now >= d.next_trial)
+        // A replica's own distrust goes first: its zone's trials are for the others.
+        let bad = |r: &Replica| r.health.distrust.is_some();
+        let due = |h: &Health| h.distrust.as_ref().is_some_and(|d| now >= d.next_trial);
+        let ready = |id: &ReplicaId| {
+            let r = &self.replicas[id];
+            let way = r.zone.and_then(|z| self.ways.get(&z));
+            r.running.is_empty()
+                && if bad(r) { due(&r.health) } else { way.is_some_and(due) }
                 && !part.subs.iter().any(|s| s.replica == *id)
                 && !self.cold_closed(now, r)
         };
-        let Some(id) = self.replicas.iter().find(|(id, r)| ready(id, r)).map(|x| x.0.clone()) else { return };
+        let Some(id) = self.holders(part.shard).find(|id| ready(id)).cloned() else { return };
         if self.budget_left(now) {
-            if let Some(d) = self.replicas.get_mut(&id).and_then(|r| r.distrust.as_mut()) {
+            let Some(r) = self.replicas.get_mut(&id) else { return };
+            let way = r.zone.and_then(|z| self.ways.get_mut(&z));
+            let tried = if bad(r) { Some(&mut r.health) } else { way };
+            if let Some(d) = tried.and_then(|h| h.distrust.as_mut()) {
                 d.next_trial = now + d.gap;
             }
             self.send(now, until, q, i, id, plan);
