--- a/src/balance.rs
+++ b/src/balance.rs
@@ -576,8 +576,11 @@
     /// its replicas' last answers give it too little chance to make its latency target; one that is worth
     /// more than the average for each part is let in at less, that of a tenant beyond its share at more.
     /// Covers bursts, floods, costly searches, lost replicas. Harm: a stale view sheds for up to 2 s.
-    fn shed_early(&self, now: f64, target: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
-        let mut chances: Vec<f64> = chosen.iter().map(|r| self.chance(now, r, target - now)).collect();
+    fn shed_early(&mut self, now: f64, target: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
+        // A part that fails its first replica may still have a second.
+        let again = if self.overloaded || !self.budget_left(now) { 1 } else { 2 };
+        let lost = |r: &ReplicaId| (1.0 - self.chance(now, r, target - now)).powi(again);
+        let mut chances: Vec<f64> = chosen.iter().map(|r| 1.0 - lost(r)).collect();
         chances.sort_by(|a, b| b.total_cmp(a));
         let needed = (t.floor * chances.len() as f64).ceil() as usize;
         let chance: f64 = chances.iter().take(needed).product();
