--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,7 +44,7 @@
 }
 
 impl Health {
-    /// Bad are half of the last `window` outcomes and at least `least`. Ten seconds: longer than a sparse
+    /// Bad: half of the last `window` outcomes within 10 s, at least `least`. That is longer than a sparse
     /// sight needs for two outcomes of one replica, shorter than most troubles.
     fn mark(&mut self, now: f64, bad: bool, window: usize, least: usize) -> Option<&'static str> {
         push(&mut self.marks, (now, bad), window);
@@ -120,8 +120,9 @@
     recent: VecDeque<(f64, f64)>,
     /// Unloaded samples of all trusted replicas: the average where one has too few of its own.
     fleet: VecDeque<f64>,
-    /// Worked out from `recent` when that changes.
+    /// Worked out from the samples when they change.
     late_after: f64,
+    copy_after: f64,
     /// Value a part of the last searches, and their tenants.
     arrivals: VecDeque<(f64, TenantId)>,
     /// Time left that the last searches of each query type came with.
@@ -164,6 +165,7 @@
         Balancer {
             rng: oorandom::Rand64::new(u128::from(set.seed)),
             late_after: set.shortest_target() / 3.0,
+            copy_after: set.shortest_target() / 3.0,
             lefts: vec![VecDeque::new(); set.query_types.len()],
             set,
             replicas: BTreeMap::new(),
@@ -212,7 +214,7 @@
     pub fn after(&mut self, now: f64, q: Option<&mut Search>, outcome: &Outcome) -> Plan {
         let mut plan = Plan::default();
         self.learn(now, outcome, &mut plan);
-        self.late_after = self.late();
+        self.time_limits();
         if let Some(q) = q {
             if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part)
                 && let Some(sub) = part.subs.get_mut(outcome.nth)
@@ -237,12 +239,12 @@
     pub fn wait(&self, now: f64, q: &Search) -> f64 {
         let (target, until) = self.ends(q);
         let mut due = if target > now { until.min(target) } else { until };
-        let copy_after = self.copy_after();
         for part in q.parts.iter().filter(|p| p.step == q.step && !p.answered) {
             match part.subs.iter().rev().find(|s| s.ending.is_none()) {
-                Some(sub) if sub.sent_at + copy_after > now => due = due.min(sub.sent_at + copy_after),
-                // Guards open with time alone, and a copy may become affordable: look again soon. A tenth
-                // of a second is short beside every latency target that allows a resend at all.
+                Some(sub) if sub.sent_at + self.copy_after > now => {
+                    due = due.min(sub.sent_at + self.copy_after)
+                }
+                // Guards open with time alone, and a copy may become affordable: look again soon.
                 _ => due = due.min(now + 0.1),
             }
         }
@@ -289,9 +291,9 @@
     /// its failures leave few own parts out. Half bad of its last outcomes, two at least, take it out of use
     /// while others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad
     /// luck costs a sound replica a second or two; with every holder bad, nothing changes.
-    /// Danger: a way that is cut, long or lossy makes every replica of a zone bad, each known by too few
-    /// outcomes. Those of all replicas that are not bad themselves count for their zone. Covers also a zone
-    /// that loses power. Harm: trouble spread over all zones may condemn one of them for a while.
+    /// Danger: a way that is cut, long or lossy makes all of a zone bad, each known by too few outcomes.
+    /// Those of replicas not bad themselves count for their zone. Covers also a zone that loses power. Harm:
+    /// trouble spread over all zones may condemn one for a while.
     fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
         let Some(r) = self.replicas.get_mut(id) else { return };
         let alone = r.health.distrust.is_some();
@@ -361,21 +363,17 @@
         Self::P.powf(1.0 / parts.max(1) as f64).min(1.0 - 1.0 / 16.0)
     }
 
-    /// A sub-request out for longer than this counts against its replica: beyond the 0.95 quantile of all
-    /// recent answers, loaded or not, and 2.5 medians, so that a fleet that is slow as a whole condemns none.
-    fn late(&self) -> f64 {
-        if self.recent.len() < 20 {
-            return self.set.shortest_target() / 3.0;
-        }
+    /// Out for over `late_after` counts against a replica: beyond the 0.95 quantile and 2.5 medians of all
+    /// recent answers, so that a fleet slow as a whole condemns none. Out for `copy_after` gets a second copy:
+    /// while that has its unloaded tail left of the shortest target, but not before 2.5 medians.
+    fn time_limits(&mut self) {
+        let of = |samples: Vec<f64>, p| quantile(samples, p).unwrap_or(0.0);
         let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
-        let median = quantile(all.clone(), 0.5).unwrap_or(0.0);
-        quantile(all, 0.95).unwrap_or(0.0).max(2.5 * median)
-    }
-
-    /// A sub-request out for this long gets a second copy; half the shortest latency target still leaves the
-    /// copy as much.
-    fn copy_after(&self) -> f64 {
-        self.late_after.min(self.set.shortest_target() / 2.0)
+        if all.len() >= 20 {
+            self.late_after = of(all.clone(), 0.95).max(2.5 * of(all, 0.5));
+        }
+        let last_call = 0.9 * self.set.shortest_target() - of(self.average(), Self::tail(usize::MAX));
+        self.copy_after = self.late_after.min(last_call).max(2.5 * of(self.average(), 0.5));
     }
 
     /// Chance that a part sent now is answered within `left`: its replica's unloaded samples, put off by the
@@ -403,9 +401,8 @@
         samples.iter().filter(|x| **x + queue <= left).count() as f64 / samples.len() as f64
     }
 
-    /// Overload: recent answers take, at the lower quartile, over 1.5 times the unloaded one. Low on purpose:
-    /// further sub-requests hurt long before searches are late. Quartiles, since slow replicas or a slow way
-    /// under three quarters of the answers are no overload, and a part must be able to leave them.
+    /// Overload: recent answers take, at the lower quartile, over 1.5 times the unloaded one; low, as further
+    /// sub-requests hurt long before searches are late. Not the median: a slow way is no overload.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let plain = quantile(self.average(), 0.25).unwrap_or(0.0);
@@ -608,7 +605,7 @@
                 .subs
                 .iter()
                 .filter(|s| s.ending.is_none())
-                .all(|s| now >= s.sent_at + self.copy_after() - 1e-9);
+                .all(|s| now >= s.sent_at + self.copy_after - 1e-9);
             if !late {
                 continue;
             }
@@ -650,7 +647,7 @@
         if at.is_empty() {
             return Pick::Never;
         }
-        // The rule's guard first: a distrusted replica is better than none.
+        // The rule's guard first: a distrusted replica beats none.
         at.retain(|id| !self.cold_closed(now, &self.replicas[id]));
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
@@ -678,7 +675,7 @@
 
     /// Has answered nothing since it took a part that is late by now.
     fn silent(&self, now: f64, r: &Replica) -> bool {
-        r.running.values().any(|x| x.sent_at + self.late_after < now && r.answered_at < x.sent_at)
+        r.running.values().any(|x| x.sent_at + self.copy_after < now + 1e-6 && r.answered_at < x.sent_at)
     }
 
     /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -305,6 +305,27 @@
     }
 }
 
+/// A part at a silent replica is copied while the copy still has its tail left.
+#[rstest]
+#[case::not_yet(0.7, 0)]
+#[case::last_call(0.85, 1)]
+fn copies_leave_in_time(#[case] age: f64, #[case] copies: usize) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    for n in 1..=50 {
+        let mut q = search(n, 1, 0.0, 3.0);
+        let p = b.place(0.0, &mut q).send[0].clone();
+        // Six in a hundred at 0.9 s: the 0.95 quantile, but not the tail, which is 0.1 s.
+        b.after(
+            1.0,
+            Some(&mut q),
+            &ended(&p, 0, Ending::Answered, if n % 20 == 0 || n == 50 { 0.9 } else { 0.1 }),
+        );
+    }
+    let mut q = search(99, 1, 2.0, 3.0);
+    b.place(2.0, &mut q);
+    assert_eq!(b.place(2.0 + age, &mut q).send.len(), copies);
+}
+
 /// A distrusted warm replica serves where the cold ones are closed.
 #[rstest]
 #[case::cold_open(0, "b")]
@@ -378,7 +399,7 @@
     assert_eq!(matches!(b.place(0.5, &mut q).reply, Some(Reply::Shed { .. })), shed);
 }
 
-/// Clients that ask again early show one time left again and again, under the latency target: no stale retries.
+/// Clients that ask again early show one time left again and again, under the latency target.
 #[rstest]
 #[case::recurs_under_target(0.6, 3, false)]
 #[case::scattered_under_target(0.6, 0, true)]
