--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,12 +101,9 @@
 
 enum Pick {
     Go(ReplicaId),
-    /// Its replica is held, or earlier parts wait there.
-    Hold(ReplicaId),
-    /// A rule guard keeps every holder closed for now.
-    Later,
-    /// No holder at all, or the part can no longer make it.
-    Never,
+    Hold(ReplicaId), // its replica is held, or earlier parts wait there
+    Later,           // a rule guard keeps every holder closed for now
+    Never,           // no holder at all, or the part can no longer make it
 }
 
 pub struct Balancer {
@@ -115,19 +112,16 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Who is in each cell, so that an event costs by the holders of its shards, not by the fleet.
     cells: BTreeMap<u64, BTreeSet<ReplicaId>>,
+    open: usize, // how many replicas are
     ways: BTreeMap<ZoneId, Health>,
     held: BTreeMap<ReplicaId, BTreeSet<(i64, SearchId, PartId)>>,
-    /// Latencies of the last answered parts, with when they came.
-    recent: VecDeque<(f64, f64)>,
+    recent: VecDeque<(f64, f64)>, // when the last answers came, and their latencies
     /// Unloaded samples of all trusted replicas: the average where one has too few of its own.
     fleet: VecDeque<f64>,
-    /// Worked out from the samples when they change.
-    late_after: f64,
+    late_after: f64, // these two are worked out from the samples when they change
     copy_after: f64,
-    /// Value a part of the last searches, and their tenants.
-    arrivals: VecDeque<(f64, TenantId)>,
-    /// Time left that the last searches of each query type came with.
-    lefts: Vec<VecDeque<f64>>,
+    arrivals: VecDeque<(f64, TenantId)>, // value a part of the last searches, and their tenants
+    lefts: Vec<VecDeque<f64>>,           // time left that the last searches of each query type came with
     taken: VecDeque<(f64, usize)>,
     further: VecDeque<f64>,
     overloaded: bool,
@@ -155,22 +149,21 @@
     part.subs.iter().any(|s| s.ending.is_none())
 }
 
-impl Settings {
-    fn shortest_target(&self) -> f64 {
-        self.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
-    }
+fn shortest_target(set: &Settings) -> f64 {
+    set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
 }
 
 impl Balancer {
     pub fn new(set: Settings) -> Self {
         Balancer {
             rng: oorandom::Rand64::new(u128::from(set.seed)),
-            late_after: set.shortest_target() / 3.0,
-            copy_after: set.shortest_target() / 3.0,
+            late_after: shortest_target(&set) / 3.0,
+            copy_after: shortest_target(&set) / 3.0,
             lefts: vec![VecDeque::new(); set.query_types.len()],
             set,
             replicas: BTreeMap::new(),
             cells: BTreeMap::new(),
+            open: 0,
             ways: BTreeMap::new(),
             fleet: VecDeque::new(),
             held: BTreeMap::new(),
@@ -187,16 +180,18 @@
     pub fn list(&mut self, full: bool, lines: &[Listed]) {
         if full {
             self.replicas.values_mut().for_each(|r| r.open = false);
+            self.open = 0;
         }
         for line in lines {
             let r = self.replicas.entry(line.replica.clone()).or_default();
             if line.open && r.ready_at != line.ready_at {
                 // A new process: cold, and nothing known of the old one holds for it. Also a machine that
                 // comes back under its id. Harm: a list that wavers makes it cold again for a while.
-                let running = std::mem::take(&mut r.running);
-                let cold_phase = self.rng.rand_float();
-                *r = Replica { running, ready_at: line.ready_at, cold_phase, ..Replica::default() };
+                let (running, open) = (std::mem::take(&mut r.running), r.open);
+                *r = Replica { running, open, ready_at: line.ready_at, ..Replica::default() };
+                r.cold_phase = self.rng.rand_float();
             }
+            self.open = self.open + usize::from(line.open) - usize::from(r.open);
             (r.open, r.zone) = (line.open, Some(line.zone));
             let cell = line.cell.0 % self.set.cells.max(1);
             self.cells.entry(r.cell).or_default().remove(&line.replica);
@@ -242,13 +237,10 @@
         let (target, until) = self.ends(q);
         let mut due = if target > now { until.min(target) } else { until };
         for part in q.parts.iter().filter(|p| p.step == q.step && !p.answered) {
-            match part.subs.iter().rev().find(|s| s.ending.is_none()) {
-                Some(sub) if sub.sent_at + self.copy_after > now => {
-                    due = due.min(sub.sent_at + self.copy_after)
-                }
-                // Guards open with time alone, and a copy may become affordable: look again soon.
-                _ => due = due.min(now + 0.1),
-            }
+            let copy_due =
+                part.subs.iter().rev().find(|s| s.ending.is_none()).map(|s| s.sent_at + self.copy_after);
+            // Guards open with time alone, and a copy may become affordable: look again soon.
+            due = due.min(copy_due.filter(|at| *at > now).unwrap_or(now + 0.1));
         }
         (due - now).max(self.set.tick)
     }
@@ -347,9 +339,8 @@
         sets.iter_mut().chain([&mut all]).for_each(|s| s.sort_by(f64::total_cmp));
         let mut ts: Vec<f64> = sets.iter().chain([&all]).flatten().copied().collect();
         ts.sort_by(f64::total_cmp);
-        let share = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
-        let product =
-            |t: f64| sets.iter().map(|s| share(s, t)).product::<f64>() * share(&all, t).powi(like_all);
+        let by = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
+        let product = |t: f64| sets.iter().map(|s| by(s, t)).product::<f64>() * by(&all, t).powi(like_all);
         ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or_else(|| self.start_value(q))
     }
 
@@ -374,7 +365,7 @@
         if all.len() >= 20 {
             self.late_after = of(all.clone(), 0.95).max(2.5 * of(all, 0.5));
         }
-        let last_call = 0.9 * self.set.shortest_target() - of(self.average(), Self::tail(usize::MAX));
+        let last_call = 0.9 * shortest_target(&self.set) - of(self.average(), Self::tail(usize::MAX));
         self.copy_after = self.late_after.min(last_call).max(2.5 * of(self.average(), 0.5));
     }
 
@@ -386,7 +377,7 @@
         // Danger: where all holders are bad and this one has answered nothing of late, the work on the other
         // parts is lost. With no outcome for 2 s it gets another try.
         let mut marks = r.health.marks.iter().filter(|m| m.0 > now - 2.0);
-        let dead = marks.clone().count() >= 4 && marks.all(|m| m.1);
+        let dead = marks.clone().count() >= 3 && marks.all(|m| m.1);
         if dead {
             return 0.0;
         }
@@ -394,7 +385,7 @@
         if samples.is_empty() {
             return 1.0;
         }
-        // Two seconds: older answers tell nothing of a queue that turns over faster than that.
+        // Two seconds: a queue turns over faster than that.
         let fresh = r.loaded.iter().rev().take(4).filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let oldest = r.running.values().map(|x| now - x.sent_at).fold(0.0, f64::max);
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
@@ -418,22 +409,26 @@
     // ---- guards of the rules ----
 
     /// Danger: a cold replica falls over if all co-ordinators together send it more than a multiple of what
-    /// it can do, over any window; one of them may carry nearly all traffic, or all may. Each keeps to half
-    /// its even share, in parts at the unloaded latency on one core, and in flight to one more than its answers
-    /// tell. Shares under one part go by a draw each window: the sum holds. Harm: a replica warms up slowly.
+    /// it can do, over any window; one of them may carry nearly all traffic, or all may. Each keeps under the
+    /// larger of two shares: its even one, in parts at the unloaded latency on one core, and what a replica
+    /// answers it on average, since these sum to what replicas can do. Shares under one part go by a draw
+    /// each window; 0.75 of it, as draws scatter. Harm: slow warming.
     fn cold_closed(&self, now: f64, r: &Replica) -> bool {
         let (Some(rule), Some(ready)) = (&self.set.cold, r.ready_at) else { return false };
         let warmth = (now - ready) / rule.time;
         if warmth >= 1.0 || r.running.len() > r.answers / 4 {
             return warmth < 1.0;
         }
-        let work = quantile(self.average(), 0.5).unwrap_or(self.set.shortest_target() / 5.0);
+        let work = quantile(self.average(), 0.5).unwrap_or(shortest_target(&self.set) / 5.0);
+        let answered = self.recent.iter().filter(|x| x.0 > now - 2.0).count() as f64 / 2.0;
+        let even = 1.0 / work / self.set.siblings.max(1) as f64;
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
-        let share = rule.tip_multiple * capacity * rule.tip_time / work / self.set.siblings.max(1) as f64;
+        let share =
+            rule.tip_multiple * capacity * rule.tip_time * even.max(answered / self.open.max(1) as f64);
         let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count();
         // Golden-ratio steps from a drawn start: even over windows, apart between co-ordinators.
         let draw = (r.cold_phase + ((now - ready) / rule.tip_time).floor() * 0.618_034).rem_euclid(1.0);
-        sent as f64 + 1.0 > 0.5 * share + draw
+        sent as f64 + 1.0 > 0.75 * share + draw
     }
 
     /// Budget: sub-requests beyond a part's first, within any window. A tick of slack on both edges.
