--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,8 +13,7 @@
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Sums of weights may fall this short, from rounding.
-const ROUNDING: f64 = 1e-4;
+const ROUNDING: f64 = 1e-4; // sums of weights may fall this short
 
 #[derive(Clone, Copy)]
 struct Running {
@@ -22,8 +21,7 @@
     alone: bool,
 }
 
-/// Held back after a full or timed-out answer while more than `above` own parts are out; until `answers` have
-/// come, by when the queue that gave it has turned over.
+/// After a full or timed-out answer: while over `above` own parts are out, until `answers` have come.
 struct Hold {
     above: usize,
     answers: usize,
@@ -66,7 +64,8 @@
         }
         let back = d.good >= 4;
         if back {
-            *self = Health::default();
+            self.distrust = None;
+            self.marks.retain(|m| !m.1);
         }
         back.then_some("trusted again")
     }
@@ -651,6 +650,12 @@
             let r = &self.replicas[id];
             r.health.distrust.is_none() && !self.silent(now, r)
         });
+        // Danger: with a part every few seconds, two bad outcomes take long to see. Where 10 s hold under four
+        // the last one decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
+        keep(&mut at, &|id| {
+            let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.0 > now - 10.0);
+            self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.1)
+        });
         let load = |id: &ReplicaId| {
             let r = &self.replicas[id];
             r.calls(now, self.set.per_call, extra.get(id).copied().unwrap_or(0))
