--- /dev/null
+++ b/crates/woadreach-host/src/hand.rs
@@ -0,0 +1,144 @@
+//! The searches in hand of one co-ordinator, beside the module that decides about them. Owns each search from
+//! `take` until it is over and knows when each wants to be asked about next; what a plan asks for goes, in its
+//! order, into a sink. Must never decide, nor keep a clock: the caller tells the time.
+
+use std::collections::{BTreeMap, VecDeque};
+use woadreach::api::*;
+use woadreach::balance::Balancer;
+
+/// Where the steps of a plan go. `nth` numbers the sub-requests of a part.
+pub trait Sink {
+    fn note(&mut self, line: &str);
+    fn cancel(&mut self, part: PartId, nth: usize);
+    fn send(&mut self, search: &Search, placement: &Placement, nth: usize);
+    fn reply(&mut self, search: &Search, reply: Reply);
+    /// Call `Hand::due` for this search after `wait` seconds; earlier timers of it may still come.
+    fn timer(&mut self, search: SearchId, wait: f64);
+    /// The search is over and let go, answered or not.
+    fn over(&mut self, search: &Search);
+}
+
+struct InHand {
+    search: Search,
+    /// When its next timer comes; infinite = none set.
+    due: f64,
+}
+
+pub struct Hand {
+    balancer: Balancer,
+    searches: BTreeMap<SearchId, InHand>,
+    by_part: BTreeMap<PartId, SearchId>,
+}
+
+impl Hand {
+    pub fn new(set: Settings) -> Self {
+        Hand { balancer: Balancer::new(set), searches: BTreeMap::new(), by_part: BTreeMap::new() }
+    }
+
+    pub fn list(&mut self, full: bool, lines: &[Listed]) {
+        self.balancer.list(full, lines);
+    }
+
+    /// Searches in hand, and their parts.
+    pub fn held(&self) -> (usize, usize) {
+        (self.searches.len(), self.by_part.len())
+    }
+
+    pub fn search_of(&self, part: PartId) -> Option<&Search> {
+        self.by_part.get(&part).and_then(|id| self.searches.get(id)).map(|h| &h.search)
+    }
+
+    /// Takes a search in hand; `ask` comes once its parts are in.
+    pub fn take(&mut self, search: Search) {
+        self.by_part.extend(search.parts.iter().map(|p| (p.id, search.id)));
+        self.searches.insert(search.id, InHand { search, due: f64::INFINITY });
+    }
+
+    /// A part of the step in hand; false if the search is no longer held.
+    pub fn add_part(&mut self, search: SearchId, id: PartId, shard: ShardId, weight: f64) -> bool {
+        let Some(held) = self.searches.get_mut(&search) else { return false };
+        let step = held.search.step;
+        let part = Part { id, shard, weight, step, answered: false, held: None, subs: Vec::new() };
+        held.search.parts.push(part);
+        self.by_part.insert(id, search);
+        true
+    }
+
+    pub fn ask(&mut self, now: f64, search: SearchId, sink: &mut impl Sink) {
+        if let Some(held) = self.searches.get_mut(&search) {
+            let plan = self.balancer.place(now, &mut held.search);
+            self.carry_out(now, Some(search), plan, sink);
+        }
+    }
+
+    pub fn outcome(&mut self, now: f64, outcome: &Outcome, sink: &mut impl Sink) {
+        let search = self.by_part.get(&outcome.part).copied();
+        let held = search.and_then(|s| self.searches.get_mut(&s)).map(|h| &mut h.search);
+        let plan = self.balancer.after(now, held, outcome);
+        self.carry_out(now, search, plan, sink);
+    }
+
+    /// A timer of this search has come. One that an earlier one replaced is ignored; clocks that count in
+    /// microseconds may bring one a moment early.
+    pub fn due(&mut self, now: f64, search: SearchId, sink: &mut impl Sink) {
+        let Some(held) = self.searches.get_mut(&search).filter(|h| h.due <= now + 1e-5) else { return };
+        held.due = f64::INFINITY;
+        self.ask(now, search, sink);
+    }
+
+    /// The client has left.
+    pub fn left(&mut self, now: f64, search: SearchId, sink: &mut impl Sink) {
+        if let Some(held) = self.searches.get_mut(&search) {
+            let plan = self.balancer.left(&mut held.search);
+            self.carry_out(now, Some(search), plan, sink);
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, search: Option<SearchId>, plan: Plan, sink: &mut impl Sink) {
+        let mut plans = VecDeque::from([(search, plan)]);
+        while let Some((search, plan)) = plans.pop_front() {
+            self.steps(search, &plan, sink);
+            if let Some(id) = search {
+                self.settle(now, id, sink);
+            }
+            for next in plan.ask_again {
+                if let Some(held) = self.searches.get_mut(&next) {
+                    plans.push_back((Some(next), self.balancer.place(now, &mut held.search)));
+                }
+            }
+        }
+    }
+
+    fn steps(&self, search: Option<SearchId>, plan: &Plan, sink: &mut impl Sink) {
+        plan.notes.iter().for_each(|n| sink.note(n));
+        plan.cancel.iter().for_each(|(part, nth)| sink.cancel(*part, *nth));
+        let Some(search) = search.and_then(|id| self.searches.get(&id)).map(|h| &h.search) else { return };
+        for (i, s) in plan.send.iter().enumerate() {
+            // The module has noted them all by now: this one stands before those that follow it.
+            let subs = search.parts.iter().find(|p| p.id == s.part).map_or(0, |p| p.subs.len());
+            let later = plan.send[i..].iter().filter(|x| x.part == s.part).count();
+            sink.send(search, s, subs.saturating_sub(later));
+        }
+        if let Some(reply) = plan.reply {
+            sink.reply(search, reply);
+        }
+    }
+
+    /// Lets go of a search that is over, or sees to it that its next timer comes in time.
+    fn settle(&mut self, now: f64, id: SearchId, sink: &mut impl Sink) {
+        let Some(held) = self.searches.get_mut(&id) else { return };
+        if held.search.over {
+            held.search.parts.iter().for_each(|p| {
+                self.by_part.remove(&p.id);
+            });
+            sink.over(&held.search);
+            self.searches.remove(&id);
+            return;
+        }
+        let wait = self.balancer.wait(now, &held.search);
+        if now + wait < held.due {
+            held.due = now + wait;
+            sink.timer(id, wait);
+        }
+    }
+}
--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -2,21 +2,13 @@
 
 use crate::decode;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use woadreach::api::*;
-use woadreach::balance::Balancer;
-
-struct InHand {
-    search: Search,
-    /// When its next timer comes; infinite = none set.
-    due: f64,
-}
+use woadreach_host::{Hand, Sink};
 
 struct Instance {
-    balancer: Balancer,
-    searches: BTreeMap<SearchId, InHand>,
+    hand: Hand,
     by_number: BTreeMap<u64, SearchId>,
-    by_part: BTreeMap<PartId, SearchId>,
     query_types: usize,
     marks_repeats: bool,
     /// Arrived in this batch, or grew by a step: to be asked about once all their parts are in.
@@ -48,8 +40,9 @@
         let mut replies = Vec::new();
         for (id, mut out) in outs {
             if let Some(instance) = self.instances.get_mut(&id) {
+                let mut actions = Actions { out: &mut out, by_number: &mut instance.by_number };
                 for search in std::mem::take(&mut instance.fresh) {
-                    instance.ask(now, search, &mut out);
+                    instance.hand.ask(now, search, &mut actions);
                 }
             }
             if !out.is_empty() {
@@ -67,7 +60,7 @@
                 // What the instance before it wanted is void: actions run after the whole batch.
                 out.clear();
                 self.instances.remove(&id);
-                match decode::settings(event.get(1)?.as_u64()?, event.get(2)?) {
+                match woadreach_host::settings(event.get(1)?.as_u64()?, event.get(2)?) {
                     Ok(set) => {
                         let marks = event.pointer("/2/clients/marksRetry").and_then(Value::as_bool);
                         self.instances.insert(id, Instance::new(set, marks == Some(true)));
@@ -92,39 +85,21 @@
             _ => {}
         }
         let instance = self.instances.get_mut(&id)?;
+        let actions = &mut Actions { out, by_number: &mut instance.by_number };
         match name {
             "sync" => {
                 let form = event.get(2)?.as_str()?;
                 if matches!(form, "all" | "remembered" | "changes") {
                     let lines = self.sheets.get(&event.get(1)?.as_u64()?)?;
-                    instance.balancer.list(form != "changes", lines);
+                    instance.hand.list(form != "changes", lines);
                 }
             }
             "newRequest" => instance.arrival(now, event)?,
-            "closedAttempt" => {
-                let outcome = decode::outcome(event)?;
-                let search = instance.by_part.get(&outcome.part).copied();
-                let held = search.and_then(|s| instance.searches.get_mut(&s)).map(|h| &mut h.search);
-                let plan = instance.balancer.after(now, held, &outcome);
-                instance.carry_out(now, search, plan, out);
-            }
+            "closedAttempt" => instance.hand.outcome(now, &decode::outcome(event)?, actions),
             "timer" => {
-                let search = SearchId(event.get(1)?.as_str()?.parse().ok()?);
-                let held = instance.searches.get_mut(&search)?;
-                // Timers cannot be revoked: one that an earlier one replaced is ignored. The wire counts
-                // in microseconds, so a timer may seem to come a moment early.
-                if held.due > now + 1e-5 {
-                    return None;
-                }
-                held.due = f64::INFINITY;
-                instance.ask(now, search, out);
-            }
-            "withdrawn" => {
-                let search = SearchId(event.get(1)?.as_u64()?);
-                let held = instance.searches.get_mut(&search)?;
-                let plan = instance.balancer.left(&mut held.search);
-                instance.carry_out(now, Some(search), plan, out);
+                instance.hand.due(now, SearchId(event.get(1)?.as_str()?.parse().ok()?), actions);
             }
+            "withdrawn" => instance.hand.left(now, SearchId(event.get(1)?.as_u64()?), actions),
             _ => {}
         }
         Some(())
@@ -136,10 +111,8 @@
         Instance {
             marks_repeats,
             query_types: set.query_types.len(),
-            balancer: Balancer::new(set),
-            searches: BTreeMap::new(),
+            hand: Hand::new(set),
             by_number: BTreeMap::new(),
-            by_part: BTreeMap::new(),
             fresh: Vec::new(),
         }
     }
@@ -160,81 +133,56 @@
             let mut in_hand = Search::new(search, query_type, tenant, now, ends);
             let options = event.get(10).and_then(Value::as_u64).unwrap_or(0);
             in_hand.repeated = self.marks_repeats.then_some(options & 2 != 0);
-            self.searches.insert(search, InHand { search: in_hand, due: f64::INFINITY });
+            self.hand.take(in_hand);
             self.by_number.insert(number, search);
             self.fresh.push(search);
             return Some(());
         }
         let search = *self.by_number.get(&number)?;
-        let held = &mut self.searches.get_mut(&search)?.search;
-        held.parts.push(Part {
-            id: PartId(id),
-            shard: ShardId(segment as u64),
-            weight: event.get(9).and_then(Value::as_f64).unwrap_or(0.0),
-            step: held.step,
-            answered: false,
-            held: None,
-            subs: Vec::new(),
-        });
-        self.by_part.insert(PartId(id), search);
+        let weight = event.get(9).and_then(Value::as_f64).unwrap_or(0.0);
+        if !self.hand.add_part(search, PartId(id), ShardId(segment as u64), weight) {
+            return None;
+        }
         if !self.fresh.contains(&search) {
             self.fresh.push(search);
         }
         Some(())
     }
+}
 
-    fn ask(&mut self, now: f64, search: SearchId, out: &mut Vec<Value>) {
-        if let Some(held) = self.searches.get_mut(&search) {
-            let plan = self.balancer.place(now, &mut held.search);
-            self.carry_out(now, Some(search), plan, out);
-        }
+/// Writes a plan's steps as actions.
+struct Actions<'a> {
+    out: &'a mut Vec<Value>,
+    by_number: &'a mut BTreeMap<u64, SearchId>,
+}
+
+impl Sink for Actions<'_> {
+    fn note(&mut self, line: &str) {
+        self.out.push(json!(["remark", line]));
     }
 
-    fn carry_out(&mut self, now: f64, search: Option<SearchId>, plan: Plan, out: &mut Vec<Value>) {
-        let mut plans = VecDeque::from([(search, plan)]);
-        while let Some((search, plan)) = plans.pop_front() {
-            self.encode(search, &plan, out);
-            if let Some(id) = search {
-                self.settle(now, id, out);
-            }
-            for next in plan.ask_again {
-                if let Some(held) = self.searches.get_mut(&next) {
-                    plans.push_back((Some(next), self.balancer.place(now, &mut held.search)));
-                }
-            }
-        }
+    fn cancel(&mut self, part: PartId, nth: usize) {
+        self.out.push(json!(["undoSend", part.0, nth]));
     }
 
-    fn encode(&self, search: Option<SearchId>, plan: &Plan, out: &mut Vec<Value>) {
-        out.extend(plan.notes.iter().map(|n| json!(["remark", n])));
-        out.extend(plan.cancel.iter().map(|(part, nth)| json!(["undoSend", part.0, nth])));
-        for s in &plan.send {
-            out.push(json!(["place", s.part.0, &*s.replica.0, s.timeout * 1000.0]));
-        }
-        if let (Some(id), Some(reply)) = (search, plan.reply) {
-            out.push(match reply {
-                Reply::Answered { whole } => json!(["conclude", id.0, whole]),
-                Reply::Shed { retry_after } => json!(["turnAway", id.0, retry_after * 1000.0]),
-                Reply::Errored => json!(["endFailed", id.0]),
-            });
-        }
+    fn send(&mut self, _: &Search, s: &Placement, _: usize) {
+        self.out.push(json!(["place", s.part.0, &*s.replica.0, s.timeout * 1000.0]));
     }
 
-    /// Lets go of a search that is over, or sees to it that its next timer comes in time.
-    fn settle(&mut self, now: f64, id: SearchId, out: &mut Vec<Value>) {
-        let Some(held) = self.searches.get_mut(&id) else { return };
-        if held.search.over {
-            held.search.parts.iter().for_each(|p| {
-                self.by_part.remove(&p.id);
-            });
-            self.by_number.retain(|_, s| *s != id);
-            self.searches.remove(&id);
-            return;
-        }
-        let wait = self.balancer.wait(now, &held.search);
-        if now + wait < held.due {
-            held.due = now + wait;
-            out.push(json!(["setTimer", wait * 1000.0, id.0.to_string()]));
-        }
+    fn reply(&mut self, search: &Search, reply: Reply) {
+        let id = search.id.0;
+        self.out.push(match reply {
+            Reply::Answered { whole } => json!(["conclude", id, whole]),
+            Reply::Shed { retry_after } => json!(["turnAway", id, retry_after * 1000.0]),
+            Reply::Errored => json!(["endFailed", id]),
+        });
+    }
+
+    fn timer(&mut self, search: SearchId, wait: f64) {
+        self.out.push(json!(["setTimer", wait * 1000.0, search.0.to_string()]));
+    }
+
+    fn over(&mut self, search: &Search) {
+        self.by_number.retain(|_, s| *s != search.id);
     }
 }
--- /dev/null
+++ b/crates/woadreachd/src/core.rs
@@ -0,0 +1,441 @@
+//! The one task that owns the module, the searches in hand, their timers and the clock. Others reach it by its
+//! queue only; list changes go first. Each round handles all that is queued, then asks about what is new, then
+//! sends. Must never block, decide, or touch a socket.
+
+use crate::discovery::{Lifecycle, List};
+use crate::json;
+use crate::replicas::{ConnId, Letter, Replicas, SubId, Told};
+use crate::sockets::Sockets;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tracing::{debug, info};
+use woadreach::api::*;
+use woadreach_host::{Hand, Sink};
+
+pub type Events = mpsc::UnboundedSender<Event>;
+pub type Lists = mpsc::UnboundedSender<List>;
+
+/// Unix seconds that never go backwards: the system's clock at the start, and what has passed since.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: f64,
+    since: Instant,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let start = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        Clock { start, since: Instant::now() }
+    }
+
+    pub fn now(&self) -> f64 {
+        self.start + self.since.elapsed().as_secs_f64()
+    }
+
+    fn at(&self, time: f64) -> tokio::time::Instant {
+        let ahead = Duration::try_from_secs_f64(time - self.start).unwrap_or_default();
+        (self.since + ahead).into()
+    }
+}
+
+pub enum Event {
+    Arrived(Box<Arrival>),
+    /// The client has closed its connection.
+    Gone(SearchId),
+    Told(ConnId, Told),
+}
+
+/// A search as a front has read it.
+pub struct Arrival {
+    pub search: SearchId,
+    /// Its name on the wire.
+    pub trace: String,
+    pub query_type: QueryTypeId,
+    pub tenant: TenantId,
+    pub at: f64,
+    pub ends: f64,
+    pub repeated: Option<bool>,
+    pub parts: Vec<(ShardId, f64)>,
+    pub text: Rc<str>,
+    pub bytes: usize,
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// The final answer of a search.
+pub enum Answer {
+    /// Rows are shards with the values that replicas gave, from which an answer is made whole or not.
+    Answered {
+        whole: bool,
+        rows: Vec<(ShardId, String)>,
+    },
+    Shed {
+        retry_after: f64,
+    },
+    Errored,
+    /// Its name is in hand already.
+    Twice,
+}
+
+/// What the settings say about hosting.
+pub struct Figures {
+    pub max_open: usize,
+    /// Bytes of requests held at once.
+    pub max_bytes: usize,
+    pub zones: Vec<String>,
+    /// Parts of a second step, by query type.
+    pub fetch: Vec<usize>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Search(SearchId),
+    Sub(SubId),
+    Sweep,
+    Report,
+}
+
+/// Idle connections are looked for this often; how finely does not matter, as stale ones are not used either.
+const SWEEP: f64 = 1.0;
+/// A line on the state for on-call staff.
+const REPORT: f64 = 5.0;
+
+/// Microseconds since the clock's start, so that timers are ordered.
+type Due = u64;
+
+struct Request {
+    trace: String,
+    text: Rc<str>,
+    bytes: usize,
+    reply: oneshot::Sender<Answer>,
+    /// What the parts of the second step carry beside `d`.
+    extras: String,
+    came: BTreeMap<PartId, (u64, String)>,
+}
+
+/// All but the module: what its plans are carried out on.
+struct Hands {
+    clock: Clock,
+    now: f64,
+    figures: Figures,
+    replicas: Replicas,
+    requests: BTreeMap<SearchId, Request>,
+    traces: BTreeMap<String, SearchId>,
+    searches_of: BTreeMap<PartId, SearchId>,
+    bytes: usize,
+    timers: BinaryHeap<Reverse<(Due, Timer)>>,
+    next_part: u64,
+    /// Searches that arrived in this round, and those whose second step begins in the next.
+    fresh: Vec<SearchId>,
+    second: Vec<(SearchId, Vec<ShardId>)>,
+}
+
+pub struct Core {
+    hand: Hand,
+    hands: Hands,
+    zones: BTreeMap<String, u64>,
+    sockets: Sockets,
+    knows: bool,
+    late: f64,
+}
+
+impl Sink for Hands {
+    fn note(&mut self, line: &str) {
+        info!("{line}");
+    }
+
+    fn cancel(&mut self, part: PartId, nth: usize) {
+        self.replicas.give_up(self.now, (part, nth), false);
+    }
+
+    fn send(&mut self, search: &Search, placement: &Placement, nth: usize) {
+        let Some(request) = self.requests.get(&search.id) else { return };
+        let Some(part) = search.parts.iter().find(|p| p.id == placement.part) else { return };
+        let second = if part.step == 2 { ".fetch" } else { "" };
+        let sub = (part.id, nth);
+        let until = self.now + placement.timeout;
+        let letter = Letter {
+            sub,
+            id: format!("{}.{}{second}", request.trace, part.shard.0),
+            shard: part.shard.0,
+            extras: if part.step == 2 { request.extras.clone() } else { String::new() },
+            text: request.text.clone(),
+            until,
+        };
+        debug!("send {} part {} {nth} to {}", letter.id, part.id.0, placement.replica.0);
+        self.replicas.send(self.now, &placement.replica, letter);
+        self.timer_at(until, Timer::Sub(sub));
+    }
+
+    fn reply(&mut self, search: &Search, reply: Reply) {
+        if !search.over {
+            return self.second_step(search);
+        }
+        let Some(request) = self.requests.remove(&search.id) else { return };
+        self.traces.remove(&request.trace);
+        self.bytes -= request.bytes;
+        debug!("search {} {reply:?} after {:.4}", request.trace, self.now - search.arrived);
+        let mut came = request.came;
+        let answer = match reply {
+            Reply::Answered { whole } => {
+                let last = search.parts.iter().filter(|p| p.step == search.step && p.answered);
+                let rows = last.filter_map(|p| came.remove(&p.id).map(|(_, v)| (p.shard, v))).collect();
+                Answer::Answered { whole, rows }
+            }
+            Reply::Shed { retry_after } => Answer::Shed { retry_after },
+            Reply::Errored => Answer::Errored,
+        };
+        // The client may have gone meanwhile: then nobody is owed it.
+        let _ = request.reply.send(answer);
+    }
+
+    fn timer(&mut self, search: SearchId, wait: f64) {
+        self.timer_at(self.now + wait, Timer::Search(search));
+    }
+
+    fn over(&mut self, search: &Search) {
+        for part in &search.parts {
+            self.searches_of.remove(&part.id);
+        }
+        if let Some(request) = self.requests.remove(&search.id) {
+            self.traces.remove(&request.trace);
+            self.bytes -= request.bytes;
+        }
+    }
+}
+
+impl Hands {
+    fn timer_at(&mut self, time: f64, timer: Timer) {
+        let due = ((time - self.clock.start).max(0.0) * 1e6).ceil() as Due;
+        self.timers.push(Reverse((due, timer)));
+    }
+
+    /// PROTOCOL: the parts of a second step go to the shards with the highest scores among those that are in.
+    fn second_step(&mut self, search: &Search) {
+        let Some(request) = self.requests.get_mut(&search.id) else { return };
+        let first = search.parts.iter().filter(|p| p.step == 1 && p.answered);
+        let mut came: Vec<(Reverse<u64>, ShardId)> =
+            first.map(|p| (Reverse(request.came.get(&p.id).map_or(0, |c| c.0)), p.shard)).collect();
+        came.sort();
+        let from: BTreeSet<u64> = came.iter().map(|c| c.1.0).collect();
+        let from: Vec<String> = from.iter().map(u64::to_string).collect();
+        request.extras = format!(",from={},whole={}", from.join("+"), u8::from(search.first_whole));
+        request.came.clear();
+        let fetch = self.figures.fetch.get(search.query_type.0).copied().unwrap_or(0);
+        self.second.push((search.id, came.iter().take(fetch).map(|c| c.1).collect()));
+    }
+
+    fn new_part(&mut self, search: SearchId) -> PartId {
+        self.next_part += 1;
+        self.searches_of.insert(PartId(self.next_part), search);
+        PartId(self.next_part)
+    }
+}
+
+impl Core {
+    pub fn new(clock: Clock, set: Settings, figures: Figures, replicas: Replicas, sockets: Sockets) -> Self {
+        let zones = figures.zones.iter().cloned().zip(0..).collect();
+        let hands = Hands {
+            clock,
+            now: clock.now(),
+            figures,
+            replicas,
+            requests: BTreeMap::new(),
+            traces: BTreeMap::new(),
+            searches_of: BTreeMap::new(),
+            bytes: 0,
+            timers: BinaryHeap::new(),
+            next_part: 0,
+            fresh: Vec::new(),
+            second: Vec::new(),
+        };
+        Core { hand: Hand::new(set), hands, zones, sockets, knows: false, late: 0.0 }
+    }
+
+    pub fn list(&mut self, list: List) {
+        self.hands.now = self.hands.clock.now();
+        let mut lines = Vec::new();
+        self.knows |= !list.entries.is_empty();
+        for e in &list.entries {
+            let next = self.zones.len() as u64;
+            lines.push(Listed {
+                replica: ReplicaId(e.id.as_str().into()),
+                open: e.lifecycle == Lifecycle::Ready,
+                zone: ZoneId(*self.zones.entry(e.zone.clone()).or_insert(next)),
+                cell: CellId(e.cell),
+                ready_at: Some(e.started_at).filter(|t| *t > 0.0),
+            });
+        }
+        self.hand.list(list.full, &lines);
+        self.hands.replicas.list(self.hands.now, &list);
+    }
+
+    /// Calls `ready` once it knows of replicas.
+    pub async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<Event>,
+        mut lists: mpsc::UnboundedReceiver<List>,
+        ready: impl Fn(),
+    ) {
+        self.hands.timer_at(self.hands.now, Timer::Sweep);
+        self.hands.timer_at(self.hands.now, Timer::Report);
+        loop {
+            let due = self
+                .hands
+                .timers
+                .peek()
+                .map_or(self.hands.now + SWEEP, |t| self.hands.clock.start + t.0.0 as f64 / 1e6);
+            let busy = !self.hands.replicas.ended.is_empty() || !self.hands.second.is_empty();
+            let mut first = None;
+            tokio::select! {
+                biased;
+                Some(list) = lists.recv() => self.list(list),
+                event = events.recv() => match event {
+                    Some(event) => first = Some(event),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(self.hands.clock.at(due)), if !busy => {}
+                () = std::future::ready(()), if busy => {}
+            }
+            while let Ok(list) = lists.try_recv() {
+                self.list(list);
+            }
+            self.round(first, &mut events);
+            if self.knows {
+                ready();
+            }
+        }
+    }
+
+    fn round(&mut self, mut first: Option<Event>, events: &mut mpsc::UnboundedReceiver<Event>) {
+        let now = self.hands.clock.now();
+        self.hands.now = now;
+        for (search, shards) in std::mem::take(&mut self.hands.second) {
+            let weight = 1.0 / shards.len().max(1) as f64;
+            for shard in shards {
+                let id = self.hands.new_part(search);
+                self.hand.add_part(search, id, shard, weight);
+            }
+            self.hands.fresh.push(search);
+        }
+        self.outcomes(now);
+        // Only what is queued by now, so that a round ends.
+        for _ in 0..=events.len() {
+            let Some(event) = first.take().or_else(|| events.try_recv().ok()) else { break };
+            self.event(now, event);
+        }
+        while let Some(due) = self.hands.timers.peek().map(|t| self.hands.clock.start + t.0.0 as f64 / 1e6)
+            && due <= now
+        {
+            let Some(Reverse((_, timer))) = self.hands.timers.pop() else { break };
+            self.timer(now, due, timer);
+        }
+        for search in std::mem::take(&mut self.hands.fresh) {
+            self.hand.ask(now, search, &mut self.hands);
+        }
+        self.hands.replicas.flush(now);
+    }
+
+    fn outcomes(&mut self, now: f64) {
+        for _ in 0..self.hands.replicas.ended.len() {
+            let Some(outcome) = self.hands.replicas.ended.pop_front() else { return };
+            self.hand.outcome(now, &outcome, &mut self.hands);
+        }
+    }
+
+    fn event(&mut self, now: f64, event: Event) {
+        match event {
+            Event::Arrived(arrival) => self.arrived(now, *arrival),
+            Event::Gone(search) => self.hand.left(now, search, &mut self.hands),
+            Event::Told(conn, told) => {
+                if let Told::Answer { at, .. } = told {
+                    self.late = self.late.max(now - at);
+                }
+                if let Some(((part, _), score, value)) = self.hands.replicas.told(now, conn, told)
+                    && let Some(search) = self.hands.searches_of.get(&part)
+                    && let Some(request) = self.hands.requests.get_mut(search)
+                {
+                    // The first answer of a part stands, as it does for the module.
+                    request.came.entry(part).or_insert((score, value));
+                }
+                self.outcomes(now);
+            }
+        }
+    }
+
+    fn arrived(&mut self, now: f64, a: Arrival) {
+        self.late = self.late.max(now - a.at);
+        if self.hands.traces.contains_key(&a.trace) {
+            let _ = a.reply.send(Answer::Twice);
+            return;
+        }
+        // PROTOCOL's settings bound what is in hand; memory bounds the bytes of it.
+        let (searches, parts) = self.hand.held();
+        let open = searches + parts + 1 + a.parts.len();
+        if open > self.hands.figures.max_open || self.hands.bytes + a.bytes > self.hands.figures.max_bytes {
+            debug!("search {} shed: {searches} searches and {parts} parts in hand", a.trace);
+            let _ = a.reply.send(Answer::Shed { retry_after: 0.0 });
+            return;
+        }
+        debug!("search {} type {} parts {}", a.trace, a.query_type.0, a.parts.len());
+        let mut search = Search::new(a.search, a.query_type, a.tenant, a.at, a.ends);
+        search.repeated = a.repeated;
+        self.hands.traces.insert(a.trace.clone(), a.search);
+        self.hands.bytes += a.bytes;
+        self.hand.take(search);
+        for (shard, weight) in a.parts {
+            let id = self.hands.new_part(a.search);
+            self.hand.add_part(a.search, id, shard, weight);
+        }
+        let request = Request {
+            trace: a.trace,
+            text: a.text,
+            bytes: a.bytes,
+            reply: a.reply,
+            extras: String::new(),
+            came: BTreeMap::new(),
+        };
+        self.hands.requests.insert(a.search, request);
+        self.hands.fresh.push(a.search);
+    }
+
+    fn timer(&mut self, now: f64, due: f64, timer: Timer) {
+        match timer {
+            Timer::Search(search) => self.hand.due(now, search, &mut self.hands),
+            Timer::Sub(sub) => {
+                self.hands.replicas.give_up(now, sub, true);
+                self.outcomes(now);
+            }
+            Timer::Sweep => {
+                self.hands.replicas.sweep(now);
+                self.hands.timer_at(now + SWEEP, Timer::Sweep);
+            }
+            Timer::Report => {
+                let ((searches, parts), (subs, conns)) = (self.hand.held(), self.hands.replicas.held());
+                let (late, bytes) = (self.late.max(now - due) * 1000.0, self.hands.bytes);
+                let (clients, ours) = self.sockets.held();
+                info!(
+                    "searches={searches} parts={parts} out={subs} connections={conns} clients={clients} \
+                     ours={ours} bytes={bytes} late_ms={late:.1}"
+                );
+                self.late = 0.0;
+                self.hands.timer_at(now + REPORT, Timer::Report);
+            }
+        }
+    }
+}
+
+/// The body of an answer: rows as replicas gave them.
+pub fn body(whole: bool, rows: &[(ShardId, String)]) -> Vec<u8> {
+    let mut out = format!("{{\"exact\":{whole},\"rows\":[").into_bytes();
+    for (i, (shard, value)) in rows.iter().enumerate() {
+        out.extend(if i > 0 { &b","[..] } else { b"" });
+        out.extend(format!("{{\"id\":{},\"data\":", shard.0).into_bytes());
+        json::write_string(&mut out, value);
+        out.push(b'}');
+    }
+    out.extend(b"]}");
+    out
+}
--- /dev/null
+++ b/crates/woadreachd/src/front.rs
@@ -0,0 +1,425 @@
+//! The front for clients: HTTP/1.1 as PROTOCOL has it. Owns the listener and every client connection, from its
+//! acceptance until it is closed, with its permit; turns requests into arrivals for the core and answers into
+//! bytes. Must never decide about a search, nor end a connection that owes an answer.
+
+use crate::core::{Answer, Arrival, Clock, Event, Events, body};
+use crate::http::{self, Bad, Framing, Head};
+use crate::json::Reader;
+use crate::sockets::{Permit, Side, Sockets};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{sleep, timeout};
+use tracing::{debug, warn};
+use woadreach::api::*;
+
+/// A request of which nothing more has come for so long was never taken; longer than any client timeout.
+const HALF_SENT: Duration = Duration::from_secs(10);
+/// How long a connection that is closed is read from, so that its last answer is not lost to a reset.
+const LINGER: Duration = Duration::from_secs(1);
+/// A client that reads nothing for so long has left its answer behind.
+const SLOW_READER: Duration = Duration::from_secs(30);
+/// Before the next try after accepting has failed, so that it does not spin.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// The names that the settings give to what requests speak of.
+pub struct Names {
+    pub query_types: Vec<String>,
+    pub tenants: Vec<String>,
+    pub shards: u64,
+    pub marks_repeats: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Phase {
+    Serving,
+    /// SIGTERM has come: not ready, each answer ends its connection.
+    Draining,
+    /// Nothing new is taken; idle connections end.
+    Closing,
+}
+
+pub struct Front {
+    names: Names,
+    clock: Clock,
+    sockets: Sockets,
+    events: Events,
+    phase: watch::Receiver<Phase>,
+    /// Set once the core knows of replicas.
+    pub ready: Cell<bool>,
+    /// Idle connections, oldest first, with what wakes each to its end.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// No descriptor is left for the next client.
+    crowded: Cell<bool>,
+    next: Cell<u64>,
+    open: Cell<usize>,
+}
+
+/// An answer of the front's own.
+struct Refusal {
+    status: u16,
+    why: String,
+    /// The framing is unknown from here on.
+    close: bool,
+}
+
+fn refuse(status: u16, why: impl Into<String>) -> Refusal {
+    Refusal { status, why: why.into(), close: false }
+}
+
+impl From<Bad> for Refusal {
+    fn from(bad: Bad) -> Self {
+        let (status, why) = match bad {
+            Bad::Malformed(why) => (400, why),
+            Bad::HeadTooLong => (431, "head over the limit"),
+            Bad::BodyTooLong => (413, "body over the limit"),
+            Bad::NoLength => (411, "neither length nor chunks"),
+            Bad::Version => (505, "not HTTP/1.1"),
+        };
+        Refusal { status, why: why.into(), close: true }
+    }
+}
+
+enum Next {
+    Request(Box<Head>, Vec<u8>),
+    Refused(Refusal),
+    End,
+}
+
+impl Front {
+    pub fn new(
+        names: Names,
+        clock: Clock,
+        sockets: Sockets,
+        events: Events,
+        phase: watch::Receiver<Phase>,
+    ) -> Self {
+        Front {
+            names,
+            clock,
+            sockets,
+            events,
+            phase,
+            ready: Cell::new(false),
+            idle: RefCell::default(),
+            crowded: Cell::new(false),
+            next: Cell::new(1),
+            open: Cell::new(0),
+        }
+    }
+
+    fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    /// Accepts until the phase is `Closing`, then what the kernel has already taken; returns once all is closed.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut phase = self.phase.clone();
+        loop {
+            let closing = phase.wait_for(|p| *p == Phase::Closing);
+            tokio::select! {
+                biased;
+                _ = closing => break,
+                () = self.accept(&listener) => {}
+            }
+        }
+        // What has been accepted by the machine is ours: it is answered too.
+        while timeout(Duration::ZERO, self.accept(&listener)).await.is_ok() {}
+        drop(listener);
+        while self.open.get() > 0 {
+            sleep(ACCEPT_AGAIN).await;
+        }
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let permit = loop {
+            if let Some(permit) = self.sockets.permit(Side::Clients) {
+                break permit;
+            }
+            // Danger: clients that keep connections they do not use shut others out. The one idle for longest
+            // makes room, between requests only; with all busy, answers end their connections.
+            self.crowded.set(true);
+            if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
+                oldest.notify_one();
+            }
+            self.sockets.freed().await;
+        };
+        self.crowded.set(false);
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                self.open.set(self.open.get() + 1);
+                tokio::task::spawn_local(self.clone().connection(stream, permit));
+            }
+            Err(e) => {
+                warn!("accept: {e}");
+                drop(permit);
+                sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, mut stream: TcpStream, permit: Permit) {
+        if let Err(e) = stream.set_nodelay(true) {
+            debug!("client connection: {e}");
+        }
+        let mut bytes = Vec::new();
+        if self.requests(&mut stream, &mut bytes).await {
+            // Read to the client's end, or the kernel answers what is unread with a reset that overtakes
+            // the answer.
+            let _ = stream.shutdown().await;
+            let drain = async {
+                let mut sink = [0; 4096];
+                while matches!(stream.read(&mut sink).await, Ok(n) if n > 0) {}
+            };
+            let _ = timeout(LINGER, drain).await;
+        }
+        drop(stream);
+        drop(permit);
+        self.open.set(self.open.get() - 1);
+    }
+
+    /// Requests one after the other; true if the client may still be reading.
+    async fn requests(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
+        loop {
+            let (answer, close) = match self.next_request(stream, bytes).await {
+                Next::End => return true,
+                Next::Refused(r) => (refusal(&r, true), true),
+                Next::Request(head, content) => {
+                    let close = head.closes();
+                    let Some(answer) = self.respond(stream, bytes, &head, &content, close).await else {
+                        return false;
+                    };
+                    answer
+                }
+            };
+            match timeout(SLOW_READER, stream.write_all(&answer)).await {
+                Ok(Ok(())) if !close => {}
+                Ok(Ok(())) => return true,
+                _ => return false,
+            }
+        }
+    }
+
+    /// The next request, whole; between requests the connection may be closed.
+    async fn next_request(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Next {
+        let head = loop {
+            match http::request(bytes) {
+                Ok(Some(head)) => break head,
+                Ok(None) => {}
+                Err(bad) => return Next::Refused(bad.into()),
+            }
+            let n = if bytes.is_empty() {
+                self.read_idle(stream, bytes).await
+            } else {
+                match timeout(HALF_SENT, stream.read_buf(bytes)).await {
+                    Ok(n) => n.unwrap_or(0),
+                    Err(_) => return Next::Refused(Refusal { close: true, ..refuse(408, "half sent") }),
+                }
+            };
+            if n == 0 {
+                return Next::End;
+            }
+        };
+        let framing = match head.framing() {
+            Ok(Framing::None) if head.method() == "POST" => return Next::Refused(Bad::NoLength.into()),
+            Ok(framing) => framing,
+            Err(bad) => return Next::Refused(bad.into()),
+        };
+        bytes.drain(..head.length);
+        let (mut body, mut content) = (http::Body::new(framing), Vec::new());
+        let mut owes_continue = head.expects_continue();
+        loop {
+            match body.take(bytes, &mut content, http::LONGEST_BODY) {
+                Ok((taken, ended)) => {
+                    bytes.drain(..taken);
+                    if ended {
+                        return Next::Request(Box::new(head), content);
+                    }
+                }
+                Err(bad) => return Next::Refused(bad.into()),
+            }
+            if std::mem::take(&mut owes_continue)
+                && bytes.is_empty()
+                && stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+            {
+                return Next::End;
+            }
+            match timeout(HALF_SENT, stream.read_buf(bytes)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                Ok(_) => return Next::End,
+                Err(_) => return Next::Refused(Refusal { close: true, ..refuse(408, "half sent") }),
+            }
+        }
+    }
+
+    /// Reads the first bytes of a request; 0 if the connection is to end instead.
+    async fn read_idle(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> usize {
+        let (number, wake) = (self.number(), Rc::new(Notify::new()));
+        self.idle.borrow_mut().insert(number, wake.clone());
+        let mut phase = self.phase.clone();
+        let n = tokio::select! {
+            biased;
+            n = stream.read_buf(bytes) => n.unwrap_or(0),
+            () = wake.notified() => 0,
+            _ = phase.wait_for(|p| *p == Phase::Closing) => 0,
+        };
+        self.idle.borrow_mut().remove(&number);
+        n
+    }
+
+    /// The bytes of the answer, and whether the connection ends with it; None if the client has gone.
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        bytes: &mut Vec<u8>,
+        head: &Head,
+        content: &[u8],
+        close: bool,
+    ) -> Option<(Vec<u8>, bool)> {
+        let ends = |front: &Self| close || front.crowded.get() || *front.phase.borrow() != Phase::Serving;
+        let (search, mut reply) = match self.route(head, content) {
+            Err(r) => return Some((refusal(&r, ends(self)), ends(self))),
+            Ok(None) => return Some((http::answer(200, &[], b"", ends(self)), ends(self))),
+            Ok(Some(arrival)) => {
+                let (arrival, reply) = arrival;
+                let search = arrival.search;
+                let _ = self.events.send(Event::Arrived(Box::new(arrival)));
+                (search, reply)
+            }
+        };
+        let longest = http::LONGEST_HEAD + http::LONGEST_BODY;
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut reply => break answer,
+                n = stream.read_buf(bytes), if bytes.len() < longest => {
+                    if matches!(n, Ok(0) | Err(_)) {
+                        let _ = self.events.send(Event::Gone(search));
+                        return None;
+                    }
+                }
+            }
+        };
+        let close = ends(self);
+        let out = match answer {
+            Ok(Answer::Answered { whole, rows }) => {
+                let json = ("Content-Type", "application/json".to_string());
+                http::answer(200, &[json], &body(whole, &rows), close)
+            }
+            Ok(Answer::Shed { retry_after }) if retry_after > 0.0 => {
+                http::answer(503, &[("Retry-After", format!("{retry_after:.3}"))], b"", close)
+            }
+            Ok(Answer::Shed { .. }) => http::answer(503, &[], b"", close),
+            Ok(Answer::Twice) => refusal(&refuse(409, "trace id in hand"), close),
+            Ok(Answer::Errored) | Err(_) => http::answer(500, &[], b"", close),
+        };
+        Some((out, close))
+    }
+
+    /// What a request asks for: a search, or one of the front's own pages (None).
+    fn route(
+        &self,
+        head: &Head,
+        content: &[u8],
+    ) -> Result<Option<(Arrival, oneshot::Receiver<Answer>)>, Refusal> {
+        let path = head.path();
+        if path == "/health/ready" || path == "/health/live" {
+            if !matches!(head.method(), "GET" | "HEAD") {
+                return Err(refuse(405, "GET"));
+            }
+            let ready = self.ready.get() && *self.phase.borrow() == Phase::Serving;
+            return if path == "/health/live" || ready { Ok(None) } else { Err(refuse(503, "not ready")) };
+        }
+        let class = path.trim_start_matches('/').split('/').next().unwrap_or("");
+        let query_type = self.names.query_types.iter().position(|n| n == class);
+        let query_type = query_type.ok_or_else(|| refuse(404, "unknown path"))?;
+        if head.method() != "POST" {
+            return Err(refuse(405, "POST"));
+        }
+        if head.header("x-qos").is_some_and(|q| q != class) {
+            return Err(refuse(400, "X-Qos and the path are at odds"));
+        }
+        let trace = head.header("x-trace-id").unwrap_or("");
+        // It stands in a line of words parted by spaces, before a dot.
+        if trace.is_empty()
+            || trace.len() > 128
+            || !trace.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+        {
+            return Err(refuse(400, "missing or odd X-Trace-Id"));
+        }
+        let left = head.header("x-expires-in").and_then(|v| v.parse::<f64>().ok());
+        let left = left.filter(|l| l.is_finite() && *l > 0.0);
+        let left = left.ok_or_else(|| refuse(400, "missing or odd X-Expires-In"))?;
+        let customer = head.header("x-customer").unwrap_or("");
+        let tenant = self.names.tenants.iter().position(|n| n == customer);
+        let (parts, text) = self.parts(content).map_err(|why| refuse(400, why))?;
+        let at = self.clock.now();
+        let (sender, receiver) = oneshot::channel();
+        let arrival = Arrival {
+            search: SearchId(self.number()),
+            trace: trace.to_string(),
+            query_type: QueryTypeId(query_type),
+            // One that the settings do not name has no share; where there are none all are the first.
+            tenant: TenantId(tenant.unwrap_or(self.names.tenants.len())),
+            at,
+            ends: at + left,
+            repeated: self.names.marks_repeats.then(|| head.header("x-second-try") == Some("1")),
+            parts,
+            text: text.into(),
+            bytes: content.len(),
+            reply: sender,
+        };
+        Ok(Some((arrival, receiver)))
+    }
+
+    fn parts(&self, content: &[u8]) -> Result<(Vec<(ShardId, f64)>, String), &'static str> {
+        let (mut parts, mut text) = (BTreeMap::new(), None);
+        let read = Reader::whole(content, |r| {
+            r.object(|key, r| match key {
+                "parts" => r.array(|r| {
+                    let (mut shard, mut weight) = (None, None);
+                    r.object(|key, r| {
+                        match key {
+                            "id" => shard = Some(r.whole_number()?),
+                            "w" => weight = Some(r.number()?),
+                            _ => r.skip().map(|_| ())?,
+                        }
+                        Ok(())
+                    })?;
+                    let shard =
+                        shard.filter(|s| *s < self.names.shards).ok_or(crate::json::Bad("unknown shard"))?;
+                    let weight = weight.filter(|w| w.is_finite() && *w >= 0.0);
+                    let weight = weight.ok_or(crate::json::Bad("a share that is no number of 0 or more"))?;
+                    let twice = parts.insert(ShardId(shard), (parts.len(), weight)).is_some();
+                    if twice { Err(crate::json::Bad("a shard twice")) } else { Ok(()) }
+                }),
+                "expr" => {
+                    text = Some(r.string()?.into_owned());
+                    Ok(())
+                }
+                _ => r.skip().map(|_| ()),
+            })
+        });
+        read.map_err(|bad| bad.0)?;
+        if parts.is_empty() {
+            return Err("no parts");
+        }
+        // In the client's order.
+        let mut parts: Vec<_> = parts.into_iter().collect();
+        parts.sort_by_key(|(_, (place, _))| *place);
+        let parts = parts.into_iter().map(|(shard, (_, weight))| (shard, weight)).collect();
+        Ok((parts, text.ok_or("no expr")?))
+    }
+}
+
+fn refusal(r: &Refusal, close: bool) -> Vec<u8> {
+    let mut headers = vec![("Content-Type", "text/plain".to_string())];
+    if r.status == 405 {
+        headers.push(("Allow", r.why.clone()));
+    }
+    http::answer(r.status, &headers, r.why.as_bytes(), close || r.close)
+}
--- /dev/null
+++ b/crates/woadreachd/src/replicas.rs
@@ -0,0 +1,491 @@
+//! Connections to replicas and what is out on each. Owns every sub-request from the send that the module decided
+//! until its outcome is in `ended`, whence the core tells it to the module, exactly once. Must never choose a
+//! replica, nor send a part again.
+
+use crate::core::{Clock, Event, Events};
+use crate::discovery::{Entry, Lifecycle, List};
+use crate::frame::{self, Frame};
+use crate::sockets::{Permit, Side, Sockets};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::Notify;
+use tracing::{debug, warn};
+use woadreach::api::{Ending, Outcome, PartId, ReplicaId};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnId(u64);
+
+pub type SubId = (PartId, usize);
+
+/// PROTOCOL's figures from the settings.
+pub struct Figures {
+    pub streams_per_conn: usize,
+    pub per_call: usize,
+    pub idle_close: f64,
+    pub connect_timeout: f64,
+    pub cancelling: bool,
+}
+
+/// A part as it goes out.
+pub struct Letter {
+    pub sub: SubId,
+    /// The wire's id of the part, the same for each of its sub-requests.
+    pub id: String,
+    pub shard: u64,
+    /// What the list holds beside `d`.
+    pub extras: String,
+    pub text: Rc<str>,
+    pub until: f64,
+}
+
+enum Item {
+    Call(Vec<Letter>),
+    GiveUp(String),
+}
+
+/// What waits to be written on a connection; shared with its task, which takes from the front.
+#[derive(Default)]
+struct Outbox {
+    items: RefCell<VecDeque<Item>>,
+    /// Of the call that is being written.
+    writing: RefCell<Vec<SubId>>,
+    wake: Notify,
+    close: Cell<bool>,
+}
+
+impl Outbox {
+    fn push(&self, item: Item) {
+        self.items.borrow_mut().push_back(item);
+        self.wake.notify_one();
+    }
+
+    fn end(&self) {
+        self.close.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Takes a part back if it has not begun to leave.
+    fn take_back(&self, sub: SubId) -> bool {
+        self.items.borrow_mut().iter_mut().any(|item| match item {
+            Item::Call(letters) => {
+                let before = letters.len();
+                letters.retain(|l| l.sub != sub);
+                letters.len() < before
+            }
+            Item::GiveUp(_) => false,
+        })
+    }
+
+    fn unwritten(&self) -> BTreeSet<SubId> {
+        let mut subs: BTreeSet<SubId> = self.writing.borrow().iter().copied().collect();
+        for item in self.items.borrow().iter() {
+            if let Item::Call(letters) = item {
+                subs.extend(letters.iter().map(|l| l.sub));
+            }
+        }
+        subs
+    }
+}
+
+struct Conn {
+    replica: ReplicaId,
+    outbox: Rc<Outbox>,
+    up: bool,
+    /// Takes nothing new, and is closed once nothing is out on it.
+    retired: bool,
+    out: BTreeMap<String, SubId>,
+    /// The last parts given up: an answer to one may still come.
+    given_up: VecDeque<String>,
+    last_used: f64,
+}
+
+struct Peer {
+    address: SocketAddr,
+    started_at: f64,
+    conns: BTreeSet<ConnId>,
+}
+
+struct Sub {
+    replica: ReplicaId,
+    conn: ConnId,
+    id: String,
+    sent_at: f64,
+}
+
+pub struct Replicas {
+    figures: Figures,
+    clock: Clock,
+    sockets: Sockets,
+    events: Events,
+    peers: BTreeMap<ReplicaId, Peer>,
+    conns: BTreeMap<ConnId, Conn>,
+    next_conn: u64,
+    subs: BTreeMap<SubId, Sub>,
+    /// Decided in this round, not yet on a connection.
+    batch: BTreeMap<ReplicaId, Vec<Letter>>,
+    pub ended: VecDeque<Outcome>,
+}
+
+/// What a connection's task tells the core.
+pub enum Told {
+    Up,
+    Answer { id: String, end: String, score: u64, value: Vec<u8>, at: f64 },
+    Ended,
+}
+
+impl Replicas {
+    pub fn new(figures: Figures, clock: Clock, sockets: Sockets, events: Events) -> Self {
+        Replicas {
+            figures,
+            clock,
+            sockets,
+            events,
+            peers: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            next_conn: 0,
+            subs: BTreeMap::new(),
+            batch: BTreeMap::new(),
+            ended: VecDeque::new(),
+        }
+    }
+
+    /// Sub-requests out, and connections.
+    pub fn held(&self) -> (usize, usize) {
+        (self.subs.len(), self.conns.len())
+    }
+
+    /// Addresses, and an end to what must not be used any more.
+    pub fn list(&mut self, now: f64, list: &List) {
+        if list.full {
+            let named: BTreeSet<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
+            let gone: Vec<_> = self.peers.keys().filter(|r| !named.contains(&*r.0)).cloned().collect();
+            gone.iter().for_each(|r| self.leave(now, r));
+        }
+        for entry in &list.entries {
+            self.entry(now, entry);
+        }
+    }
+
+    fn entry(&mut self, now: f64, entry: &Entry) {
+        let id = ReplicaId(entry.id.as_str().into());
+        if entry.lifecycle != Lifecycle::Ready {
+            self.leave(now, &id);
+        }
+        let (address, started_at) = (entry.address, entry.started_at);
+        let peer = self.peers.entry(id).or_insert(Peer { address, started_at, conns: BTreeSet::new() });
+        // Danger: connections to a machine that has been silent stay open after it has come back as a new
+        // process, and what is written to them is lost. Covers also a replica that moves. Harm: none but a
+        // handshake, as a restarted process holds no old connection.
+        let stale = (peer.address, peer.started_at) != (address, started_at);
+        (peer.address, peer.started_at) = (address, started_at);
+        if stale {
+            let conns = peer.conns.clone();
+            conns.iter().for_each(|c| self.retire(*c));
+        }
+    }
+
+    /// Danger: a part that waits for a connection leaves after the grace of a drain. All that have not begun to
+    /// leave are taken back at once. Covers also a replica that is gone. Harm: none, they are placed anew.
+    fn leave(&mut self, now: f64, replica: &ReplicaId) {
+        let conns = self.peers.get(replica).map_or(BTreeSet::new(), |p| p.conns.clone());
+        for id in conns {
+            let Some(conn) = self.conns.get(&id) else { continue };
+            let outbox = conn.outbox.clone();
+            let back: Vec<SubId> = conn.out.values().copied().filter(|s| outbox.take_back(*s)).collect();
+            back.iter().for_each(|s| self.end(*s, Ending::NeverSent, now));
+            self.retire(id);
+        }
+        for letter in self.batch.remove(replica).unwrap_or_default() {
+            self.end(letter.sub, Ending::NeverSent, now);
+        }
+    }
+
+    fn retire(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.retired = true;
+            if conn.out.is_empty() {
+                conn.outbox.end();
+            }
+        }
+    }
+
+    /// A part to be sent with the others of this round.
+    pub fn send(&mut self, now: f64, replica: &ReplicaId, letter: Letter) {
+        let (replica, id) = (replica.clone(), letter.id.clone());
+        let sub = Sub { replica: replica.clone(), conn: ConnId(u64::MAX), id, sent_at: now };
+        self.subs.insert(letter.sub, sub);
+        self.batch.entry(replica).or_default().push(letter);
+    }
+
+    /// The parts of this round leave: those for one replica share calls.
+    pub fn flush(&mut self, now: f64) {
+        for (replica, mut letters) in std::mem::take(&mut self.batch) {
+            while !letters.is_empty() {
+                let rest = letters.split_off(letters.len().min(self.figures.per_call));
+                self.call(now, &replica, std::mem::replace(&mut letters, rest));
+            }
+        }
+    }
+
+    fn call(&mut self, now: f64, replica: &ReplicaId, letters: Vec<Letter>) {
+        let Some(conn) = self.room(now, replica, &letters).or_else(|| self.open(now, replica)) else {
+            let why = if self.peers.contains_key(replica) { Ending::Unreachable } else { Ending::NeverSent };
+            letters.iter().for_each(|l| self.end(l.sub, why, now));
+            return;
+        };
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        c.last_used = now;
+        for l in &letters {
+            c.out.insert(l.id.clone(), l.sub);
+            if let Some(sub) = self.subs.get_mut(&l.sub) {
+                sub.conn = conn;
+            }
+        }
+        c.outbox.push(Item::Call(letters));
+    }
+
+    /// A connection with room for these parts, on which none of their ids could be taken for another's: one
+    /// that is up, else one that is coming up.
+    fn room(&self, now: f64, replica: &ReplicaId, letters: &[Letter]) -> Option<ConnId> {
+        // PROTOCOL: what is written after the idle time is lost. One connect time-out, the longest that the
+        // settings hold a message to be on its way, keeps clear of it.
+        let idle = self.figures.idle_close - self.figures.connect_timeout;
+        let fits = |id: &&ConnId| {
+            self.conns.get(id).is_some_and(|c| {
+                !c.retired
+                    && (!c.out.is_empty() || now - c.last_used < idle)
+                    && c.out.len() + letters.len() <= self.figures.streams_per_conn.max(letters.len())
+                    && !letters.iter().any(|l| c.out.contains_key(&l.id) || c.given_up.contains(&l.id))
+            })
+        };
+        let fitting = || self.peers.get(replica).into_iter().flat_map(|p| &p.conns).filter(fits);
+        fitting().find(|id| self.conns[id].up).or_else(|| fitting().next()).copied()
+    }
+
+    fn open(&mut self, now: f64, replica: &ReplicaId) -> Option<ConnId> {
+        let peer = self.peers.get_mut(replica)?;
+        let Some(permit) = self.sockets.permit(Side::Ours) else {
+            warn!("no descriptor for a connection to {}", replica.0);
+            return None;
+        };
+        let id = ConnId(self.next_conn);
+        self.next_conn += 1;
+        let outbox = Rc::new(Outbox::default());
+        debug!("connection {} to {} ({})", id.0, replica.0, peer.address);
+        tokio::task::spawn_local(connection(
+            id,
+            peer.address,
+            Duration::from_secs_f64(self.figures.connect_timeout),
+            outbox.clone(),
+            self.clock,
+            self.events.clone(),
+            permit,
+        ));
+        peer.conns.insert(id);
+        let conn = Conn {
+            replica: replica.clone(),
+            outbox,
+            up: false,
+            retired: false,
+            out: BTreeMap::new(),
+            given_up: VecDeque::new(),
+            last_used: now,
+        };
+        self.conns.insert(id, conn);
+        Some(id)
+    }
+
+    /// Its outcome is ready to be told.
+    fn end(&mut self, id: SubId, ending: Ending, at: f64) {
+        let Some(sub) = self.subs.remove(&id) else { return };
+        if let Some(c) = self.conns.get_mut(&sub.conn) {
+            c.out.remove(&sub.id);
+            c.last_used = self.clock.now();
+            if c.retired && c.out.is_empty() {
+                c.outbox.end();
+            }
+        }
+        let latency = (at - sub.sent_at).max(0.0);
+        debug!("part {} {} at {}: {ending:?} after {latency:.4}", id.0.0, id.1, sub.replica.0);
+        self.ended.push_back(Outcome { part: id.0, nth: id.1, replica: sub.replica, ending, latency });
+    }
+
+    /// The wait for it ends: given up by the module, or its time is over.
+    pub fn give_up(&mut self, now: f64, id: SubId, timed_out: bool) {
+        let Some(sub) = self.subs.get(&id) else { return };
+        let mut ending = if timed_out { Ending::TimedOut } else { Ending::Cancelled };
+        if let Some(conn) = self.conns.get_mut(&sub.conn) {
+            if conn.outbox.take_back(id) {
+                // Never left: a time-out here says nothing of the replica's work.
+                let never = if conn.up { Ending::NeverSent } else { Ending::Unreachable };
+                ending = if timed_out { never } else { ending };
+            } else {
+                if self.figures.cancelling {
+                    conn.outbox.push(Item::GiveUp(sub.id.clone()));
+                }
+                // As many as may be out at once are enough to look back at.
+                if conn.given_up.len() >= self.figures.streams_per_conn {
+                    conn.given_up.pop_front();
+                }
+                conn.given_up.push_back(sub.id.clone());
+            }
+        }
+        self.end(id, ending, now);
+    }
+
+    /// A connection's word; gives the part that was answered, with its score and value.
+    pub fn told(&mut self, now: f64, id: ConnId, told: Told) -> Option<(SubId, u64, String)> {
+        match told {
+            Told::Up => self.conns.get_mut(&id)?.up = true,
+            Told::Answer { id: part, end, score, value, at } => {
+                let conn = self.conns.get_mut(&id)?;
+                let Some(sub) = conn.out.get(&part).copied() else {
+                    conn.given_up.retain(|g| *g != part);
+                    debug!("answer {end} for {part}, which is not held");
+                    return None;
+                };
+                let (ending, value) = match (end.as_str(), String::from_utf8(value)) {
+                    ("200", Ok(value)) => (Ending::Answered, Some(value)),
+                    ("503", _) => (Ending::Full, None),
+                    // A status that the page does not name, or a value that no answer could hold unchanged.
+                    _ => (Ending::Errored, None),
+                };
+                self.end(sub, ending, at);
+                return value.map(|v| (sub, score, v));
+            }
+            Told::Ended => {
+                let conn = self.conns.get_mut(&id)?;
+                let unwritten = conn.outbox.unwritten();
+                let out: Vec<SubId> = conn.out.values().copied().collect();
+                for sub in out {
+                    let never = unwritten.contains(&sub);
+                    self.end(sub, if never { Ending::Unreachable } else { Ending::Broken }, now);
+                }
+                let conn = self.conns.remove(&id)?;
+                if let Some(peer) = self.peers.get_mut(&conn.replica) {
+                    peer.conns.remove(&id);
+                }
+            }
+        }
+        None
+    }
+
+    /// Closes what has been idle for nearly as long as the machine would let it.
+    pub fn sweep(&mut self, now: f64) {
+        let idle = self.figures.idle_close - self.figures.connect_timeout;
+        let old = |c: &&Conn| c.out.is_empty() && now - c.last_used >= idle;
+        self.conns.values().filter(old).for_each(|c| c.outbox.end());
+    }
+}
+
+/// One connection, from its first packet to its end. Says `Ended` exactly once, when its socket is closed and its
+/// permit given back.
+async fn connection(
+    id: ConnId,
+    address: SocketAddr,
+    patience: Duration,
+    outbox: Rc<Outbox>,
+    clock: Clock,
+    events: Events,
+    permit: Permit,
+) {
+    match tokio::time::timeout(patience, TcpStream::connect(address)).await {
+        Ok(Ok(mut stream)) => {
+            if let Err(e) = stream.set_nodelay(true) {
+                debug!("connection {}: {e}", id.0);
+            }
+            let _ = events.send(Event::Told(id, Told::Up));
+            let (from, to) = stream.split();
+            let ended = tokio::select! {
+                biased;
+                ended = read(id, from, clock, &events) => ended,
+                ended = write(to, &outbox, clock) => ended,
+            };
+            if let Err(why) = ended {
+                debug!("connection {} to {address} ended: {why}", id.0);
+            }
+        }
+        Ok(Err(e)) => debug!("connection {} to {address}: {e}", id.0),
+        Err(_) => debug!("connection {} to {address} never came up", id.0),
+    }
+    drop(permit);
+    // The core outlives its queue only at the end of the process.
+    let _ = events.send(Event::Told(id, Told::Ended));
+}
+
+async fn read(id: ConnId, mut from: ReadHalf<'_>, clock: Clock, events: &Events) -> Result<(), String> {
+    let mut bytes = Vec::new();
+    loop {
+        match from.read_buf(&mut bytes).await {
+            Ok(0) => return Err("closed by the replica".into()),
+            Ok(_) => {}
+            Err(e) => return Err(e.to_string()),
+        }
+        let (mut at, now) = (0, clock.now());
+        while let Some((frame, taken)) = frame::read(&bytes[at..]).map_err(|e| {
+            warn!("unusable frame from a replica: {}", e.0);
+            e.0.to_string()
+        })? {
+            at += taken;
+            match frame {
+                Frame::Answer { id: part, end, score, value } => {
+                    let told = Told::Answer {
+                        id: part.into(),
+                        end: end.into(),
+                        score,
+                        value: value.into(),
+                        at: now,
+                    };
+                    let _ = events.send(Event::Told(id, told));
+                }
+                Frame::Probe => {}
+                Frame::Refused(words) => {
+                    warn!("a replica could not use a frame: {}", String::from_utf8_lossy(words));
+                    return Err("refused".into());
+                }
+            }
+        }
+        bytes.drain(..at);
+    }
+}
+
+async fn write(mut to: WriteHalf<'_>, outbox: &Outbox, clock: Clock) -> Result<(), String> {
+    let mut bytes = Vec::new();
+    loop {
+        let item = outbox.items.borrow_mut().pop_front();
+        bytes.clear();
+        match item {
+            None if outbox.close.get() => return Ok(()),
+            None => {
+                outbox.wake.notified().await;
+                continue;
+            }
+            Some(Item::GiveUp(id)) => frame::give_up(&mut bytes, &id),
+            Some(Item::Call(letters)) => {
+                let now = clock.now();
+                let parts: Vec<Vec<u8>> = letters.iter().map(|l| l.bytes(now)).collect();
+                let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+                if parts.is_empty() {
+                    continue;
+                }
+                frame::call(&mut bytes, &parts);
+                *outbox.writing.borrow_mut() = letters.iter().map(|l| l.sub).collect();
+            }
+        }
+        to.write_all(&bytes).await.map_err(|e| e.to_string())?;
+        outbox.writing.borrow_mut().clear();
+    }
+}
+
+impl Letter {
+    fn bytes(&self, now: f64) -> Vec<u8> {
+        let wait = ((self.until - now) * 1000.0).floor().max(1.0);
+        frame::part(&self.id, self.shard, &format!("d={wait}{}", self.extras), &self.text)
+    }
+}
--- /dev/null
+++ b/crates/woadreachd/src/sockets.rs
@@ -0,0 +1,75 @@
+//! The one owner of the descriptor budget. Every socket is opened under a permit, which its drop gives back, here
+//! and nowhere else. Must never open a socket, nor know what one is for beyond its side.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Descriptors that are not sockets of clients, replicas or discovery: standard streams, the listener, the event
+/// queue and its wake-up, signals, and a client connection that is accepted before it has its permit.
+const OTHERS: usize = 16;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Side {
+    Clients,
+    Ours,
+}
+
+struct Budget {
+    limit: usize,
+    clients: Cell<usize>,
+    ours: Cell<usize>,
+    freed: Notify,
+}
+
+#[derive(Clone)]
+pub struct Sockets(Rc<Budget>);
+
+pub struct Permit {
+    budget: Rc<Budget>,
+    side: Side,
+}
+
+impl Sockets {
+    pub fn new(limit: usize) -> Self {
+        let limit = limit.saturating_sub(OTHERS).max(4);
+        Sockets(Rc::new(Budget { limit, clients: Cell::new(0), ours: Cell::new(0), freed: Notify::new() }))
+    }
+
+    /// Danger: a flood of clients leaves no descriptor to ask a replica with, and every search fails. Clients
+    /// have at most three quarters; what is ours may use what is left. Covers also clients that never close.
+    /// Harm: the last quarter may lie idle while clients wait to be accepted.
+    pub fn permit(&self, side: Side) -> Option<Permit> {
+        let b = &self.0;
+        let room = b.clients.get() + b.ours.get() < b.limit;
+        if !room || (side == Side::Clients && b.clients.get() >= b.limit / 4 * 3) {
+            return None;
+        }
+        b.count(side).set(b.count(side).get() + 1);
+        Some(Permit { budget: b.clone(), side })
+    }
+
+    /// Waits until a permit has been given back.
+    pub async fn freed(&self) {
+        self.0.freed.notified().await;
+    }
+
+    /// Held by clients, and by us.
+    pub fn held(&self) -> (usize, usize) {
+        (self.0.clients.get(), self.0.ours.get())
+    }
+}
+
+impl Budget {
+    fn count(&self, side: Side) -> &Cell<usize> {
+        if side == Side::Clients { &self.clients } else { &self.ours }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let count = self.budget.count(self.side);
+        count.set(count.get() - 1);
+        self.budget.freed.notify_one();
+    }
+}
