--- a/crates/woadreachd/src/discovery.rs
+++ b/crates/woadreachd/src/discovery.rs
@@ -116,7 +116,8 @@
     let mut whole = true;
     loop {
         match call(&address, &mut generation, &mut whole, &sockets, &lists).await {
-            Ok(()) => info!("discovery: connection ended"),
+            // The whole list has come: changes next.
+            Ok(()) => continue,
             Err(why) => info!("discovery: {why}"),
         }
         sleep(AGAIN).await;
@@ -162,7 +163,11 @@
                 }
             }
             if ended {
-                return if watch { Ok(()) } else { tell(&text, true, generation, whole, lists) };
+                return if watch {
+                    Err("watch ended".into())
+                } else {
+                    tell(&text, true, generation, whole, lists)
+                };
             }
         }
         let n =
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -26,6 +26,9 @@
 /// Before the next try after accepting has failed, so that it does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// Shards with their shares of the answer, in the client's order.
+type Parts = Vec<(ShardId, f64)>;
+
 /// The names that the settings give to what requests speak of.
 pub struct Names {
     pub query_types: Vec<String>,
@@ -376,7 +379,7 @@
         Ok(Some((arrival, receiver)))
     }
 
-    fn parts(&self, content: &[u8]) -> Result<(Vec<(ShardId, f64)>, String), &'static str> {
+    fn parts(&self, content: &[u8]) -> Result<(Parts, String), &'static str> {
         let (mut parts, mut text) = (BTreeMap::new(), None);
         let read = Reader::whole(content, |r| {
             r.object(|key, r| match key {
@@ -408,7 +411,6 @@
         if parts.is_empty() {
             return Err("no parts");
         }
-        // In the client's order.
         let mut parts: Vec<_> = parts.into_iter().collect();
         parts.sort_by_key(|(_, (place, _))| *place);
         let parts = parts.into_iter().map(|(shard, (_, weight))| (shard, weight)).collect();
