Sockets: what ends in its own round never leaves; clients are accepted before room is made for them

A part given up in the round that sent it stayed in the batch and left after its search's answer (replicas.rs, give_up and flush): a broken rule. A second step whose client had left kept its part ids for ever (core.rs, searches_of, now the hand's own table). Room for the next client was made before there was one, and could end a connection whose first request was still to come (front.rs, accept): seen as a search of the test that was never read. A connection that became idle while all were busy was not looked at again. A half-sent request could be spun out byte by byte; it has ten seconds in all. A reason why discovery fails is logged once.

--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -44,6 +44,10 @@
         (self.searches.len(), self.by_part.len())
     }
 
+    pub fn search_of(&self, part: PartId) -> Option<SearchId> {
+        self.by_part.get(&part).copied()
+    }
+
     /// Takes a search in hand; `ask` comes once its parts are in.
     pub fn take(&mut self, search: Search) {
         self.by_part.extend(search.parts.iter().map(|p| (p.id, search.id)));
--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -123,7 +123,6 @@
     replicas: Replicas,
     requests: BTreeMap<SearchId, Request>,
     traces: BTreeMap<String, SearchId>,
-    searches_of: BTreeMap<PartId, SearchId>,
     bytes: usize,
     timers: BinaryHeap<Reverse<(Due, Timer)>>,
     next_part: u64,
@@ -194,9 +193,6 @@
     }
 
     fn over(&mut self, search: &Search) {
-        for part in &search.parts {
-            self.searches_of.remove(&part.id);
-        }
         // Still here if the client has left.
         self.let_go(search.id);
     }
@@ -231,9 +227,8 @@
         self.second.push((search.id, came.iter().take(fetch).map(|c| c.1).collect()));
     }
 
-    fn new_part(&mut self, search: SearchId) -> PartId {
+    fn new_part(&mut self) -> PartId {
         self.next_part += 1;
-        self.searches_of.insert(PartId(self.next_part), search);
         PartId(self.next_part)
     }
 }
@@ -248,7 +243,6 @@
             replicas,
             requests: BTreeMap::new(),
             traces: BTreeMap::new(),
-            searches_of: BTreeMap::new(),
             bytes: 0,
             timers: BinaryHeap::new(),
             next_part: 0,
@@ -319,7 +313,7 @@
         for (search, shards) in std::mem::take(&mut self.hands.second) {
             let weight = 1.0 / shards.len().max(1) as f64;
             for shard in shards {
-                let id = self.hands.new_part(search);
+                let id = self.hands.new_part();
                 self.hand.add_part(search, id, shard, weight);
             }
             self.hands.fresh.push(search);
@@ -358,8 +352,8 @@
                     self.late = self.late.max(now - at);
                 }
                 if let Some(((part, _), score, value)) = self.hands.replicas.told(now, conn, told)
-                    && let Some(search) = self.hands.searches_of.get(&part)
-                    && let Some(request) = self.hands.requests.get_mut(search)
+                    && let Some(search) = self.hand.search_of(part)
+                    && let Some(request) = self.hands.requests.get_mut(&search)
                 {
                     // The first answer of a part stands, as it does for the module.
                     request.came.entry(part).or_insert((score, value));
@@ -390,7 +384,7 @@
         self.hands.bytes += a.bytes;
         self.hand.take(search);
         for (shard, weight) in a.parts {
-            let id = self.hands.new_part(a.search);
+            let id = self.hands.new_part();
             self.hand.add_part(a.search, id, shard, weight);
         }
         let request = Request {
--- a/crates/woadreachd/src/discovery.rs
+++ b/crates/woadreachd/src/discovery.rs
@@ -115,11 +115,20 @@
 pub async fn follow(address: String, known: Option<u64>, sockets: Sockets, lists: Lists) {
     let mut generation = known;
     let mut whole = true;
+    let mut last = String::new();
     loop {
         match call(&address, &mut generation, &mut whole, &sockets, &lists).await {
             // The whole list has come: changes next.
-            Ok(()) => continue,
-            Err(why) => info!("discovery: {why}"),
+            Ok(()) => {
+                last.clear();
+                continue;
+            }
+            // Told once for as long as it lasts.
+            Err(why) if why == last => debug!("discovery: {why}"),
+            Err(why) => {
+                info!("discovery: {why}");
+                last = why;
+            }
         }
         sleep(AGAIN).await;
     }
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -13,11 +13,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{debug, warn};
 use woadreach::api::*;
 
-/// A request of which nothing more has come for so long was never taken; longer than any client timeout.
+/// A request that has not all come so long after its first byte was never taken; longer than a client waits.
 const HALF_SENT: Duration = Duration::from_secs(10);
 /// How long a connection that is closed is read from, so that its last answer is not lost to a reset.
 const LINGER: Duration = Duration::from_secs(1);
@@ -54,8 +54,8 @@
     phase: watch::Receiver<Phase>,
     /// Set once the core knows of replicas.
     pub ready: Cell<bool>,
-    /// Idle connections, oldest first, with what wakes each to its end.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Idle connections with what wakes each to its end: oldest first, those without a first request last.
+    idle: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
     /// No descriptor is left for the next client.
     crowded: Cell<bool>,
     next: Cell<u64>,
@@ -127,14 +127,18 @@
             tokio::select! {
                 biased;
                 _ = closing => break,
-                () = self.accept(&listener) => {}
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.begin(stream).await,
+                    Err(e) => {
+                        warn!("accept: {e}");
+                        sleep(ACCEPT_AGAIN).await;
+                    }
+                },
             }
         }
         // What has been accepted by the machine is ours: it is answered too. The wait lets the kernel tell of it.
-        loop {
-            let permit = self.permit().await;
-            let Ok(Ok((stream, _))) = timeout(ACCEPT_AGAIN, listener.accept()).await else { break };
-            self.begin(stream, permit);
+        while let Ok(Ok((stream, _))) = timeout(ACCEPT_AGAIN, listener.accept()).await {
+            self.begin(stream).await;
         }
         drop(listener);
         while self.open.get() > 0 {
@@ -142,39 +146,28 @@
         }
     }
 
-    async fn permit(&self) -> Permit {
-        loop {
+    /// Gives a connection its permit and its task; until then it is the one that `sockets.rs` allows without.
+    async fn begin(self: &Rc<Self>, stream: TcpStream) {
+        let permit = loop {
             if let Some(permit) = self.sockets.permit(Side::Clients) {
-                self.crowded.set(false);
-                return permit;
+                break permit;
             }
             // Danger: clients that keep connections they do not use shut others out. The one idle for longest
-            // makes room, between requests only; with all busy, answers end their connections.
+            // makes room, between requests only; with all busy, answers end their connections. Covers clients
+            // that never close. Harm: one that closes while a request is on its way has it sent once more, so
+            // those from which the first is still to come go last.
             self.crowded.set(true);
             if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
                 oldest.notify_one();
             }
-            self.sockets.freed().await;
-        }
-    }
-
-    fn begin(self: &Rc<Self>, stream: TcpStream, permit: Permit) {
+            // One that has just become idle gives nothing back by itself: look again.
+            let _ = timeout(ACCEPT_AGAIN, self.sockets.freed()).await;
+        };
+        self.crowded.set(false);
         self.open.set(self.open.get() + 1);
         tokio::task::spawn_local(self.clone().connection(stream, permit));
     }
 
-    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
-        let permit = self.permit().await;
-        match listener.accept().await {
-            Ok((stream, _)) => self.begin(stream, permit),
-            Err(e) => {
-                warn!("accept: {e}");
-                drop(permit);
-                sleep(ACCEPT_AGAIN).await;
-            }
-        }
-    }
-
     async fn connection(self: Rc<Self>, mut stream: TcpStream, permit: Permit) {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("client connection: {e}");
@@ -197,13 +190,16 @@
 
     /// Requests one after the other; true if the client may still be reading.
     async fn requests(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
+        let mut first = true;
         loop {
-            let (answer, close) = match self.next_request(stream, bytes).await {
+            let next = self.next_request(stream, bytes, std::mem::take(&mut first)).await;
+            let (answer, close) = match next {
                 // Nothing is owed and nothing unread: it may close at once.
                 Next::End => return false,
                 Next::Refused(r) => (refusal(&r, true), true),
                 Next::Request(head, content) => {
-                    let close = head.closes();
+                    // What answers a HEAD has no body: it is not spoken here, and ends the connection.
+                    let close = head.closes() || head.method() == "HEAD";
                     let Some(answer) = self.respond(stream, bytes, &head, content, close).await else {
                         return false;
                     };
@@ -219,7 +215,9 @@
     }
 
     /// The next request, whole; between requests the connection may be closed.
-    async fn next_request(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Next {
+    async fn next_request(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>, first: bool) -> Next {
+        let late = || Next::Refused(Refusal { close: true, ..refuse(408, "half sent") });
+        let mut until = Instant::now() + HALF_SENT;
         let head = loop {
             match http::request(bytes) {
                 Ok(Some(head)) => break head,
@@ -227,11 +225,13 @@
                 Err(bad) => return Next::Refused(bad.into()),
             }
             let n = if bytes.is_empty() {
-                self.read_idle(stream, bytes).await
+                let n = self.read_idle(stream, bytes, first).await;
+                until = Instant::now() + HALF_SENT;
+                n
             } else {
-                match timeout(HALF_SENT, stream.read_buf(bytes)).await {
+                match timeout_at(until, stream.read_buf(bytes)).await {
                     Ok(n) => n.unwrap_or(0),
-                    Err(_) => return Next::Refused(Refusal { close: true, ..refuse(408, "half sent") }),
+                    Err(_) => return late(),
                 }
             };
             if n == 0 {
@@ -262,17 +262,17 @@
             {
                 return Next::End;
             }
-            match timeout(HALF_SENT, stream.read_buf(bytes)).await {
+            match timeout_at(until, stream.read_buf(bytes)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 Ok(_) => return Next::End,
-                Err(_) => return Next::Refused(Refusal { close: true, ..refuse(408, "half sent") }),
+                Err(_) => return late(),
             }
         }
     }
 
     /// Reads the first bytes of a request; 0 if the connection is to end instead.
-    async fn read_idle(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> usize {
-        let (number, wake) = (self.number(), Rc::new(Notify::new()));
+    async fn read_idle(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>, first: bool) -> usize {
+        let (number, wake) = ((first, self.number()), Rc::new(Notify::new()));
         self.idle.borrow_mut().insert(number, wake.clone());
         let mut phase = self.phase.clone();
         let n = tokio::select! {
@@ -343,7 +343,7 @@
     ) -> Result<Option<(Arrival, oneshot::Receiver<Answer>)>, Refusal> {
         let path = head.path();
         if path == "/health/ready" || path == "/health/live" {
-            if !matches!(head.method(), "GET" | "HEAD") {
+            if head.method() != "GET" {
                 return Err(refuse(405, "GET"));
             }
             let ready = self.ready.get() && *self.phase.borrow() == Phase::Serving;
--- a/crates/woadreachd/src/replicas.rs
+++ b/crates/woadreachd/src/replicas.rs
@@ -224,8 +224,12 @@
     }
 
     /// The parts of this round leave: those for one replica share calls.
+    ///
+    /// Danger: a search ends in the round that sent its parts, and these leave after its answer. Those given up
+    /// since are dropped here. Covers also a part that was placed anew. Harm: none, no byte of them has left.
     pub fn flush(&mut self, now: f64) {
         for (replica, mut letters) in std::mem::take(&mut self.batch) {
+            letters.retain(|l| self.subs.contains_key(&l.sub));
             while !letters.is_empty() {
                 let rest = letters.split_off(letters.len().min(self.figures.per_call));
                 self.call(now, &replica, std::mem::replace(&mut letters, rest));
@@ -319,13 +323,13 @@
     /// The wait for it ends: given up by the module, or its time is over.
     pub fn give_up(&mut self, now: f64, id: SubId, timed_out: bool) {
         let Some(sub) = self.subs.get(&id) else { return };
-        let mut ending = if timed_out { Ending::TimedOut } else { Ending::Cancelled };
+        // What has not left says nothing of the replica's work.
+        let mut late = Ending::NeverSent;
         if let Some(conn) = self.conns.get_mut(&sub.conn) {
             if conn.outbox.take_back(id) {
-                // Never left: a time-out here says nothing of the replica's work.
-                let never = if conn.up { Ending::NeverSent } else { Ending::Unreachable };
-                ending = if timed_out { never } else { ending };
+                late = if conn.up { Ending::NeverSent } else { Ending::Unreachable };
             } else {
+                late = Ending::TimedOut;
                 if self.figures.cancelling {
                     conn.outbox.push(Item::GiveUp(sub.id.clone()));
                 }
@@ -336,7 +340,7 @@
                 conn.given_up.push_back(sub.id.clone());
             }
         }
-        self.end(id, ending, now);
+        self.end(id, if timed_out { late } else { Ending::Cancelled }, now);
     }
 
     /// A connection's word; gives the part that was answered, with its score and value.
@@ -489,3 +493,42 @@
         frame::part(&self.id, self.shard, &format!("d={wait}{}", self.extras), &self.text)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// A part given up in the round that sent it never leaves, and its outcome is told once.
+    #[rstest]
+    #[case::called_off(false, Ending::Cancelled)]
+    #[case::out_of_time(true, Ending::NeverSent)]
+    fn given_up_before_it_leaves(#[case] timed_out: bool, #[case] ending: Ending) {
+        let figures = Figures {
+            streams_per_conn: 1,
+            per_call: 1,
+            idle_close: 30.0,
+            connect_timeout: 0.25,
+            cancelling: true,
+        };
+        let (events, _queue) = tokio::sync::mpsc::unbounded_channel();
+        let mut replicas = Replicas::new(figures, Clock::new(), Sockets::new(64), events);
+        let entry = Entry {
+            id: "a".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: String::new(),
+            cell: 0,
+            lifecycle: Lifecycle::Ready,
+            started_at: 0.0,
+        };
+        replicas.list(0.0, &List { generation: 1, full: true, entries: vec![entry] });
+        let sub = (PartId(1), 0);
+        let (id, extras, text) = ("t.0".to_string(), String::new(), "q".into());
+        replicas.send(0.0, &ReplicaId("a".into()), Letter { sub, id, shard: 0, extras, text, until: 1.0 });
+        replicas.give_up(0.0, sub, timed_out);
+        replicas.flush(0.0);
+        assert_eq!(replicas.held(), (0, 0));
+        let told: Vec<Ending> = replicas.ended.iter().map(|o| o.ending).collect();
+        assert_eq!(told, [ending]);
+    }
+}
--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -351,6 +351,24 @@
     assert_eq!(busy.reply().0, 200);
 }
 
+/// With every connection waiting for an answer, the next client is served once one of them has it.
+#[test]
+fn clients_wait_while_all_are_busy() {
+    let s = scene_with(|c| c.replace("\"sockets\":1024", "\"sockets\":40"));
+    let mut busy: Vec<Wire> = (0..18).map(|_| Wire::to(s.address)).collect();
+    busy.iter_mut().enumerate().for_each(|(i, c)| c.write(request("browse", &format!("t{i}"), &[0], "q")));
+    let mut a = s.a.accept();
+    let mut ids = Vec::new();
+    while ids.len() < busy.len() {
+        ids.extend(a.call().into_iter().map(|p| p.id));
+    }
+    let mut next = Wire::to(s.address);
+    next.write("GET /health/live HTTP/1.1\r\n\r\n");
+    ids.iter().for_each(|id| a.answer(id, "200", 0, "v"));
+    assert_eq!(next.reply().0, 200);
+    assert!(busy.iter_mut().all(|c| c.reply().0 == 200));
+}
+
 #[rstest]
 #[case::too_many("\"attemptsCap\"", "\"maxOpen\":3,\"attemptsCap\"")]
 #[case::too_large("\"memory_mb\":192", "\"memory_mb\":0.0001")]
@@ -409,6 +427,17 @@
     }
 }
 
+#[rstest]
+#[case::in_the_head(30)]
+#[case::in_the_body(110)]
+fn a_half_sent_request_is_dropped_after_a_while(#[case] sent: usize) {
+    let s = scene();
+    let mut client = Wire::to(s.address);
+    client.write(&request("browse", "t", &[0], "q")[..sent]);
+    assert_eq!(client.reply().0, 408);
+    assert!(client.ended() && !s.a.called());
+}
+
 #[test]
 fn a_trace_id_in_hand_is_refused() {
     let s = scene();
