Sockets: a part is taken from its queue only once it can begin to leave; long lines wrapped

A frame that had been taken from the outbox of a connection with a full send buffer could no longer be taken back when its replica was told to drain, and would leave after the grace (replicas.rs, write: pop_front before writable).

--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -1,6 +1,6 @@
 //! The searches in hand of one co-ordinator, beside the module that decides about them. Owns each search from
-//! `take` until it is over and knows when each wants to be asked about next; what a plan asks for goes, in its
-//! order, into a sink. Must never decide, nor keep a clock: the caller tells the time.
+//! `take` until it is over and knows when each wants to be asked about next; what a plan asks for goes, in
+//! its order, into a sink. Must never decide, nor keep a clock: the caller tells the time.
 
 use std::collections::{BTreeMap, VecDeque};
 use woadreach::api::*;
--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -1,6 +1,6 @@
-//! The one task that owns the module, the searches in hand, their timers and the clock. Others reach it by its
-//! queue only; list changes go first. Each round handles all that is queued, then asks about what is new, then
-//! sends. Must never block, decide, or touch a socket.
+//! The one task that owns the module, the searches in hand, their timers and the clock. Others reach it by
+//! its queue only; list changes go first. Each round handles all that is queued, then asks about what is new,
+//! then sends. Must never block, decide, or touch a socket.
 
 use crate::discovery::{Lifecycle, List};
 use crate::json;
@@ -212,6 +212,10 @@
         self.timers.push(Reverse((due, timer)));
     }
 
+    fn next_due(&self) -> Option<f64> {
+        self.timers.peek().map(|t| self.clock.start + t.0.0 as f64 / 1e6)
+    }
+
     /// PROTOCOL: the parts of a second step go to the shards with the highest scores among those that are in.
     fn second_step(&mut self, search: &Search) {
         let Some(request) = self.requests.get_mut(&search.id) else { return };
@@ -283,11 +287,7 @@
             if self.knows {
                 ready();
             }
-            let due = self
-                .hands
-                .timers
-                .peek()
-                .map_or(self.hands.now + SWEEP, |t| self.hands.clock.start + t.0.0 as f64 / 1e6);
+            let due = self.hands.next_due().unwrap_or(self.hands.now + SWEEP);
             let busy = !self.hands.replicas.ended.is_empty() || !self.hands.second.is_empty();
             let mut first = None;
             tokio::select! {
@@ -324,10 +324,9 @@
             let Some(event) = first.take().or_else(|| events.try_recv().ok()) else { break };
             self.event(now, event);
         }
-        while let Some(due) = self.hands.timers.peek().map(|t| self.hands.clock.start + t.0.0 as f64 / 1e6)
-            && due <= now
+        while let Some(due) = self.hands.next_due().filter(|due| *due <= now)
+            && let Some(Reverse((_, timer))) = self.hands.timers.pop()
         {
-            let Some(Reverse((_, timer))) = self.hands.timers.pop() else { break };
             self.timer(now, due, timer);
         }
         for search in std::mem::take(&mut self.hands.fresh) {
--- a/crates/woadreachd/src/discovery.rs
+++ b/crates/woadreachd/src/discovery.rs
@@ -12,9 +12,9 @@
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 
-/// PROTOCOL: as long as nothing changes, an empty line arrives every 2 s, and what there is to tell counts as told
-/// 6 s later. Silent for half as long again, a watch is taken for dead and asked for anew, which costs nothing and
-/// leaves time for two tries.
+/// PROTOCOL: as long as nothing changes, an empty line arrives every 2 s, and what there is to tell counts as
+/// told 6 s later. Silent for half as long again, a watch is taken for dead and asked for anew, which costs
+/// nothing and leaves time for two tries.
 const SILENT: Duration = Duration::from_secs(3);
 /// Between two calls that failed: the agent is on this machine, so a call is cheap.
 const AGAIN: Duration = Duration::from_millis(200);
--- a/crates/woadreachd/src/frame.rs
+++ b/crates/woadreachd/src/frame.rs
@@ -1,5 +1,5 @@
-//! The frames that replicas and co-ordinators exchange, as pure functions over bytes. Owns nothing; must never do
-//! I/O or allocate by a length that a frame merely claims.
+//! The frames that replicas and co-ordinators exchange, as pure functions over bytes. Owns nothing; must
+//! never do I/O or allocate by a length that a frame merely claims.
 
 use std::str::from_utf8;
 
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -1,6 +1,6 @@
-//! The front for clients: HTTP/1.1 as PROTOCOL has it. Owns the listener and every client connection, from its
-//! acceptance until it is closed, with its permit; turns requests into arrivals for the core and answers into
-//! bytes. Must never decide about a search, nor end a connection that owes an answer.
+//! The front for clients: HTTP/1.1 as PROTOCOL has it. Owns the listener and every client connection, from
+//! its acceptance until it is closed, with its permit; turns requests into arrivals for the core and answers
+//! into bytes. Must never decide about a search, nor end a connection that owes an answer.
 
 use crate::core::{Answer, Arrival, Clock, Event, Events, body};
 use crate::http::{self, Bad, Framing, Head};
@@ -119,7 +119,8 @@
         self.next.replace(self.next.get() + 1)
     }
 
-    /// Accepts until the phase is `Closing`, then what the kernel has already taken; returns once all is closed.
+    /// Accepts until the phase is `Closing`, then what the kernel has already taken; returns once all is
+    /// closed.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
@@ -136,7 +137,8 @@
                 },
             }
         }
-        // What has been accepted by the machine is ours: it is answered too. The wait lets the kernel tell of it.
+        // What has been accepted by the machine is ours: it is answered too. The wait lets the kernel tell of
+        // it.
         while let Ok(Ok((stream, _))) = timeout(ACCEPT_AGAIN, listener.accept()).await {
             self.begin(stream).await;
         }
--- a/crates/woadreachd/src/http.rs
+++ b/crates/woadreachd/src/http.rs
@@ -173,8 +173,8 @@
         }
     }
 
-    /// Takes from `bytes` what is there of the body, adds its content to `out`, and gives how many bytes it took
-    /// and whether the body has ended. `longest` bounds `out`.
+    /// Takes from `bytes` what is there of the body, adds its content to `out`, and gives how many bytes it
+    /// took and whether the body has ended. `longest` bounds `out`.
     pub fn take(&mut self, bytes: &[u8], out: &mut Vec<u8>, longest: usize) -> Parsed<(usize, bool)> {
         let mut at = 0;
         loop {
--- a/crates/woadreachd/src/json.rs
+++ b/crates/woadreachd/src/json.rs
@@ -1,5 +1,5 @@
-//! A reader of JSON over bytes: takes the fields asked for by slice and passes over the rest. Owns nothing; must
-//! never do I/O, recurse beyond `DEPTH`, or allocate by a length that the text merely claims.
+//! A reader of JSON over bytes: takes the fields asked for by slice and passes over the rest. Owns nothing;
+//! must never do I/O, recurse beyond `DEPTH`, or allocate by a length that the text merely claims.
 
 use std::borrow::Cow;
 
--- a/crates/woadreachd/src/main.rs
+++ b/crates/woadreachd/src/main.rs
@@ -1,5 +1,5 @@
-//! One woadreach co-ordinator on real sockets: reads its configuration, starts the parts that do the work, and
-//! ends them at SIGTERM. Must never decide, nor hold anything that one of them owns.
+//! One woadreach co-ordinator on real sockets: reads its configuration, starts the parts that do the work,
+//! and ends them at SIGTERM. Must never decide, nor hold anything that one of them owns.
 
 mod core;
 mod discovery;
--- a/crates/woadreachd/src/replicas.rs
+++ b/crates/woadreachd/src/replicas.rs
@@ -1,6 +1,6 @@
-//! Connections to replicas and what is out on each. Owns every sub-request from the send that the module decided
-//! until its outcome is in `ended`, whence the core tells it to the module, exactly once. Must never choose a
-//! replica, nor send a part again.
+//! Connections to replicas and what is out on each. Owns every sub-request from the send that the module
+//! decided until its outcome is in `ended`, whence the core tells it to the module, exactly once. Must never
+//! choose a replica, nor send a part again.
 
 use crate::core::{Clock, Event, Events};
 use crate::discovery::{Entry, Lifecycle, List};
@@ -190,8 +190,8 @@
         }
     }
 
-    /// Danger: a part that waits for a connection leaves after the grace of a drain. All that have not begun to
-    /// leave are taken back at once. Covers also a replica that is gone. Harm: none, they are placed anew.
+    /// Danger: a part that waits for a connection leaves after the grace of a drain. All that have not begun
+    /// to leave are taken back at once. Covers also a replica that is gone. Harm: none, they are placed anew.
     fn leave(&mut self, now: f64, replica: &ReplicaId) {
         let conns = self.peers.get(replica).map_or(BTreeSet::new(), |p| p.conns.clone());
         for id in conns {
@@ -225,8 +225,9 @@
 
     /// The parts of this round leave: those for one replica share calls.
     ///
-    /// Danger: a search ends in the round that sent its parts, and these leave after its answer. Those given up
-    /// since are dropped here. Covers also a part that was placed anew. Harm: none, no byte of them has left.
+    /// Danger: a search ends in the round that sent its parts, and these leave after its answer. Those given
+    /// up since are dropped here. Covers also a part that was placed anew. Harm: none, no byte of them has
+    /// left.
     pub fn flush(&mut self, now: f64) {
         for (replica, mut letters) in std::mem::take(&mut self.batch) {
             letters.retain(|l| self.subs.contains_key(&l.sub));
@@ -388,8 +389,8 @@
     }
 }
 
-/// One connection, from its first packet to its end. Says `Ended` exactly once, when its socket is closed and its
-/// permit given back.
+/// One connection, from its first packet to its end. Says `Ended` exactly once, when its socket is closed and
+/// its permit given back.
 async fn connection(
     id: ConnId,
     address: SocketAddr,
@@ -462,16 +463,20 @@
 async fn write(mut to: WriteHalf<'_>, outbox: &Outbox, clock: Clock) -> Result<(), String> {
     let mut bytes = Vec::new();
     loop {
-        let item = outbox.items.borrow_mut().pop_front();
+        if outbox.items.borrow().is_empty() {
+            if outbox.close.get() {
+                return Ok(());
+            }
+            outbox.wake.notified().await;
+            continue;
+        }
+        // Taken only once it can begin to leave: until then a drain may take it back.
+        to.writable().await.map_err(|e| e.to_string())?;
+        let Some(item) = outbox.items.borrow_mut().pop_front() else { continue };
         bytes.clear();
         match item {
-            None if outbox.close.get() => return Ok(()),
-            None => {
-                outbox.wake.notified().await;
-                continue;
-            }
-            Some(Item::GiveUp(id)) => frame::give_up(&mut bytes, &id),
-            Some(Item::Call(letters)) => {
+            Item::GiveUp(id) => frame::give_up(&mut bytes, &id),
+            Item::Call(letters) => {
                 let now = clock.now();
                 let parts: Vec<Vec<u8>> = letters.iter().map(|l| l.bytes(now)).collect();
                 let parts: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
--- a/crates/woadreachd/src/sockets.rs
+++ b/crates/woadreachd/src/sockets.rs
@@ -1,12 +1,12 @@
-//! The one owner of the descriptor budget. Every socket is opened under a permit, which its drop gives back, here
-//! and nowhere else. Must never open a socket, nor know what one is for beyond its side.
+//! The one owner of the descriptor budget. Every socket is opened under a permit, which its drop gives back,
+//! here and nowhere else. Must never open a socket, nor know what one is for beyond its side.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Descriptors that are not sockets of clients, replicas or discovery: standard streams, the listener, the event
-/// queue and its wake-up, signals, and a client connection that is accepted before it has its permit.
+/// Descriptors that are not sockets of clients, replicas or discovery: standard streams, the listener, the
+/// event queue and its wake-up, signals, and a client connection that is accepted before it has its permit.
 const OTHERS: usize = 16;
 
 #[derive(Clone, Copy, PartialEq)]
--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -6,10 +6,11 @@
 use rstest::rstest;
 use std::net::SocketAddr;
 
-/// Shards 0 and 2 are in cell 0, shards 1 and 3 in cell 1. `browse` may be answered in half, `pay` may not run
-/// twice, `deep` fetches from two shards in a second step.
+/// Shards 0 and 2 are in cell 0, shards 1 and 3 in cell 1. `browse` may be answered in half, `pay` may not
+/// run twice, `deep` fetches from two shards in a second step.
 const SETTINGS: &str = r#"{"tickMs":5.0,"siblings":1,"localities":["z"],
-"domain":{"sets":2,"span":1,"slices":4,"perCall":2,"classNeed":[1,1,1],"classFloor":[0.5,1,0.5],"classFetch":[0,0,2]},
+"domain":{"sets":2,"span":1,"slices":4,"perCall":2,"classNeed":[1,1,1],"classFloor":[0.5,1,0.5],
+"classFetch":[0,0,2]},
 "limits":{"attemptsCap":3,"cancelling":true,"mayDuplicate":true,"streamsPerConn":1000,"idleCloseMs":30000,
 "connectTimeoutMs":250,"retryAfter":true,"maxRetryAfterMs":1000},"guarantees":{"drainGraceMs":500},
 "tenants":[{"name":"acme","share":1.0}],"requestClasses":[
--- a/crates/woadreachd/tests/parsers.rs
+++ b/crates/woadreachd/tests/parsers.rs
@@ -144,9 +144,10 @@
     assert_eq!(out, [call, framed(b"Kab.3")].concat());
 }
 
-const TEXTS: &str = r#"{} | [] | [1,2] | {"a":[{"b":null}],"c":true} |  { "a" : -1.5e+3 }  | "\u00e9\n\ud83d\ude00"
-| 0 | -0 | 1e9 | 01 | 1. | .5 | +1 | 1e | - | tru | nul | [1,] | [,1] | {"a"} | {"a":1,} | {a:1} | " | "\ | "\x"
-| "\ud83d" | "\udc00" | [1] 2 | | "\u+123" | false | {"\u0061":1}"#;
+const TEXTS: &str = r#"{} | [] | [1,2] | {"a":[{"b":null}],"c":true} | { "a" : -1.5e+3 }
+| "\u00e9\n\ud83d\ude00" | 0 | -0 | 1e9 | 01 | 1. | .5 | +1 | 1e | -
+| tru | nul | [1,] | [,1] | {"a"} | {"a":1,} | {a:1} | " | "\
+| "\x" | "\ud83d" | "\udc00" | [1] 2 | | "\u+123" | false | {"\u0061":1}"#;
 
 /// What serde_json takes this reader takes, and nothing else; at each truncation too.
 #[test]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -650,8 +650,8 @@
             let r = &self.replicas[id];
             r.health.distrust.is_none() && !self.silent(now, r)
         });
-        // Danger: with a part every few seconds, two bad outcomes take long to see. Where 10 s hold under four
-        // the last one decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
+        // Danger: with a part every few seconds two bad outcomes take long to see. Where 10 s hold under four
+        // the last decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
         keep(&mut at, &|id| {
             let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.0 > now - 10.0);
             self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.1)
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -356,7 +356,7 @@
     assert_eq!(b.place(2.0 + age, &mut q).send.len(), copies);
 }
 
-/// Where sight is sparse one bad outcome keeps a replica out until it is old; where it is not, one means nothing.
+/// Where sight is sparse one bad outcome keeps a replica out until it is old; elsewhere one means nothing.
 #[rstest]
 #[case::sparse(0, 1.0, false)]
 #[case::sparse_but_old(0, 11.0, true)]
@@ -425,9 +425,9 @@
     assert_eq!(plan.reply.is_some(), !sent);
 }
 
-/// A retry is known by its time left, shorter or longer than that of first tries, or by its client's mark: when
-/// its client asked so long ago that no answer earns value, it is shed at once. First tries are not, also while
-/// retries are most of what comes.
+/// A retry is known by its time left, shorter or longer than that of first tries, or by its client's mark:
+/// when its client asked so long ago that no answer earns value, it is shed at once. First tries are not,
+/// also while retries are most of what comes.
 #[rstest]
 #[case::first(1.8, None, false)]
 #[case::shorter(1.5, None, true)]
