--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -3,7 +3,6 @@
 //! then sends. Must never block, decide, or touch a socket.
 
 use crate::discovery::{Lifecycle, List};
-use crate::json;
 use crate::replicas::{ConnId, Letter, Replicas, SubId, Told};
 use crate::sockets::Sockets;
 use std::cmp::Reverse;
@@ -423,16 +422,3 @@
         }
     }
 }
-
-/// The body of an answer: rows as replicas gave them.
-pub fn body(whole: bool, rows: &[(ShardId, String)]) -> Vec<u8> {
-    let mut out = format!("{{\"exact\":{whole},\"rows\":[").into_bytes();
-    for (i, (shard, value)) in rows.iter().enumerate() {
-        out.extend(if i > 0 { &b","[..] } else { b"" });
-        out.extend(format!("{{\"id\":{},\"data\":", shard.0).into_bytes());
-        json::write_string(&mut out, value);
-        out.push(b'}');
-    }
-    out.extend(b"]}");
-    out
-}
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -2,9 +2,9 @@
 //! its acceptance until it is closed, with its permit; turns requests into arrivals for the core and answers
 //! into bytes. Must never decide about a search, nor end a connection that owes an answer.
 
-use crate::core::{Answer, Arrival, Clock, Event, Events, body};
+use crate::core::{Answer, Arrival, Clock, Event, Events};
 use crate::http::{self, Bad, Framing, Head};
-use crate::json::Reader;
+use crate::json::{Bad as BadJson, Reader, write_string};
 use crate::sockets::{Permit, Side, Sockets};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -404,12 +404,11 @@
                         }
                         Ok(())
                     })?;
-                    let shard =
-                        shard.filter(|s| *s < self.names.shards).ok_or(crate::json::Bad("unknown shard"))?;
+                    let shard = shard.filter(|s| *s < self.names.shards).ok_or(BadJson("unknown shard"))?;
                     let weight = weight.filter(|w| w.is_finite() && *w >= 0.0);
-                    let weight = weight.ok_or(crate::json::Bad("a share that is no number of 0 or more"))?;
+                    let weight = weight.ok_or(BadJson("a share that is no number of 0 or more"))?;
                     let twice = parts.insert(ShardId(shard), (parts.len(), weight)).is_some();
-                    if twice { Err(crate::json::Bad("a shard twice")) } else { Ok(()) }
+                    if twice { Err(BadJson("a shard twice")) } else { Ok(()) }
                 }),
                 "expr" => {
                     text = Some(r.string()?.into_owned());
@@ -436,3 +435,16 @@
     }
     http::answer(r.status, &headers, r.why.as_bytes(), close || r.close)
 }
+
+/// The body of an answer: rows as replicas gave them.
+fn body(whole: bool, rows: &[(ShardId, String)]) -> Vec<u8> {
+    let mut out = format!("{{\"exact\":{whole},\"rows\":[").into_bytes();
+    for (i, (shard, value)) in rows.iter().enumerate() {
+        out.extend(if i > 0 { &b","[..] } else { b"" });
+        out.extend(format!("{{\"id\":{},\"data\":", shard.0).into_bytes());
+        write_string(&mut out, value);
+        out.push(b'}');
+    }
+    out.extend(b"]}");
+    out
+}
--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -282,6 +282,24 @@
     assert!(errored > 0 && shed > 0, "{errored} errored, {shed} shed");
 }
 
+/// Started on a list that is out of date, while discovery is silent: what is still there serves.
+#[test]
+fn restarted_on_old_knowledge() {
+    let (x, a, discovery) = (StandIn::new(), StandIn::new(), StandIn::new());
+    let known = [x.line("x", 0, "ready"), a.line("a", 0, "ready")];
+    let (_program, address) = start(&config(&known, discovery.address()));
+    drop(x);
+    let mut client = Wire::to(address);
+    let mut wire = None;
+    for i in 0..8 {
+        client.write(request("browse", &format!("t{i}"), &[0], "q"));
+        let wire = wire.get_or_insert_with(|| a.accept());
+        let id = wire.call()[0].id.clone();
+        wire.answer(&id, "200", 0, "v");
+        assert_eq!(client.reply().2, whole(true, &[row(0, "v")]));
+    }
+}
+
 #[test]
 fn discovery_is_followed_and_its_loss_survived() {
     let s = scene();
