--- /dev/null
+++ b/crates/woadreachd/src/config.rs
@@ -0,0 +1,131 @@
+//! The configuration: read and checked as a whole, at the start and at each SIGHUP, which takes over where
+//! discovery is and names what else differs. Owns nothing but what the file said; must never change anything
+//! that runs, nor take a part of a file that is not sound as a whole.
+
+use crate::front::Names;
+use crate::{core, discovery, replicas};
+use serde_json::Value;
+use std::net::SocketAddr;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tracing::{info, warn};
+
+/// What the configuration says.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: String,
+    pub sockets: usize,
+    pub known: Option<discovery::List>,
+    pub settings: woadreach::api::Settings,
+    pub names: Names,
+    pub core: core::Figures,
+    pub replicas: replicas::Figures,
+    /// The file as it was read, but for what is of use once only.
+    pub file: Value,
+}
+
+/// All of the settings' text that a list of names holds.
+fn names(settings: &Value, path: &str, key: &str) -> Vec<String> {
+    let rows = settings.pointer(path).and_then(Value::as_array).into_iter().flatten();
+    let name =
+        |row: &Value| if key.is_empty() { row.as_str() } else { row.get(key)?.as_str() }.map(String::from);
+    rows.map(|r| name(r).unwrap_or_default()).collect()
+}
+
+/// Where both name an address, which one holds.
+#[derive(Clone, Copy, PartialEq)]
+pub enum First {
+    Environment,
+    /// The environment of a process never changes, so that a file which is read again must go before it.
+    File,
+}
+
+pub fn read(first: First) -> Result<Config, String> {
+    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    let mut all: Value = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    let need = |p: &str| all.pointer(p).ok_or_else(|| format!("configuration lacks {p}"));
+    let text_of = |key: &str, var: &str| {
+        let told = std::env::var(var).ok();
+        let own = all.get(key).and_then(Value::as_str).map(String::from);
+        let named = if first == First::File { own.or(told) } else { told.or(own) };
+        named.ok_or_else(|| format!("configuration lacks {key}, and {var} is not set"))
+    };
+    let set = need("/settings")?;
+    let number = |p: &str| set.pointer(p).and_then(Value::as_f64);
+    let need_number = |p: &str| number(p).ok_or_else(|| format!("settings lack {p}"));
+    let flag = |p: &str| set.pointer(p).and_then(Value::as_bool).unwrap_or(false);
+    let seed = need("/seed")?;
+    let seed = seed.as_u64().or_else(|| u64::from_str_radix(seed.as_str()?, 16).ok());
+    let seed = seed.ok_or("configuration: seed is neither a number nor hex digits")?;
+    let listen = text_of("listen", "PROXY_LISTEN")?;
+    let known = match all.get("known") {
+        None | Some(Value::Null) => None,
+        Some(known) => {
+            let list = discovery::list(known.to_string().as_bytes());
+            Some(list.map_err(|e| format!("configuration: known: {}", e.0))?)
+        }
+    };
+    let limit =
+        |key: &str| need(&format!("/limits/{key}"))?.as_f64().ok_or(format!("limit {key} is no number"));
+    let fetch = set.pointer("/domain/classFetch").and_then(Value::as_array);
+    let config = Config {
+        listen: listen.parse().map_err(|_| format!("listen is not an address: {listen}"))?,
+        discovery: text_of("discovery", "PROXY_DISCOVERY")?,
+        sockets: limit("sockets")? as usize,
+        known,
+        settings: woadreach_host::settings(seed, set)?,
+        names: Names {
+            query_types: names(set, "/requestClasses", "name"),
+            tenants: names(set, "/tenants", "name"),
+            shards: need_number("/domain/slices")? as u64,
+            marks_repeats: flag("/clients/marksRetry"),
+        },
+        core: core::Figures {
+            max_open: number("/limits/maxOpen").map_or(usize::MAX, |n| n as usize),
+            // A quarter of the memory: a request is held as it came, and once more as it is worked on.
+            max_bytes: (limit("memory_mb")? * 1024.0 * 1024.0 / 4.0) as usize,
+            zones: names(set, "/localities", ""),
+            fetch: fetch.into_iter().flatten().map(|n| n.as_u64().unwrap_or(0) as usize).collect(),
+        },
+        replicas: replicas::Figures {
+            streams_per_conn: need_number("/limits/streamsPerConn")? as usize,
+            per_call: number("/domain/perCall").map_or(1, |n| (n as usize).max(1)),
+            idle_close: need_number("/limits/idleCloseMs")? / 1000.0,
+            connect_timeout: need_number("/limits/connectTimeoutMs")? / 1000.0,
+            cancelling: flag("/limits/cancelling"),
+        },
+        file: Value::Null,
+    };
+    for once in ["known", "seed", "discovery"] {
+        all.as_object_mut().map(|all| all.remove(once));
+    }
+    Ok(Config { file: all, ..config })
+}
+
+/// Runs for as long as the process: at each SIGHUP the file is read again.
+///
+/// Danger: a file that is missing or half written takes a sound co-ordinator out of service. Then nothing
+/// changes. Covers also one that lacks what it had. Harm: an operator must look at the log.
+pub async fn reload(mut hangup: Signal, mut now: Value, discovery: watch::Sender<String>) {
+    while hangup.recv().await.is_some() {
+        let next = match read(First::File) {
+            Ok(next) => next,
+            Err(why) => {
+                warn!("SIGHUP: nothing is changed: {why}");
+                continue;
+            }
+        };
+        let keys = |v: &Value| v.as_object().into_iter().flat_map(|o| o.keys().cloned()).collect::<Vec<_>>();
+        let mut differs: Vec<_> = keys(&now).into_iter().chain(keys(&next.file)).collect();
+        differs.retain(|k| now.get(k) != next.file.get(k));
+        differs.sort();
+        differs.dedup();
+        if !differs.is_empty() {
+            warn!("SIGHUP: takes effect at the next start only: {}", differs.join(", "));
+        }
+        info!("SIGHUP: read again, discovery at {}", next.discovery);
+        now = next.file;
+        discovery.send_if_modified(|at| std::mem::replace(at, next.discovery.clone()) != next.discovery);
+    }
+}
--- a/crates/woadreachd/src/discovery.rs
+++ b/crates/woadreachd/src/discovery.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 /// PROTOCOL: as long as nothing changes, an empty line arrives every 2 s, and what there is to tell counts as
@@ -111,13 +112,24 @@
     })
 }
 
-/// Runs for as long as the process: the whole list once, then changes after the last version.
-pub async fn follow(address: String, known: Option<u64>, sockets: Sockets, lists: Lists) {
+/// Runs for as long as the process: the whole list once, then changes after the last version. A new place
+/// is turned to at once, and its whole list taken: what was on its way from the old one is lost.
+pub async fn follow(mut place: watch::Receiver<String>, known: Option<u64>, sockets: Sockets, lists: Lists) {
     let mut generation = known;
     let mut whole = true;
     let mut last = String::new();
     loop {
-        match call(&address, &mut generation, &mut whole, &sockets, &lists).await {
+        let address = place.borrow_and_update().clone();
+        let ended = tokio::select! {
+            biased;
+            Ok(()) = place.changed() => {
+                whole = true;
+                last.clear();
+                continue;
+            }
+            ended = call(&address, &mut generation, &mut whole, &sockets, &lists) => ended,
+        };
+        match ended {
             // The whole list has come: changes next.
             Ok(()) => {
                 last.clear();
@@ -130,7 +142,8 @@
                 last = why;
             }
         }
-        sleep(AGAIN).await;
+        // Cut short by a new place, which is looked at first.
+        let _ = timeout(AGAIN, place.wait_for(|p| *p != address)).await;
     }
 }
 
--- a/crates/woadreachd/src/main.rs
+++ b/crates/woadreachd/src/main.rs
@@ -1,6 +1,7 @@
-//! One woadreach co-ordinator on real sockets: reads its configuration, starts the parts that do the work,
+//! One woadreach co-ordinator on real sockets: takes hold of the signals, starts the parts that do the work,
 //! and ends them at SIGTERM. Must never decide, nor hold anything that one of them owns.
 
+mod config;
 mod core;
 mod discovery;
 mod frame;
@@ -10,15 +11,15 @@
 mod replicas;
 mod sockets;
 
+use config::{Config, First};
 use core::{Clock, Core};
-use front::{Front, Names, Phase};
-use serde_json::Value;
+use front::{Front, Phase};
 use sockets::Sockets;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tracing::info;
 
@@ -28,83 +29,6 @@
 /// Connections that wait to be accepted, as many as the kernel allows.
 const BACKLOG: u32 = 4096;
 
-/// What the configuration says.
-struct Config {
-    listen: std::net::SocketAddr,
-    discovery: String,
-    sockets: usize,
-    known: Option<discovery::List>,
-    settings: woadreach::api::Settings,
-    names: Names,
-    core: core::Figures,
-    replicas: replicas::Figures,
-}
-
-/// All of the settings' text that a list of names holds.
-fn names(settings: &Value, path: &str, key: &str) -> Vec<String> {
-    let rows = settings.pointer(path).and_then(Value::as_array).into_iter().flatten();
-    let name =
-        |row: &Value| if key.is_empty() { row.as_str() } else { row.get(key)?.as_str() }.map(String::from);
-    rows.map(|r| name(r).unwrap_or_default()).collect()
-}
-
-fn config() -> Result<Config, String> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let all: Value = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    let need = |p: &str| all.pointer(p).ok_or_else(|| format!("configuration lacks {p}"));
-    let text_of = |key: &str, var: &str| {
-        let told = std::env::var(var).ok();
-        let own = all.get(key).and_then(Value::as_str).map(String::from);
-        told.or(own).ok_or_else(|| format!("configuration lacks {key}, and {var} is not set"))
-    };
-    let set = need("/settings")?;
-    let number = |p: &str| set.pointer(p).and_then(Value::as_f64);
-    let need_number = |p: &str| number(p).ok_or_else(|| format!("settings lack {p}"));
-    let flag = |p: &str| set.pointer(p).and_then(Value::as_bool).unwrap_or(false);
-    let seed = need("/seed")?;
-    let seed = seed.as_u64().or_else(|| u64::from_str_radix(seed.as_str()?, 16).ok());
-    let seed = seed.ok_or("configuration: seed is neither a number nor hex digits")?;
-    let listen = text_of("listen", "PROXY_LISTEN")?;
-    let known = match all.get("known") {
-        None | Some(Value::Null) => None,
-        Some(known) => {
-            let list = discovery::list(known.to_string().as_bytes());
-            Some(list.map_err(|e| format!("configuration: known: {}", e.0))?)
-        }
-    };
-    let limit =
-        |key: &str| need(&format!("/limits/{key}"))?.as_f64().ok_or(format!("limit {key} is no number"));
-    let fetch = set.pointer("/domain/classFetch").and_then(Value::as_array);
-    Ok(Config {
-        listen: listen.parse().map_err(|_| format!("listen is not an address: {listen}"))?,
-        discovery: text_of("discovery", "PROXY_DISCOVERY")?,
-        sockets: limit("sockets")? as usize,
-        known,
-        settings: woadreach_host::settings(seed, set)?,
-        names: Names {
-            query_types: names(set, "/requestClasses", "name"),
-            tenants: names(set, "/tenants", "name"),
-            shards: need_number("/domain/slices")? as u64,
-            marks_repeats: flag("/clients/marksRetry"),
-        },
-        core: core::Figures {
-            max_open: number("/limits/maxOpen").map_or(usize::MAX, |n| n as usize),
-            // A quarter of the memory: a request is held as it came, and once more as it is worked on.
-            max_bytes: (limit("memory_mb")? * 1024.0 * 1024.0 / 4.0) as usize,
-            zones: names(set, "/localities", ""),
-            fetch: fetch.into_iter().flatten().map(|n| n.as_u64().unwrap_or(0) as usize).collect(),
-        },
-        replicas: replicas::Figures {
-            streams_per_conn: need_number("/limits/streamsPerConn")? as usize,
-            per_call: number("/domain/perCall").map_or(1, |n| (n as usize).max(1)),
-            idle_close: need_number("/limits/idleCloseMs")? / 1000.0,
-            connect_timeout: need_number("/limits/connectTimeoutMs")? / 1000.0,
-            cancelling: flag("/limits/cancelling"),
-        },
-    })
-}
-
 fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restart takes the address of a process that has just died.
@@ -113,10 +37,17 @@
     socket.listen(BACKLOG)
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run() -> Result<(), (u8, String)> {
+    let signal = |kind| signal(kind).map_err(|e| (1, format!("signals: {e}")));
+    // Before all else: until then either would end the process.
+    let (hangup, term) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
+    let config = config::read(First::Environment).map_err(|why| (2, why))?;
+    serve(config, hangup, term).await.map_err(|why| (1, why))
+}
+
+async fn serve(config: Config, hangup: Signal, mut term: Signal) -> Result<(), String> {
     let listener = listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let (clock, sockets) = (Clock::new(), Sockets::new(config.sockets));
     let (events, queue) = mpsc::unbounded_channel();
     let (lists, list_queue) = mpsc::unbounded_channel();
@@ -130,7 +61,9 @@
     }
     let ready = front.clone();
     let mut core = tokio::task::spawn_local(core.run(queue, list_queue, move || ready.ready.set(true)));
-    tokio::task::spawn_local(discovery::follow(config.discovery, generation, sockets, lists));
+    let (place, places) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::follow(places, generation, sockets, lists));
+    tokio::task::spawn_local(config::reload(hangup, config.file, place));
     let serving = tokio::task::spawn_local(front.serve(listener));
     info!("listening on {address}");
     tokio::select! {
@@ -162,13 +95,6 @@
         .with_ansi(false)
         .without_time()
         .init();
-    let config = match config() {
-        Ok(config) => config,
-        Err(why) => {
-            eprintln!("woadreachd: {why}");
-            return ExitCode::from(2);
-        }
-    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -176,11 +102,11 @@
             return ExitCode::FAILURE;
         }
     };
-    match tokio::task::LocalSet::new().block_on(&runtime, run(config)) {
+    match tokio::task::LocalSet::new().block_on(&runtime, run()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
+        Err((code, why)) => {
             eprintln!("woadreachd: {why}");
-            ExitCode::FAILURE
+            ExitCode::from(code)
         }
     }
 }
--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -324,6 +324,54 @@
     s.a.accept().call();
 }
 
+/// At SIGHUP discovery is followed to where the file has it now, and the search in hand is answered; what else
+/// differs is named. A file that is not sound changes nothing.
+#[test]
+fn sighup_follows_the_file() {
+    let mut s = scene();
+    let lines = [s.a.line("a", 0, "ready"), s.b.line("b", 1, "ready")];
+    let mut old = watch(&s.discovery, &lines);
+    let mut client = Wire::to(s.address);
+    client.write(request("browse", "t", &[0], "q"));
+    let mut a = s.a.accept();
+    a.call();
+    let (next, c) = (StandIn::new(), StandIn::new());
+    let sound = config(&lines, next.address()).replace("\"sockets\":1024", "\"sockets\":999");
+    for bad in [&sound[..sound.len() / 2], "", "{\"settings\":{}}"] {
+        std::fs::write(&s.program.path, bad).unwrap();
+        s.program.signal("-HUP");
+        s.program.says("SIGHUP: nothing is changed");
+    }
+    std::fs::remove_file(&s.program.path).unwrap();
+    s.program.signal("-HUP");
+    s.program.says("SIGHUP: nothing is changed");
+    std::fs::write(&s.program.path, &sound).unwrap();
+    s.program.signal("-HUP");
+    assert_eq!(s.program.says("at the next start only: "), "limits");
+    // The whole list of the new place, and what is told there from then on, is in force.
+    let mut new = watch(&next, &[s.a.line("a", 0, "draining"), s.b.line("b", 1, "ready")]);
+    assert!(old.ended());
+    tell(&mut new, &list(43, false, &[c.line("c", 0, "ready")]));
+    s.program.says("list 43 ");
+    client_of(&s, "u", &c);
+    a.answer("t.0", "200", 0, "v");
+    assert_eq!(client.reply().2, whole(true, &[row(0, "v")]));
+    // Again, and at once the end: with nothing in hand it ends as it would without.
+    s.program.signal("-HUP");
+    s.program.signal("-TERM");
+    assert_eq!(s.program.exit(), Some(0));
+}
+
+/// Asks for shard 0 until the search goes to this replica, which answers it.
+fn client_of(s: &Scene, trace: &str, replica: &StandIn) {
+    let mut client = Wire::to(s.address);
+    client.write(request("browse", trace, &[0], "q"));
+    let mut wire = replica.accept();
+    let id = wire.call()[0].id.clone();
+    wire.answer(&id, "200", 0, "v");
+    assert_eq!(client.reply().2, whole(true, &[row(0, "v")]));
+}
+
 #[test]
 fn sigterm_finishes_what_is_in_hand() {
     let mut s = scene();
@@ -333,7 +381,7 @@
     assert_eq!(kept.reply().0, 200);
     let mut a = s.a.accept();
     a.call();
-    s.program.term();
+    s.program.signal("-TERM");
     s.program.says("SIGTERM");
     // New connections and those that are open are served, and told to close.
     let mut next = Wire::to(s.address);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -256,6 +257,8 @@
 /// The built program, with its log.
 pub struct Program {
     pub child: Child,
+    /// Its configuration, for a new one.
+    pub path: PathBuf,
     log: Receiver<String>,
     seen: String,
 }
@@ -279,7 +282,7 @@
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (lines, log) = channel();
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
-        Program { child, log, seen: String::new() }
+        Program { child, path, log, seen: String::new() }
     }
 
     /// Waits for a line that holds this, and gives what follows it.
@@ -294,9 +297,10 @@
         panic!("no '{what}' in:\n{}", self.seen);
     }
 
-    pub fn term(&self) {
+    /// Sends it `-TERM` or `-HUP`.
+    pub fn signal(&self, which: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([which, &id]).status().unwrap().success());
     }
 
     pub fn exit(&mut self) -> Option<i32> {
