Module: a replica that left is forgotten with its last part; windows bounded without a budget

Read, not yet seen as a loss: list() only ever closed replicas, and 'replicas' and 'cells' kept each id there ever was; 'taken' and 'further' were pruned by budget_left, which returns at once where no budget is stated, so they grew with every search (about 4 KB a second at 130 searches). Ruled out by reading: marks, samples, arrivals and times left are windows of fixed size.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -197,6 +197,19 @@
             self.cells.entry(cell).or_default().insert(line.replica.clone());
             r.cell = cell;
         }
+        let named = lines.iter().map(|l| l.replica.clone());
+        let ids: Vec<_> = if full { self.replicas.keys().cloned().collect() } else { named.collect() };
+        ids.iter().for_each(|id| self.forget(id));
+    }
+
+    /// Danger: where replicas are replaced by others all day, all there ever were would be kept. One that is
+    /// not open goes with its last part. Harm: one that comes back is met as a stranger.
+    fn forget(&mut self, id: &ReplicaId) {
+        if let Some(r) = self.replicas.get(id).filter(|r| !r.open && r.running.is_empty()) {
+            self.cells.entry(r.cell).or_default().remove(id);
+            self.replicas.remove(id);
+            self.held.remove(id);
+        }
     }
 
     /// Where to send this search: called when it or its second step arrives, and whenever `wait` is over.
@@ -221,6 +234,7 @@
             self.decide(now, q, &mut plan);
         }
         self.next_held(&outcome.replica, &mut plan);
+        self.forget(&outcome.replica);
         plan
     }
 
@@ -508,14 +522,12 @@
         let first_look = q.queue_by.is_none();
         let picks = self.pick_all(now, until, q, &step);
         if first_look {
-            self.taken.push_back((now, step.len()));
-            let chosen: Vec<ReplicaId> = picks
-                .iter()
-                .filter_map(|(_, p)| match p {
-                    Pick::Go(r) | Pick::Hold(r) => Some(r.clone()),
-                    _ => None,
-                })
-                .collect();
+            push(&mut self.taken, (now, step.len()), 4096);
+            let to = |(_, p): &(usize, Pick)| match p {
+                Pick::Go(r) | Pick::Hold(r) => Some(r.clone()),
+                _ => None,
+            };
+            let chosen: Vec<ReplicaId> = picks.iter().filter_map(to).collect();
             q.queue_by = Some(target - self.unloaded_search(now, q, &chosen));
             if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
                 return self.give_up(now, q, plan);
@@ -560,7 +572,8 @@
         let retry = q.repeated != Some(false) && !recurs && (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
         push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
-        self.taken.push_back((now, 1));
+        // 4096: more than a budget's window holds; to count fewer is safe.
+        push(&mut self.taken, (now, 1), 4096);
     }
 
     /// Danger: beyond capacity every queue grows until all answers are late. A search is shed on arrival if
@@ -592,15 +605,8 @@
         let mut picks = Vec::new();
         for &i in step {
             let part = &q.parts[i];
-            if part.answered {
-                continue;
-            }
-            let late = part
-                .subs
-                .iter()
-                .filter(|s| s.ending.is_none())
-                .all(|s| now >= s.sent_at + self.copy_after - 1e-9);
-            if !late {
+            let waits = |s: &SubRequest| s.ending.is_none() && now < s.sent_at + self.copy_after - 1e-9;
+            if part.answered || part.subs.iter().any(waits) {
                 continue;
             }
             let pick = self.pick(now, until, q, part, &extra);
@@ -638,29 +644,23 @@
                 at.retain(|id| f(id));
             }
         };
-        if at.is_empty() {
-            return Pick::Never;
-        }
+        let none = if at.is_empty() { Pick::Never } else { Pick::Later };
         // The rule's guard first: a distrusted replica beats none.
         at.retain(|id| !self.cold_closed(now, &self.replicas[id]));
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
-        keep(&mut at, &|id| {
-            let r = &self.replicas[id];
-            r.health.distrust.is_none() && !self.silent(now, r)
-        });
+        let sound = |r: &Replica| r.health.distrust.is_none() && !self.silent(now, r);
+        keep(&mut at, &|id| sound(&self.replicas[id]));
         // Danger: with a part every few seconds two bad outcomes take long to see. Where 10 s hold under four
         // the last decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
         keep(&mut at, &|id| {
             let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.0 > now - 10.0);
             self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.1)
         });
-        let load = |id: &ReplicaId| {
-            let r = &self.replicas[id];
-            r.calls(now, self.set.per_call, extra.get(id).copied().unwrap_or(0))
-        };
-        let Some(least) = at.iter().map(load).min() else { return Pick::Later };
+        let extra = |id: &ReplicaId| extra.get(id).copied().unwrap_or(0);
+        let load = |id: &ReplicaId| self.replicas[id].calls(now, self.set.per_call, extra(id));
+        let Some(least) = at.iter().map(load).min() else { return none };
         at.retain(|id| load(id) == least);
         let id = at[self.rng.rand_range(0..at.len() as u64) as usize].clone();
         // A copy goes only where nothing of ours is out: it must not lengthen a queue.
@@ -716,7 +716,7 @@
     fn send(&mut self, now: f64, until: f64, q: &mut Search, i: usize, id: ReplicaId, plan: &mut Plan) {
         let part = &mut q.parts[i];
         let Some(r) = self.replicas.get_mut(&id) else { return };
-        if !part.subs.is_empty() {
+        if !part.subs.is_empty() && self.set.budget.is_some() {
             self.further.push_back(now);
         }
         let nth = part.subs.len();
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -308,6 +308,32 @@
     assert_eq!(sends(&mut b, 20.0), 1, "one trial at a time");
 }
 
+/// What is known of a replica goes with it, at once or with its last part.
+#[rstest]
+#[case::idle(false)]
+#[case::with_a_part_out(true)]
+fn a_replica_that_left_is_forgotten(#[case] out: bool) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    for n in 0..5 {
+        let (_, p) = stuck_at(&mut b, "a", 0.0);
+        b.after(0.0, None, &ended(&p, 0, if n < 3 { Ending::Answered } else { Ending::Errored }, 0.1));
+    }
+    let (_, last) = stuck_at(&mut b, "a", 0.0);
+    let finish = |b: &mut woadreach::balance::Balancer| {
+        b.after(0.1, None, &ended(&last, 0, Ending::Errored, 0.1));
+    };
+    if !out {
+        finish(&mut b);
+    }
+    b.list(false, &[line("a", false, None)]);
+    if out {
+        finish(&mut b);
+    }
+    b.list(false, &[line("a", true, None)]);
+    let to_a = (1..=20).filter(|n| b.place(0.2, &mut search(*n, 1, 0.2, 3.0)).send[0].replica == id("a"));
+    assert!(to_a.count() > 0);
+}
+
 /// Replicas of one zone, each known by a single outcome, all bad: the others of the zone are left alone while
 /// another zone's holder is there, and serve where there is none.
 #[rstest]
