Sockets: bad clients end in time, spoilt answers end their connection, few parts a connection

At fault: replicas.rs told() and read(), which kept the connection after an unusable end or id and waited for ever for the rest of a frame, and room(), which put all parts for a replica on one connection. Ruled out: late answers taken for unknown ones (each 'not out' line is a second copy or an id that was never sent).

Now: what cannot be read or belongs to nothing ends its connection, also a frame not finished within the time that settings hold a message to be on its way; a report that cannot be read spoils nothing; a connection on which a part waited while nothing came is left; what is out on a replica is spread over as many connections as its share of the descriptors kept for us. Nothing waits to be written to a machine that does not read, and nothing leaves after its search's answer where cancels are not allowed. Peers go when the list says gone.

Bad clients: silent connections end after 2 s and half-sent requests after 2.5 s instead of never and 10 s; shares that do not add up to 1, keys that come twice and times beyond sense are refused; what was refused waits 20 ms before it is read again; silent connections make room before those that have been served.

--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -192,6 +192,11 @@
     }
 
     fn over(&mut self, search: &Search) {
+        // Danger: where nothing can be cancelled, a part that waits for a connection leaves after the answer.
+        // Covers any part that is out of its search's hands. Harm: none, no byte of it has left.
+        for part in search.parts.iter().filter(|p| p.subs.iter().any(|s| s.ending.is_none())) {
+            (0..part.subs.len()).for_each(|nth| self.replicas.withdraw(self.now, (part.id, nth)));
+        }
         // Still here if the client has left.
         self.let_go(search.id);
     }
@@ -412,9 +417,10 @@
                 let ((searches, parts), (subs, conns)) = (self.hand.held(), self.hands.replicas.held());
                 let (late, bytes) = (self.late.max(now - due) * 1000.0, self.hands.bytes);
                 let (clients, ours) = self.sockets.held();
+                let (peers, timers) = (self.hands.replicas.known(), self.hands.timers.len());
                 info!(
-                    "searches={searches} parts={parts} out={subs} connections={conns} clients={clients} \
-                     ours={ours} bytes={bytes} late_ms={late:.1}"
+                    "searches={searches} parts={parts} out={subs} connections={conns} replicas={peers} \
+                     timers={timers} clients={clients} ours={ours} bytes={bytes} late_ms={late:.1}"
                 );
                 self.late = 0.0;
                 self.hands.timer_at(now + REPORT, Timer::Report);
--- a/crates/woadreachd/src/frame.rs
+++ b/crates/woadreachd/src/frame.rs
@@ -9,11 +9,19 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bad(pub &'static str);
 
+/// How a part has ended at a replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Ok,
+    Error,
+    Full,
+}
+
 /// What a replica sends.
 #[derive(Debug, PartialEq)]
 pub enum Frame<'a> {
     /// `O`: the value is the bytes that came.
-    Answer { id: &'a str, end: &'a str, score: u64, value: &'a [u8] },
+    Answer { id: &'a str, end: End, score: u64, value: &'a [u8] },
     /// `I` or `U`: nothing here asks for probes.
     Probe,
     /// `Z`: the words say why the connection is closed.
@@ -43,11 +51,17 @@
 
 fn answer(body: &[u8]) -> Result<Frame<'_>, Bad> {
     let end_of_line = body.iter().position(|b| *b == b'\n').ok_or(Bad("an answer without a line"))?;
-    let line = from_utf8(&body[..end_of_line]).map_err(|_| Bad("a line that is not UTF-8"))?;
-    let mut words = line.split(' ');
-    let (Some(id), Some(end), Some(score)) = (words.next(), words.next(), words.next()) else {
+    // The fourth word is the report, which nothing here reads: whatever it is, the answer is good.
+    let mut words = body[..end_of_line].splitn(4, |b| *b == b' ').map(from_utf8);
+    let (Some(Ok(id)), Some(Ok(end)), Some(Ok(score))) = (words.next(), words.next(), words.next()) else {
         return Err(Bad("a line with too few words"));
     };
+    let end = match end {
+        "200" => End::Ok,
+        "500" => End::Error,
+        "503" => End::Full,
+        _ => return Err(Bad("unknown end")),
+    };
     let score = if score == "-" { Some(0) } else { score.parse().ok() };
     let score = score.ok_or(Bad("a score that is not a whole number"))?;
     Ok(Frame::Answer { id, end, score, value: &body[end_of_line + 1..] })
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -13,16 +13,30 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tracing::{debug, warn};
 use woadreach::api::*;
 
-/// A request that has not all come so long after its first byte was never taken; longer than a client waits.
-const HALF_SENT: Duration = Duration::from_secs(10);
-/// How long a connection that is closed is read from, so that its last answer is not lost to a reset.
-const LINGER: Duration = Duration::from_secs(1);
+/// LATER: a client that sends nothing sound is owed an error or a close 3 s after it connected; half a second
+/// is left for the way. A request that has not all come by then was never taken.
+const HALF_SENT: Duration = Duration::from_millis(2500);
+/// LATER: a connection with no open request may be closed after 2 s.
+const IDLE: Duration = Duration::from_secs(2);
+/// A client that has a request sends it as it connects; one that is silent for so long may never send any.
+const SILENT: Duration = Duration::from_millis(250);
+/// How long a connection that is closed is read from, and how much, so that its last answer is not lost to a
+/// reset: what a sound client may have sent meanwhile.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = http::LONGEST_BODY;
 /// A client that reads nothing for so long has left its answer behind.
-const SLOW_READER: Duration = Duration::from_secs(30);
+const SLOW_READER: Duration = Duration::from_secs(5);
+/// A longer time than any client can mean, in seconds.
+const LONGEST_WAIT: f64 = 86_400.0;
+/// Between an answer to what was not sound and the next look at that connection: a client that does this at
+/// full speed costs less than one that is served.
+const TURN: Duration = Duration::from_millis(20);
+/// Room for an ordinary request; given back between requests.
+const READ: usize = 1024;
 /// Before the next try after accepting has failed, so that it does not spin.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -54,14 +68,21 @@
     phase: watch::Receiver<Phase>,
     /// Set once the core knows of replicas.
     pub ready: Cell<bool>,
-    /// Idle connections with what wakes each to its end: oldest first, those without a first request last.
-    idle: RefCell<BTreeMap<(bool, u64), Rc<Notify>>>,
+    /// Idle connections, oldest first: those that have been served, and those that have yet to say a word.
+    served: RefCell<BTreeMap<u64, Idle>>,
+    silent: RefCell<BTreeMap<u64, Idle>>,
     /// No descriptor is left for the next client.
     crowded: Cell<bool>,
     next: Cell<u64>,
     open: Cell<usize>,
 }
 
+/// Since when a connection is idle, and what wakes it to its end.
+struct Idle {
+    since: Instant,
+    wake: Rc<Notify>,
+}
+
 /// An answer of the front's own.
 struct Refusal {
     status: u16,
@@ -108,7 +129,8 @@
             events,
             phase,
             ready: Cell::new(false),
-            idle: RefCell::default(),
+            served: RefCell::default(),
+            silent: RefCell::default(),
             crowded: Cell::new(false),
             next: Cell::new(1),
             open: Cell::new(0),
@@ -154,14 +176,13 @@
             if let Some(permit) = self.sockets.permit(Side::Clients) {
                 break permit;
             }
-            // Danger: clients that keep connections they do not use shut others out. The one idle for longest
-            // makes room, between requests only; with all busy, answers end their connections. Covers clients
-            // that never close. Harm: one that closes while a request is on its way has it sent once more, so
-            // those from which the first is still to come go last.
+            // Danger: clients that keep connections they do not use shut others out. One that has been silent
+            // from its start makes room, else the one idle for longest, between requests only; with all busy,
+            // answers end their connections. Covers clients that never close. Harm: one that closes while a
+            // request is on its way has it sent once more, or lost if it is the first, so those whose first
+            // may still be on its way go last.
             self.crowded.set(true);
-            if let Some((_, oldest)) = self.idle.borrow_mut().pop_first() {
-                oldest.notify_one();
-            }
+            self.make_room();
             // One that has just become idle gives nothing back by itself: look again.
             let _ = timeout(ACCEPT_AGAIN, self.sockets.freed()).await;
         };
@@ -170,6 +191,15 @@
         tokio::task::spawn_local(self.clone().connection(stream, permit));
     }
 
+    fn make_room(&self) {
+        let (mut silent, mut served) = (self.silent.borrow_mut(), self.served.borrow_mut());
+        let old = silent.first_key_value().is_some_and(|(_, idle)| idle.since.elapsed() > SILENT);
+        let from = if old || served.is_empty() { &mut *silent } else { &mut *served };
+        if let Some((_, idle)) = from.pop_first() {
+            idle.wake.notify_one();
+        }
+    }
+
     async fn connection(self: Rc<Self>, mut stream: TcpStream, permit: Permit) {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("client connection: {e}");
@@ -180,8 +210,15 @@
             // the answer.
             let _ = stream.shutdown().await;
             let drain = async {
-                let mut sink = [0; 4096];
-                while matches!(stream.read(&mut sink).await, Ok(n) if n > 0) {}
+                bytes.clear();
+                let mut left = LINGER_BYTES;
+                while let Ok(n @ 1..) = stream.read_buf(&mut bytes).await {
+                    left = left.saturating_sub(n);
+                    bytes.clear();
+                    if left == 0 {
+                        break;
+                    }
+                }
             };
             let _ = timeout(LINGER, drain).await;
         }
@@ -192,13 +229,13 @@
 
     /// Requests one after the other; true if the client may still be reading.
     async fn requests(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
-        let mut first = true;
+        let mut first = Some(Instant::now());
         loop {
-            let next = self.next_request(stream, bytes, std::mem::take(&mut first)).await;
-            let (answer, close) = match next {
+            let next = self.next_request(stream, bytes, first.take()).await;
+            let (answer, close, refused) = match next {
                 // Nothing is owed and nothing unread: it may close at once.
                 Next::End => return false,
-                Next::Refused(r) => (refusal(&r, true), true),
+                Next::Refused(r) => (refusal(&r, true), true, true),
                 Next::Request(head, content) => {
                     // What answers a HEAD has no body: it is not spoken here, and ends the connection.
                     let close = head.closes() || head.method() == "HEAD";
@@ -213,11 +250,23 @@
                 Ok(Ok(())) => return true,
                 _ => return false,
             }
+            // Danger: one that sends the same rubbish as soon as it is turned away takes every turn there is.
+            // Its next request waits unread for a moment. Covers any request that is not sound. Harm: that
+            // moment, to a client that has mended its ways.
+            if refused {
+                sleep(TURN).await;
+            }
         }
     }
 
-    /// The next request, whole; between requests the connection may be closed.
-    async fn next_request(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>, first: bool) -> Next {
+    /// The next request, whole; between requests the connection may be closed. For the first the time counts
+    /// from its acceptance.
+    async fn next_request(
+        &self,
+        stream: &mut TcpStream,
+        bytes: &mut Vec<u8>,
+        first: Option<Instant>,
+    ) -> Next {
         let late = || Next::Refused(Refusal { close: true, ..refuse(408, "half sent") });
         let mut until = Instant::now() + HALF_SENT;
         let head = loop {
@@ -227,8 +276,8 @@
                 Err(bad) => return Next::Refused(bad.into()),
             }
             let n = if bytes.is_empty() {
-                let n = self.read_idle(stream, bytes, first).await;
-                until = Instant::now() + HALF_SENT;
+                let n = self.read_idle(stream, bytes, first.is_some()).await;
+                until = first.unwrap_or_else(Instant::now) + HALF_SENT;
                 n
             } else {
                 match timeout_at(until, stream.read_buf(bytes)).await {
@@ -274,20 +323,33 @@
 
     /// Reads the first bytes of a request; 0 if the connection is to end instead.
     async fn read_idle(&self, stream: &mut TcpStream, bytes: &mut Vec<u8>, first: bool) -> usize {
-        let (number, wake) = ((first, self.number()), Rc::new(Notify::new()));
-        self.idle.borrow_mut().insert(number, wake.clone());
-        let mut phase = self.phase.clone();
-        let n = tokio::select! {
-            biased;
-            n = stream.read_buf(bytes) => n.unwrap_or(0),
-            () = wake.notified() => 0,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => 0,
+        let (number, wake) = (self.number(), Rc::new(Notify::new()));
+        let idle = if first { &self.silent } else { &self.served };
+        idle.borrow_mut().insert(number, Idle { since: Instant::now(), wake: wake.clone() });
+        // Danger: clients that ask once and keep their connections hold memory and descriptors for good.
+        *bytes = Vec::new();
+        let (mut phase, until) = (self.phase.clone(), Instant::now() + IDLE);
+        let n = loop {
+            tokio::select! {
+                biased;
+                _ = stream.readable() => {
+                    bytes.reserve(READ);
+                    match stream.try_read_buf(bytes) {
+                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                        read => break read.unwrap_or(0),
+                    }
+                }
+                () = wake.notified() => break 0,
+                _ = phase.wait_for(|p| *p == Phase::Closing) => break 0,
+                () = sleep_until(until) => break 0,
+            }
         };
-        self.idle.borrow_mut().remove(&number);
+        idle.borrow_mut().remove(&number);
         n
     }
 
-    /// The bytes of the answer, and whether the connection ends with it; None if the client has gone.
+    /// The bytes of the answer, whether the connection ends with it, and whether the request was not sound; None
+    /// if the client has gone.
     async fn respond(
         &self,
         stream: &mut TcpStream,
@@ -295,11 +357,11 @@
         head: &Head,
         content: Vec<u8>,
         close: bool,
-    ) -> Option<(Vec<u8>, bool)> {
+    ) -> Option<(Vec<u8>, bool, bool)> {
         let ends = |front: &Self| close || front.crowded.get() || *front.phase.borrow() != Phase::Serving;
         let (search, mut reply) = match self.route(head, &content) {
-            Err(r) => return Some((refusal(&r, ends(self)), ends(self))),
-            Ok(None) => return Some((http::answer(200, &[], b"", ends(self)), ends(self))),
+            Err(r) => return Some((refusal(&r, ends(self)), ends(self), true)),
+            Ok(None) => return Some((http::answer(200, &[], b"", ends(self)), ends(self), false)),
             Ok(Some(arrival)) => {
                 let (arrival, reply) = arrival;
                 let search = arrival.search;
@@ -321,7 +383,7 @@
                 }
             }
         };
-        let close = ends(self);
+        let (close, twice) = (ends(self), matches!(answer, Ok(Answer::Twice)));
         let out = match answer {
             Ok(Answer::Answered { whole, rows }) => {
                 let json = ("Content-Type", "application/json".to_string());
@@ -334,7 +396,7 @@
             Ok(Answer::Twice) => refusal(&refuse(409, "trace id in hand"), close),
             Ok(Answer::Errored) | Err(_) => http::answer(500, &[], b"", close),
         };
-        Some((out, close))
+        Some((out, close, twice))
     }
 
     /// What a request asks for: a search, or one of the front's own pages (None).
@@ -366,7 +428,7 @@
             return Err(refuse(400, "missing or odd X-Trace-Id"));
         }
         let left = head.header("x-expires-in").and_then(|v| v.parse::<f64>().ok());
-        let left = left.filter(|l| l.is_finite() && *l > 0.0);
+        let left = left.filter(|l| *l > 0.0 && *l <= LONGEST_WAIT);
         let left = left.ok_or_else(|| refuse(400, "missing or odd X-Expires-In"))?;
         let customer = head.header("x-customer").unwrap_or("");
         let tenant = self.names.tenants.iter().position(|n| n == customer);
@@ -391,25 +453,28 @@
     }
 
     fn parts(&self, content: &[u8]) -> Result<(Parts, String), &'static str> {
-        let (mut parts, mut text) = (BTreeMap::new(), None);
+        let (mut parts, mut text, mut rounding) = (BTreeMap::new(), None, 1e-9);
         let read = Reader::whole(content, |r| {
             r.object(|key, r| match key {
+                "parts" if !parts.is_empty() => Err(BadJson("parts twice")),
                 "parts" => r.array(|r| {
                     let (mut shard, mut weight) = (None, None);
                     r.object(|key, r| {
                         match key {
-                            "id" => shard = Some(r.whole_number()?),
-                            "w" => weight = Some(r.number()?),
+                            "id" if shard.is_none() => shard = Some(r.whole_number()?),
+                            "w" if weight.is_none() => weight = Some(r.number_text()?),
+                            "id" | "w" => return Err(BadJson("a key twice")),
                             _ => r.skip().map(|_| ())?,
                         }
                         Ok(())
                     })?;
                     let shard = shard.filter(|s| *s < self.names.shards).ok_or(BadJson("unknown shard"))?;
-                    let weight = weight.filter(|w| w.is_finite() && *w >= 0.0);
-                    let weight = weight.ok_or(BadJson("a share that is no number of 0 or more"))?;
+                    let (weight, half) = weight.and_then(share).ok_or(BadJson("a share out of range"))?;
+                    rounding += half;
                     let twice = parts.insert(ShardId(shard), (parts.len(), weight)).is_some();
                     if twice { Err(BadJson("a shard twice")) } else { Ok(()) }
                 }),
+                "expr" if text.is_some() => Err(BadJson("expr twice")),
                 "expr" => {
                     text = Some(r.string()?.into_owned());
                     Ok(())
@@ -421,6 +486,10 @@
         if parts.is_empty() {
             return Err("no parts");
         }
+        let sum: f64 = parts.values().map(|(_, weight)| weight).sum();
+        if (sum - 1.0).abs() > rounding {
+            return Err("the shares do not add up to 1");
+        }
         let mut parts: Vec<_> = parts.into_iter().collect();
         parts.sort_by_key(|(_, (place, _))| *place);
         let parts = parts.into_iter().map(|(shard, (_, weight))| (shard, weight)).collect();
@@ -428,6 +497,14 @@
     }
 }
 
+/// A share of the whole, and what rounding to the digits in which it is written explains: half a unit of the
+/// last one, at most that of the third, for a share that is written short may be exact.
+fn share(text: &str) -> Option<(f64, f64)> {
+    let weight: f64 = text.parse().ok().filter(|w| (0.0..=1.0).contains(w))?;
+    let digits = text.split_once('.').map_or(0, |(_, rest)| rest.len()).clamp(3, 15);
+    Some((weight, 0.5 * 0.1_f64.powi(digits as i32)))
+}
+
 fn refusal(r: &Refusal, close: bool) -> Vec<u8> {
     let mut headers = vec![("Content-Type", "text/plain".to_string())];
     if r.status == 405 {
--- a/crates/woadreachd/src/replicas.rs
+++ b/crates/woadreachd/src/replicas.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{Clock, Event, Events};
 use crate::discovery::{Entry, Lifecycle, List};
-use crate::frame::{self, Frame};
+use crate::frame::{self, End, Frame};
 use crate::sockets::{Permit, Side, Sockets};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -15,9 +15,13 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 use tracing::{debug, warn};
 use woadreach::api::{Ending, Outcome, PartId, ReplicaId};
 
+/// Room for the bytes of an ordinary answer; what a longer one took is given back.
+const READ: usize = 2048;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnId(u64);
 
@@ -57,6 +61,9 @@
     writing: RefCell<Vec<SubId>>,
     wake: Notify,
     close: Cell<bool>,
+    /// Nothing that waits here is of use any more.
+    spoilt: Cell<bool>,
+    stop: Notify,
 }
 
 impl Outbox {
@@ -68,6 +75,19 @@
     fn end(&self) {
         self.close.set(true);
         self.wake.notify_one();
+        self.stop.notify_one();
+    }
+
+    /// Danger: a machine that reads nothing keeps what waits for it, and with that the connection's descriptor,
+    /// for good. Once the connection is to end it has as long as a message may take. Covers also a connection
+    /// that is of no further use: it ends at once. Harm: words to a slow machine are lost, all of them ends
+    /// to what nobody waits for.
+    async fn stopped(&self, patience: Duration) -> Result<(), String> {
+        self.stop.notified().await;
+        if !self.spoilt.get() {
+            tokio::time::sleep(patience).await;
+        }
+        Err("what waited was not written".into())
     }
 
     /// Takes a part back if it has not begun to leave.
@@ -100,9 +120,12 @@
     /// Takes nothing new, and is closed once nothing is out on it.
     retired: bool,
     out: BTreeMap<String, SubId>,
-    /// The last parts given up: an answer to one may still come.
-    given_up: VecDeque<String>,
+    /// The last parts that are no longer out, and whether each was given up: an answer to one, or a second
+    /// one, may still come.
+    past: VecDeque<(String, bool)>,
     last_used: f64,
+    /// When bytes of an answer were last read.
+    heard: f64,
 }
 
 struct Peer {
@@ -135,7 +158,7 @@
 /// What a connection's task tells the core.
 pub enum Told {
     Up,
-    Answer { id: String, end: String, score: u64, value: Vec<u8>, at: f64 },
+    Answer { id: String, end: End, score: u64, value: Vec<u8>, at: f64 },
     Ended,
 }
 
@@ -160,12 +183,21 @@
         (self.subs.len(), self.conns.len())
     }
 
+    /// Replicas that the list still names.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Addresses, and an end to what must not be used any more.
     pub fn list(&mut self, now: f64, list: &List) {
         if list.full {
             let named: BTreeSet<&str> = list.entries.iter().map(|e| e.id.as_str()).collect();
             let gone: Vec<_> = self.peers.keys().filter(|r| !named.contains(&*r.0)).cloned().collect();
-            gone.iter().for_each(|r| self.leave(now, r));
+            for r in gone {
+                self.leave(now, &r);
+                // Its connections end with the last part on them, and know nothing of it any more.
+                self.peers.remove(&r);
+            }
         }
         for entry in &list.entries {
             self.entry(now, entry);
@@ -177,6 +209,10 @@
         if entry.lifecycle != Lifecycle::Ready {
             self.leave(now, &id);
         }
+        if entry.lifecycle == Lifecycle::Gone {
+            self.peers.remove(&id);
+            return;
+        }
         let (address, started_at) = (entry.address, entry.started_at);
         let peer = self.peers.entry(id).or_insert(Peer { address, started_at, conns: BTreeSet::new() });
         // Danger: connections to a machine that has been silent stay open after it has come back as a new
@@ -239,7 +275,15 @@
     }
 
     fn call(&mut self, now: f64, replica: &ReplicaId, letters: Vec<Letter>) {
-        let Some(conn) = self.room(now, replica, &letters).or_else(|| self.open(now, replica)) else {
+        let room = self.room(now, replica, &letters);
+        // Danger: a connection that breaks takes with it all that is out on it. What is out on one replica is
+        // spread over as many as its share of the descriptors kept for us allows; a further one is opened beside
+        // the part, which does not wait for it. Covers any cause. Harm: a few more handshakes.
+        let conns = self.peers.get(replica).map_or(0, |p| p.conns.len());
+        if room.is_some_and(|(_, out)| out > 0) && conns < self.sockets.ours() / self.peers.len().max(1) {
+            self.open(now, replica);
+        }
+        let Some(conn) = room.map(|(conn, _)| conn).or_else(|| self.open(now, replica)) else {
             let why = if self.peers.contains_key(replica) { Ending::Unreachable } else { Ending::NeverSent };
             letters.iter().for_each(|l| self.end(l.sub, why, now));
             return;
@@ -255,9 +299,9 @@
         c.outbox.push(Item::Call(letters));
     }
 
-    /// A connection with room for these parts, on which none of their ids could be taken for another's: one
-    /// that is up, else one that is coming up.
-    fn room(&self, now: f64, replica: &ReplicaId, letters: &[Letter]) -> Option<ConnId> {
+    /// The connection with the fewest parts out, and how many, among those with room for these, on which none
+    /// of their ids could be taken for another's: one that is up, else one that is coming up.
+    fn room(&self, now: f64, replica: &ReplicaId, letters: &[Letter]) -> Option<(ConnId, usize)> {
         // PROTOCOL: what is written after the idle time is lost. One connect time-out, the longest that the
         // settings hold a message to be on its way, keeps clear of it.
         let idle = self.figures.idle_close - self.figures.connect_timeout;
@@ -266,11 +310,14 @@
                 !c.retired
                     && (!c.out.is_empty() || now - c.last_used < idle)
                     && c.out.len() + letters.len() <= self.figures.streams_per_conn.max(letters.len())
-                    && !letters.iter().any(|l| c.out.contains_key(&l.id) || c.given_up.contains(&l.id))
+                    && !letters
+                        .iter()
+                        .any(|l| c.out.contains_key(&l.id) || c.past.contains(&(l.id.clone(), true)))
             })
         };
         let fitting = || self.peers.get(replica).into_iter().flat_map(|p| &p.conns).filter(fits);
-        fitting().find(|id| self.conns[id].up).or_else(|| fitting().next()).copied()
+        let best = fitting().min_by_key(|id| (!self.conns[*id].up, self.conns[*id].out.len()))?;
+        Some((*best, self.conns[best].out.len()))
     }
 
     fn open(&mut self, now: f64, replica: &ReplicaId) -> Option<ConnId> {
@@ -299,8 +346,9 @@
             up: false,
             retired: false,
             out: BTreeMap::new(),
-            given_up: VecDeque::new(),
+            past: VecDeque::new(),
             last_used: now,
+            heard: now,
         };
         self.conns.insert(id, conn);
         Some(id)
@@ -310,7 +358,14 @@
     fn end(&mut self, id: SubId, ending: Ending, at: f64) {
         let Some(sub) = self.subs.remove(&id) else { return };
         if let Some(c) = self.conns.get_mut(&sub.conn) {
-            c.out.remove(&sub.id);
+            if c.out.remove(&sub.id).is_some() && ending != Ending::NeverSent {
+                // As many as may be out at once are enough to look back at.
+                if c.past.len() >= self.figures.streams_per_conn {
+                    c.past.pop_front();
+                }
+                let given_up = matches!(ending, Ending::TimedOut | Ending::Cancelled);
+                c.past.push_back((sub.id.clone(), given_up));
+            }
             c.last_used = self.clock.now();
             if c.retired && c.out.is_empty() {
                 c.outbox.end();
@@ -325,7 +380,7 @@
     pub fn give_up(&mut self, now: f64, id: SubId, timed_out: bool) {
         let Some(sub) = self.subs.get(&id) else { return };
         // What has not left says nothing of the replica's work.
-        let mut late = Ending::NeverSent;
+        let (mut late, mut deaf) = (Ending::NeverSent, false);
         if let Some(conn) = self.conns.get_mut(&sub.conn) {
             if conn.outbox.take_back(id) {
                 late = if conn.up { Ending::NeverSent } else { Ending::Unreachable };
@@ -334,14 +389,25 @@
                 if self.figures.cancelling {
                     conn.outbox.push(Item::GiveUp(sub.id.clone()));
                 }
-                // As many as may be out at once are enough to look back at.
-                if conn.given_up.len() >= self.figures.streams_per_conn {
-                    conn.given_up.pop_front();
-                }
-                conn.given_up.push_back(sub.id.clone());
+                // Danger: a machine that has gone silent, or an answer that was spoilt, leaves a connection
+                // open on which nothing comes any more, and each new part waits its whole time there. Covers
+                // any cause. Harm: a replica that is only slow is owed a new handshake.
+                deaf = conn.heard <= sub.sent_at && now > sub.sent_at + self.figures.connect_timeout;
             }
         }
+        let conn = sub.conn;
         self.end(id, if timed_out { late } else { Ending::Cancelled }, now);
+        if deaf {
+            self.retire(conn);
+        }
+    }
+
+    /// Its search is over: it does not leave any more, if it has not begun to.
+    pub fn withdraw(&mut self, now: f64, id: SubId) {
+        let Some(sub) = self.subs.get(&id) else { return };
+        if self.conns.get(&sub.conn).is_none_or(|c| c.outbox.take_back(id)) {
+            self.end(id, Ending::NeverSent, now);
+        }
     }
 
     /// A connection's word; gives the part that was answered, with its score and value.
@@ -350,28 +416,30 @@
             Told::Up => self.conns.get_mut(&id)?.up = true,
             Told::Answer { id: part, end, score, value, at } => {
                 let conn = self.conns.get_mut(&id)?;
+                conn.heard = now;
                 let Some(sub) = conn.out.get(&part).copied() else {
-                    conn.given_up.retain(|g| *g != part);
-                    debug!("answer {end} for {part}, which is not held");
+                    debug!("answer {end:?} for {part}, which is not out");
+                    if !conn.past.iter().any(|p| p.0 == part) {
+                        self.spoilt(now, id);
+                    }
                     return None;
                 };
-                let (ending, value) = match (end.as_str(), String::from_utf8(value)) {
-                    ("200", Ok(value)) => (Ending::Answered, Some(value)),
-                    ("503", _) => (Ending::Full, None),
-                    // A status that the page does not name, or a value that no answer could hold unchanged.
-                    _ => (Ending::Errored, None),
+                let (ending, value) = match (end, String::from_utf8(value)) {
+                    (End::Ok, Ok(value)) => (Ending::Answered, Some(value)),
+                    (End::Full, _) => (Ending::Full, None),
+                    (End::Error, _) => (Ending::Errored, None),
+                    // A value that no answer could hold unchanged.
+                    (End::Ok, Err(_)) => (Ending::Broken, None),
                 };
+                let spoilt = ending == Ending::Broken;
                 self.end(sub, ending, at);
+                if spoilt {
+                    self.spoilt(now, id);
+                }
                 return value.map(|v| (sub, score, v));
             }
             Told::Ended => {
-                let conn = self.conns.get_mut(&id)?;
-                let unwritten = conn.outbox.unwritten();
-                let out: Vec<SubId> = conn.out.values().copied().collect();
-                for sub in out {
-                    let never = unwritten.contains(&sub);
-                    self.end(sub, if never { Ending::Unreachable } else { Ending::Broken }, now);
-                }
+                self.lose(now, id);
                 let conn = self.conns.remove(&id)?;
                 if let Some(peer) = self.peers.get_mut(&conn.replica) {
                     peer.conns.remove(&id);
@@ -381,6 +449,29 @@
         None
     }
 
+    /// Danger: after an answer that belongs to no part the rest of the connection's bytes mean nothing, and what
+    /// waits on it waits in vain. It ends at once. Covers any cause. Harm: the other parts on it go once more.
+    fn spoilt(&mut self, now: f64, id: ConnId) {
+        self.lose(now, id);
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.retired = true;
+            conn.outbox.spoilt.set(true);
+            conn.outbox.end();
+        }
+    }
+
+    /// All that is out on a connection which is of no further use ends by its true outcome.
+    fn lose(&mut self, now: f64, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let unwritten = conn.outbox.unwritten();
+        conn.outbox.items.borrow_mut().clear();
+        let out: Vec<SubId> = conn.out.values().copied().collect();
+        for sub in out {
+            let never = unwritten.contains(&sub);
+            self.end(sub, if never { Ending::Unreachable } else { Ending::Broken }, now);
+        }
+    }
+
     /// Closes what has been idle for nearly as long as the machine would let it.
     pub fn sweep(&mut self, now: f64) {
         let idle = self.figures.idle_close - self.figures.connect_timeout;
@@ -409,8 +500,9 @@
             let (from, to) = stream.split();
             let ended = tokio::select! {
                 biased;
-                ended = read(id, from, clock, &events) => ended,
+                ended = read(id, from, patience, clock, &events) => ended,
                 ended = write(to, &outbox, clock) => ended,
+                ended = outbox.stopped(patience) => ended,
             };
             if let Err(why) = ended {
                 debug!("connection {} to {address} ended: {why}", id.0);
@@ -424,39 +516,49 @@
     let _ = events.send(Event::Told(id, Told::Ended));
 }
 
-async fn read(id: ConnId, mut from: ReadHalf<'_>, clock: Clock, events: &Events) -> Result<(), String> {
-    let mut bytes = Vec::new();
+/// Danger: a frame that was begun and is never finished leaves the connection open, and every later part on it
+/// waits in vain. It has as long as the settings hold a message to be on its way. Covers a length that is too
+/// large. Harm: none, a sound replica writes a frame at one time.
+async fn read(
+    id: ConnId,
+    mut from: ReadHalf<'_>,
+    patience: Duration,
+    clock: Clock,
+    events: &Events,
+) -> Result<(), String> {
+    let mut bytes = Vec::with_capacity(READ);
+    let mut until = Instant::now();
     loop {
-        match from.read_buf(&mut bytes).await {
+        let begins = bytes.is_empty();
+        let read = if begins {
+            from.read_buf(&mut bytes).await
+        } else {
+            timeout_at(until, from.read_buf(&mut bytes)).await.map_err(|_| "a frame without its end")?
+        };
+        match read {
             Ok(0) => return Err("closed by the replica".into()),
             Ok(_) => {}
             Err(e) => return Err(e.to_string()),
         }
         let (mut at, now) = (0, clock.now());
-        while let Some((frame, taken)) = frame::read(&bytes[at..]).map_err(|e| {
-            warn!("unusable frame from a replica: {}", e.0);
-            e.0.to_string()
-        })? {
+        while let Some((frame, taken)) = frame::read(&bytes[at..]).map_err(|e| e.0)? {
             at += taken;
             match frame {
                 Frame::Answer { id: part, end, score, value } => {
-                    let told = Told::Answer {
-                        id: part.into(),
-                        end: end.into(),
-                        score,
-                        value: value.into(),
-                        at: now,
-                    };
+                    let told = Told::Answer { id: part.into(), end, score, value: value.into(), at: now };
                     let _ = events.send(Event::Told(id, told));
                 }
                 Frame::Probe => {}
                 Frame::Refused(words) => {
-                    warn!("a replica could not use a frame: {}", String::from_utf8_lossy(words));
-                    return Err("refused".into());
+                    return Err(format!("refused: {}", String::from_utf8_lossy(words)));
                 }
             }
         }
         bytes.drain(..at);
+        if begins || at > 0 {
+            until = Instant::now() + patience;
+            bytes.shrink_to(READ);
+        }
     }
 }
 
--- a/crates/woadreachd/src/sockets.rs
+++ b/crates/woadreachd/src/sockets.rs
@@ -49,6 +49,11 @@
         Some(Permit { budget: b.clone(), side })
     }
 
+    /// Descriptors that clients never get.
+    pub fn ours(&self) -> usize {
+        self.0.limit - self.0.limit / 4 * 3
+    }
+
     /// Waits until a permit has been given back.
     pub async fn freed(&self) {
         self.0.freed.notified().await;
