Sockets: one idle connection makes room for one client; refusals are told at debug

Event lines of the incident: two idle connections ended for each client accepted at the limit. At fault: sockets.rs kept a notice of a permit that had come free with nobody waiting, so that begin() looked again at once, found the last permit still held and ended a second connection. The test fails without the change.

--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -256,7 +256,10 @@
             let (answer, close, refused) = match next {
                 // Nothing is owed and nothing unread: it may close at once.
                 Next::End => return false,
-                Next::Refused(r) => (refusal(&r, true), true, true),
+                Next::Refused(r) => {
+                    debug!("refused: {} {}", r.status, r.why);
+                    (refusal(&r, true), true, true)
+                }
                 Next::Request(head, content) => {
                     // What answers a HEAD has no body: it is not spoken here, and ends the connection.
                     let close = head.closes() || head.method() == "HEAD";
@@ -382,7 +385,10 @@
             close || crowded || *front.phase.borrow() != Phase::Serving
         };
         let (search, mut reply) = match self.route(head, &content, client.came) {
-            Err(r) => return Some((refusal(&r, ends(self)), ends(self), true)),
+            Err(r) => {
+                debug!("refused: {} {}", r.status, r.why);
+                return Some((refusal(&r, ends(self)), ends(self), true));
+            }
             Ok(None) => return Some((http::answer(200, &[], b"", ends(self)), ends(self), false)),
             Ok(Some(arrival)) => {
                 let (arrival, reply) = arrival;
--- a/crates/woadreachd/src/sockets.rs
+++ b/crates/woadreachd/src/sockets.rs
@@ -96,6 +96,7 @@
     fn drop(&mut self) {
         let count = self.budget.count(self.side);
         count.set(count.get() - 1);
-        self.budget.freed.notify_one();
+        // Not for whoever waits later: by then it may be taken, and one more connection would make room.
+        self.budget.freed.notify_waiters();
     }
 }
--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -677,6 +677,11 @@
 #[test]
 fn silent_connections_make_room_first() {
     let s = scene_with(|c| c.replace("\"sockets\":1024", "\"sockets\":40"));
+    let live = "GET /health/live HTTP/1.1\r\nConnection: close\r\n\r\n";
+    let mut gone = Wire::to(s.address);
+    gone.write(live);
+    assert!(gone.reply().0 == 200 && gone.ended());
+    drop(gone);
     let live = "GET /health/live HTTP/1.1\r\n\r\n";
     let mut kept = Wire::to(s.address);
     kept.write(live);
@@ -689,6 +694,8 @@
     kept.write(live);
     assert_eq!(kept.reply().0, 200);
     assert!(silent[0].ended());
+    silent[1].write(live);
+    assert_eq!(silent[1].reply().0, 200, "one makes room for one");
 }
 
 #[test]
