--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -318,9 +318,9 @@
                 self.list(list);
             }
             self.round(first, &mut events);
-            // Danger: the process is held up in a round, by its share of the core, and what it decided is sent
-            // for clients that have left meanwhile. The sockets have their say first. Covers any late round.
-            // Harm: a part leaves some microseconds later.
+            // Danger: the process is held up in a round, by its share of the core, and what it decided is
+            // sent for clients that have left meanwhile. The sockets have their say first. Covers any late
+            // round. Harm: a part leaves some microseconds later.
             tokio::task::yield_now().await;
             self.round(None, &mut events);
             self.hands.replicas.flush(self.hands.now);
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -91,8 +91,9 @@
         n
     }
 
-    /// Danger: a request that has waited to be accepted or read, in a flood or while the process was held up, is
-    /// worked for after its client's time. Its time counts from when the kernel had it. Covers both. Harm: none.
+    /// Danger: a request that has waited to be accepted or read, in a flood or while the process was held up,
+    /// is worked for after its client's time. Its time counts from when the kernel had it. Covers both. Harm:
+    /// none.
     fn was_read(&mut self, clock: Clock) {
         self.came = clock.now() - sockets::waited(&self.stream);
     }
@@ -368,8 +369,8 @@
         n
     }
 
-    /// The bytes of the answer, whether the connection ends with it, and whether the request was not sound; None
-    /// if the client has gone.
+    /// The bytes of the answer, whether the connection ends with it, and whether the request was not sound;
+    /// None if the client has gone.
     async fn respond(
         &self,
         client: &mut Client,
--- a/crates/woadreachd/src/replicas.rs
+++ b/crates/woadreachd/src/replicas.rs
@@ -80,10 +80,10 @@
         self.stop.notify_one();
     }
 
-    /// Danger: a machine that reads nothing keeps what waits for it, and with that the connection's descriptor,
-    /// for good. Once the connection is to end it has as long as a message may take. Covers also a connection
-    /// that is of no further use: it ends at once. Harm: words to a slow machine are lost, all of them ends
-    /// to what nobody waits for.
+    /// Danger: a machine that reads nothing keeps what waits for it, and with that the connection's
+    /// descriptor, for good. Once the connection is to end it has as long as a message may take. Covers also
+    /// a connection that is of no further use: it ends at once. Harm: words to a slow machine are lost, all
+    /// of them ends to what nobody waits for.
     async fn stopped(&self, patience: Duration) -> Result<(), String> {
         self.stop.notified().await;
         if !self.spoilt.get() {
@@ -281,8 +281,8 @@
     fn call(&mut self, now: f64, replica: &ReplicaId, letters: Vec<Letter>) {
         let room = self.room(now, replica, &letters);
         // Danger: a connection that breaks takes with it all that is out on it. What is out on one replica is
-        // spread over as many as its share of the descriptors kept for us allows; a further one is opened beside
-        // the part, which does not wait for it. Covers any cause. Harm: a few more handshakes.
+        // spread over as many as its share of the descriptors kept for us allows; a further one is opened
+        // beside the part, which does not wait for it. Covers any cause. Harm: a few more handshakes.
         let conns = self.peers.get(replica).map_or(0, |p| p.conns.len());
         if room.is_some_and(|(_, out)| out > 0) && conns < self.sockets.ours() / self.peers.len().max(1) {
             self.open(now, replica);
@@ -453,8 +453,9 @@
         None
     }
 
-    /// Danger: after an answer that belongs to no part the rest of the connection's bytes mean nothing, and what
-    /// waits on it waits in vain. It ends at once. Covers any cause. Harm: the other parts on it go once more.
+    /// Danger: after an answer that belongs to no part the rest of the connection's bytes mean nothing, and
+    /// what waits on it waits in vain. It ends at once. Covers any cause. Harm: the other parts on it go once
+    /// more.
     fn spoilt(&mut self, now: f64, id: ConnId) {
         self.lose(now, id);
         if let Some(conn) = self.conns.get_mut(&id) {
@@ -520,9 +521,9 @@
     let _ = events.send(Event::Told(id, Told::Ended));
 }
 
-/// Danger: a frame that was begun and is never finished leaves the connection open, and every later part on it
-/// waits in vain. It has as long as the settings hold a message to be on its way. Covers a length that is too
-/// large. Harm: none, a sound replica writes a frame at one time.
+/// Danger: a frame that was begun and is never finished leaves the connection open, and every later part on
+/// it waits in vain. It has as long as the settings hold a message to be on its way. Covers a length that is
+/// too large. Harm: none, a sound replica writes a frame at one time.
 async fn read(
     id: ConnId,
     mut from: ReadHalf<'_>,
--- a/crates/woadreachd/src/sockets.rs
+++ b/crates/woadreachd/src/sockets.rs
@@ -1,6 +1,6 @@
 //! The one owner of the descriptor budget. Every socket is opened under a permit, which its drop gives back,
-//! here and nowhere else. Tells how long bytes have waited. Must never open a socket, nor know what one is for beyond
-//! its side.
+//! here and nowhere else. Tells how long bytes have waited. Must never open a socket, nor know what one is
+//! for beyond its side.
 
 use std::cell::Cell;
 use std::os::fd::AsRawFd;
@@ -56,8 +56,8 @@
         self.0.limit - self.0.limit / 4 * 3
     }
 
-    /// LATER: for requests, clients hold at most a third of the descriptors, and stop asking there. At a quarter
-    /// their connections are better ended with their answers.
+    /// LATER: for requests, clients hold at most a third of the descriptors, and stop asking there. At a
+    /// quarter their connections are better ended with their answers.
     pub fn many_clients(&self) -> bool {
         self.0.clients.get() >= self.0.limit / 4
     }
@@ -73,8 +73,8 @@
     }
 }
 
-/// For how many seconds the last bytes of a connection have lain in the kernel, or there have been none; 0 where
-/// the kernel does not tell.
+/// For how many seconds the last bytes of a connection have lain in the kernel, or there have been none; 0
+/// where the kernel does not tell.
 pub fn waited(socket: &impl AsRawFd) -> f64 {
     // SAFETY: a plain struct of numbers, for which all zeros are a value; the call writes at most `length`
     // bytes to it.
