--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -205,13 +205,23 @@
         self.send_frame(format!("O{id} {end} {score} -\n{value}"));
     }
 
+    /// The next byte; None at the end. A read that the system has interrupted has not ended.
+    fn byte(&mut self) -> std::io::Result<Option<u8>> {
+        let mut byte = [0];
+        match self.0.read_exact(&mut byte) {
+            Err(e) if e.kind() == std::io::ErrorKind::UnexpectedEof => Ok(None),
+            read => read.map(|()| Some(byte[0])),
+        }
+    }
+
     /// A head, without its empty line.
     pub fn head(&mut self) -> String {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            assert_eq!(self.0.read(&mut byte).unwrap(), 1, "{}", String::from_utf8_lossy(&head));
-            head.push(byte[0]);
+            let Some(byte) = self.byte().unwrap() else {
+                panic!("ended after {}", String::from_utf8_lossy(&head));
+            };
+            head.push(byte);
         }
         String::from_utf8(head).unwrap()
     }
@@ -226,7 +236,7 @@
     }
 
     pub fn ended(&mut self) -> bool {
-        !matches!(self.0.read(&mut [0]), Ok(1))
+        !matches!(self.byte(), Ok(Some(_)))
     }
 }
 
