--- a/src/balance.rs
+++ b/src/balance.rs
@@ -117,6 +117,7 @@
     recent: VecDeque<(f64, f64)>, // when the last answers came, and their latencies
     /// Unloaded samples of all trusted replicas: the average where one has too few of its own.
     fleet: VecDeque<f64>,
+    shortest: f64,   // latency target
     late_after: f64, // these two are worked out from the samples when they change
     copy_after: f64,
     arrivals: VecDeque<(f64, TenantId)>, // value a part of the last searches, and their tenants
@@ -148,16 +149,14 @@
     part.subs.iter().any(|s| s.ending.is_none())
 }
 
-fn shortest_target(set: &Settings) -> f64 {
-    set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
-}
-
 impl Balancer {
     pub fn new(set: Settings) -> Self {
+        let shortest = set.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min);
         Balancer {
             rng: oorandom::Rand64::new(u128::from(set.seed)),
-            late_after: shortest_target(&set) / 3.0,
-            copy_after: shortest_target(&set) / 3.0,
+            shortest,
+            late_after: shortest / 3.0,
+            copy_after: shortest / 3.0,
             lefts: vec![VecDeque::new(); set.query_types.len()],
             set,
             replicas: BTreeMap::new(),
@@ -295,9 +294,8 @@
     }
 
     /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
-    /// its failures leave few own parts out. Half bad of its last outcomes, two at least, take it out of use
-    /// while others hold the shard; trials bring it back. Covers any cause that shows in outcomes. Harm: bad
-    /// luck costs a sound replica a second or two; with every holder bad, nothing changes.
+    /// its failures leave few own parts out. Half bad of its last outcomes take it out of use while others hold
+    /// the shard; trials bring it back. Covers any cause. Harm: bad luck costs a sound one a second or two.
     /// Danger: a way that is cut, long or lossy makes all of a zone bad, each known by too few outcomes.
     /// Those of replicas not bad themselves count for their zone. Covers also a zone that loses power. Harm:
     /// trouble spread over all zones may condemn one for a while.
@@ -370,15 +368,17 @@
     }
 
     /// Out for over `late_after` counts against a replica: beyond the 0.95 quantile and 2.5 medians of all
-    /// recent answers, so that a fleet slow as a whole condemns none. Out for `copy_after` gets a copy, while
-    /// that has its unloaded tail left of the shortest target, but not before 2.5 medians.
+    /// recent answers, so that a fleet slow as a whole condemns none, and an eighth of the target. Danger: where
+    /// answers take a hundredth of that, a moment in which this process stands still makes sound replicas bad.
+    /// Harm: one slowed by less is used on. Out for `copy_after` gets a copy, while that has its unloaded tail
+    /// left of the shortest target, but not before 2.5 medians.
     fn time_limits(&mut self) {
         let of = |samples: Vec<f64>, p| quantile(samples, p).unwrap_or(0.0);
         let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
         if all.len() >= 20 {
-            self.late_after = of(all.clone(), 0.95).max(2.5 * of(all, 0.5));
+            self.late_after = of(all.clone(), 0.95).max(2.5 * of(all, 0.5)).max(self.shortest / 8.0);
         }
-        let last_call = 0.9 * shortest_target(&self.set) - of(self.average(), Self::tail(usize::MAX));
+        let last_call = 0.9 * self.shortest - of(self.average(), Self::tail(usize::MAX));
         self.copy_after = self.late_after.min(last_call).max(2.5 * of(self.average(), 0.5));
     }
 
@@ -408,11 +408,12 @@
     }
 
     /// Overload: recent answers take, at the lower quartile, over 1.5 times the unloaded one; low, as further
-    /// sub-requests hurt long before searches are late. Not the median: a slow way is no overload.
+    /// sub-requests hurt long before searches are late. Not the median: a slow way is no overload. Nor are
+    /// less than a thirtieth of the target more, half of what parts take where that is a fifteenth of it.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
         let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let plain = quantile(self.average(), 0.25).unwrap_or(0.0);
-        let over = quantile(fresh, 0.25).unwrap_or(0.0) > 1.5 * plain;
+        let over = quantile(fresh, 0.25).unwrap_or(0.0) > (1.5 * plain).max(plain + self.shortest / 30.0);
         if over != self.overloaded {
             self.overloaded = over;
             plan.notes.push(format!("overload {}", if over { "begun" } else { "ended" }));
@@ -432,7 +433,7 @@
         if warmth >= 1.0 || r.running.len() > r.answers / 4 {
             return warmth < 1.0;
         }
-        let work = quantile(self.average(), 0.5).unwrap_or(shortest_target(&self.set) / 5.0);
+        let work = quantile(self.average(), 0.5).unwrap_or(self.shortest / 5.0);
         let answered = self.recent.iter().filter(|x| x.0 > now - 2.0).count() as f64 / 2.0;
         let even = 1.0 / work / self.set.siblings.max(1) as f64;
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
@@ -730,8 +731,7 @@
     }
 
     /// Trial traffic: a second copy of a part whose first is out, to a distrusted holder with nothing out, so
-    /// that no search waits on it. Where copies are barred a distrusted replica is used again only once
-    /// the other holders are no better.
+    /// that no search waits on it. Where copies are barred it is used once the other holders are no better.
     fn try_distrusted(&mut self, now: f64, until: f64, q: &mut Search, i: usize, plan: &mut Plan) {
         let part = &q.parts[i];
         if !self.set.may_copy || !out(part) || self.may_repeat(now, q, part) != Some(None) {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -308,6 +308,40 @@
     assert_eq!(sends(&mut b, 20.0), 1, "one trial at a time");
 }
 
+/// Answers far slower than others, but a small part of the latency target, do not condemn their replica.
+#[rstest]
+#[case::small(0.1, true)]
+#[case::not_small(0.2, false)]
+fn slow_replicas_are_judged_by_the_target_too(#[case] latency: f64, #[case] sound: bool) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    for n in 0..130 {
+        let p = b.place(0.0, &mut search(n + 1, 1, 0.0, 3.0)).send[0].clone();
+        let slow = n > 120 && p.replica == id("a");
+        b.after(0.0, None, &ended(&p, 0, Ending::Answered, if slow { latency } else { 0.005 }));
+    }
+    let sent = (2000..2020).flat_map(|n| b.place(0.1, &mut search(n, 1, 0.1, 3.0)).send);
+    assert_eq!(sent.filter(|p| p.replica == id("a")).count() > 1, sound);
+}
+
+/// Answers slower than unloaded ones by a small part of the latency target are no overload, in which a lost
+/// part is not sent again.
+#[rstest]
+#[case::small(0.03, 1)]
+#[case::not_small(0.2, 0)]
+fn overload_is_judged_by_the_target_too(#[case] latency: f64, #[case] again: usize) {
+    let mut b = balancer(settings(), &["a"]);
+    for n in 0..120 {
+        let p = b.place(0.0, &mut search(n + 1, 1, 0.0, 3.0)).send[0].clone();
+        // The twentieth stays out, so that those after it are not alone.
+        if n != 20 {
+            b.after(0.0, None, &ended(&p, 0, Ending::Answered, if n < 20 { 0.005 } else { latency }));
+        }
+    }
+    let mut q = search(500, 1, 0.1, 3.0);
+    let lost = b.place(0.1, &mut q).send[0].clone();
+    assert_eq!(b.after(0.1, Some(&mut q), &ended(&lost, 0, Ending::Errored, 0.1)).send.len(), again);
+}
+
 /// What is known of a replica goes with it, at once or with its last part.
 #[rstest]
 #[case::idle(false)]
