Module: a replica bad at one query type is left out for it alone; passed parts get a copy

Seven of thirteen replicas swallow two thirds of one query type's parts and answer all others. Event lines: 178 distrusts at one co-ordinator, mostly ended within 0.1 s. At fault: stuck() (a copy only where the replica answers nothing at all), Health::mark (outcomes of all query types in one window, so that the good ones of the other hide the bad; parts sent before the replica was left out count as trials).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,21 +4,22 @@
 //! hand, and pass them in. They ask three things: `place` (where to send this search, or not yet, or never),
 //! `after` (what to do after this outcome) and `wait` (how long until the search should be asked about
 //! again). `list` and `left` hand in facts. The types of the interface are in `api.rs`; a `Plan` says what
-//! to cancel, send and reply, and which held searches to ask about next, in that order.
-//!
-//! The mechanism is that of docs/design.md: a queuing deadline for each search from its replicas' unloaded
-//! samples, release of held parts by that deadline, a skip of parts that can no longer make it, and the
-//! replica with the fewest own parts out.
+//! to cancel, send and reply, and which held searches to ask about next, in that order. The mechanism is that
+//! of docs/design.md: a queuing deadline for each search, release of held parts by it, a skip of parts that
+//! can no longer make it, and the replica with the fewest own parts out.
 
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+type Counts = BTreeMap<ReplicaId, usize>;
 const ROUNDING: f64 = 1e-4; // sums of weights may fall this short
 
 #[derive(Clone, Copy)]
 struct Running {
     sent_at: f64,
     alone: bool,
+    query_type: QueryTypeId,
+    passed: usize, // by how many parts sent later and answered before
 }
 
 /// After a full or timed-out answer: while over `above` own parts are out, until `answers` have come.
@@ -27,8 +28,19 @@
     answers: usize,
 }
 
+/// An outcome, as far as it tells of health.
+#[derive(Clone, Copy)]
+struct Mark {
+    at: f64,
+    sent_at: f64,
+    query_type: QueryTypeId,
+    bad: bool,
+}
+
 /// Out of use but for trials, after too many bad marks.
 struct Distrust {
+    only: Option<QueryTypeId>, // all if none
+    since: f64,
     next_trial: f64,
     gap: f64,
     good: usize,
@@ -37,37 +49,51 @@
 /// What the last outcomes say of a replica, or of the way to a zone.
 #[derive(Default)]
 struct Health {
-    marks: VecDeque<(f64, bool)>,
+    marks: VecDeque<Mark>,
     distrust: Option<Distrust>,
 }
 
 impl Health {
     /// Bad: half of the last `window` outcomes within 10 s, at least `least`. That is longer than a sparse
-    /// sight needs for two outcomes of one replica, shorter than most troubles.
-    fn mark(&mut self, now: f64, bad: bool, window: usize, least: usize) -> Option<&'static str> {
-        push(&mut self.marks, (now, bad), window);
+    /// sight needs for two outcomes of one replica, shorter than most troubles. Danger: a replica that
+    /// swallows most parts of one query type is out for all, or, by the others' outcomes, for none. Where the
+    /// others fare well only this type is out, by three bad of its own. Harm: it takes one more to see.
+    fn mark(&mut self, mark: Mark, window: usize, least: usize) -> Option<&'static str> {
+        push(&mut self.marks, mark, window);
+        let now = mark.at;
         let Some(d) = &mut self.distrust else {
-            let fresh = self.marks.iter().filter(|m| m.0 > now - 10.0);
-            let bads = fresh.clone().filter(|m| m.1).count();
-            if bads < least || bads * 2 < fresh.count() {
+            let fresh = self.marks.iter().filter(|m| m.at > now - 10.0);
+            let (own, others): (Vec<_>, Vec<_>) = fresh.partition(|m| m.query_type == mark.query_type);
+            let bads = |of: &[&Mark]| of.iter().filter(|m| m.bad).count();
+            let only = Some(mark.query_type).filter(|_| others.len() >= 3 && bads(&others) == 0);
+            let (of, least) = if only.is_some() { (own, 3) } else { ([own, others].concat(), least) };
+            if bads(&of) < least || bads(&of) * 2 < of.len() {
                 return None;
             }
-            self.distrust = Some(Distrust { next_trial: now + 1.0, gap: 1.0, good: 0 });
+            self.distrust = Some(Distrust { only, since: now, next_trial: now + 1.0, gap: 1.0, good: 0 });
             return Some("distrusted");
         };
+        // One that fails a share of a query type's parts has others out that it will answer.
+        if d.only.is_some_and(|only| only != mark.query_type || mark.sent_at < d.since) {
+            return None;
+        }
         // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials
         // grow rarer, to every 4 s, while it stays bad.
-        if bad {
+        if mark.bad {
             (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0));
         } else {
             (d.good, d.next_trial) = (d.good + 1, now);
         }
-        let back = d.good >= 4;
-        if back {
-            self.distrust = None;
-            self.marks.retain(|m| !m.1);
+        if d.good < 4 {
+            return None;
         }
-        back.then_some("trusted again")
+        self.distrust = None;
+        self.marks.retain(|m| !m.bad);
+        Some("trusted again")
+    }
+
+    fn out(&self, t: QueryTypeId) -> Option<&Distrust> {
+        self.distrust.as_ref().filter(|d| d.only.is_none_or(|only| only == t))
     }
 }
 
@@ -173,8 +199,8 @@
         }
     }
 
-    /// The list names these; a full one names all there are. Drains: a replica that is not open gets
-    /// nothing new from this call on, held parts and copies included.
+    /// The list names these; a full one names all there are. Drains: a replica that is not open gets nothing
+    /// new from this call on, held parts and copies included.
     pub fn list(&mut self, full: bool, lines: &[Listed]) {
         if full {
             self.replicas.values_mut().for_each(|r| r.open = false);
@@ -249,8 +275,8 @@
         let (target, until) = self.ends(q);
         let mut due = if target > now { until.min(target) } else { until };
         for part in q.parts.iter().filter(|p| p.step == q.step && !p.answered) {
-            let copy_due =
-                part.subs.iter().rev().find(|s| s.ending.is_none()).map(|s| s.sent_at + self.copy_after);
+            let last = part.subs.iter().rev().find(|s| s.ending.is_none());
+            let copy_due = last.map(|s| s.sent_at + self.copy_after);
             // Guards open with time alone, and a copy may become affordable: look again soon.
             due = due.min(copy_due.filter(|at| *at > now).unwrap_or(now + 0.1));
         }
@@ -265,11 +291,11 @@
         let Some(run) = r.running.remove(&(o.part, o.nth)) else { return };
         let left_out = r.running.len();
         if o.ending == Ending::Answered {
+            r.running.values_mut().filter(|x| x.sent_at < run.sent_at).for_each(|x| x.passed += 1);
             r.answers += 1;
             r.answered_at = now;
             if run.alone {
-                // 32 samples: a window that turns over in seconds and still has a 0.97 quantile.
-                push(&mut r.unloaded, (now, o.latency), 32);
+                push(&mut r.unloaded, (now, o.latency), 32); // turns over in seconds, has a 0.97 quantile
                 if trusted {
                     push(&mut self.fleet, o.latency, 256);
                 }
@@ -283,30 +309,29 @@
         if matches!(o.ending, Ending::Full | Ending::TimedOut) {
             r.hold = Some(Hold { above: left_out, answers: left_out.max(1) });
         }
-        let bad = match o.ending {
-            Ending::Answered => late,
-            Ending::Errored | Ending::TimedOut | Ending::Unreachable | Ending::Broken | Ending::Full => true,
-            // Called off after losing to its copy: late too.
-            Ending::Cancelled if late => true,
-            Ending::Cancelled | Ending::NeverSent => return,
-        };
-        self.mark(now, &o.replica, bad, plan);
+        // One called off says something only if it is late: it has lost to its copy.
+        if o.ending == Ending::NeverSent || (o.ending == Ending::Cancelled && !late) {
+            return;
+        }
+        let bad = o.ending != Ending::Answered || late;
+        let mark = Mark { at: now, sent_at: run.sent_at, query_type: run.query_type, bad };
+        self.mark(&o.replica, mark, plan);
     }
 
     /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
-    /// its failures leave few own parts out. Half bad of its last outcomes take it out of use while others hold
-    /// the shard; trials bring it back. Covers any cause. Harm: bad luck costs a sound one a second or two.
-    /// Danger: a way that is cut, long or lossy makes all of a zone bad, each known by too few outcomes.
-    /// Those of replicas not bad themselves count for their zone. Covers also a zone that loses power. Harm:
-    /// trouble spread over all zones may condemn one for a while.
-    fn mark(&mut self, now: f64, id: &ReplicaId, bad: bool, plan: &mut Plan) {
+    /// its failures leave few own parts out. It is out of use while others hold the shard; trials bring it
+    /// back. Covers any cause. Harm: bad luck costs a sound one a second or two. Danger: a way that is cut,
+    /// long or lossy makes all of a zone bad, each known by too few outcomes. Those of replicas not bad count
+    /// for their zone. Harm: trouble spread over all zones may condemn one for a while.
+    fn mark(&mut self, id: &ReplicaId, mark: Mark, plan: &mut Plan) {
         let Some(r) = self.replicas.get_mut(id) else { return };
-        let alone = r.health.distrust.is_some();
-        if let Some(what) = r.health.mark(now, bad, 8, 2) {
+        let alone = r.health.out(mark.query_type).is_some();
+        if let Some(what) = r.health.mark(mark, 8, 2) {
             plan.notes.push(format!("replica {} {what}", id.0));
         }
         if let Some(zone) = r.zone.filter(|_| !alone)
-            && let Some(what) = self.ways.entry(zone).or_default().mark(now, bad, 32, 8)
+            && let Some(what) =
+                self.ways.entry(zone).or_default().mark(Mark { query_type: QueryTypeId(0), ..mark }, 32, 8)
         {
             plan.notes.push(format!("way to zone {} {what}", zone.0));
         }
@@ -333,17 +358,12 @@
         self.fleet.iter().copied().collect()
     }
 
-    /// Start value before any sample: a tenth of the latency target, so that neither skip nor deadline binds.
-    fn start_value(&self, q: &Search) -> f64 {
-        self.set.query_types[q.query_type.0].latency_target / 10.0
-    }
-
     /// p = 0.7, from 0.5, 0.7 and 0.95: samples hold other co-ordinators' queues, so that at 0.95 a replica's
     /// tail is the worst of them and sound replicas are skipped; at 0.5 hopeless parts still leave.
     const P: f64 = 0.7;
 
     /// Smallest t with the product of the replicas' unloaded distributions at P or more.
-    fn unloaded_search(&self, now: f64, q: &Search, replicas: &[ReplicaId]) -> f64 {
+    fn unloaded_search(&self, now: f64, replicas: &[ReplicaId]) -> f64 {
         let mut sets: Vec<Vec<f64>> = replicas.iter().filter_map(|r| self.unloaded(now, r)).collect();
         let like_all = (replicas.len() - sets.len()) as i32;
         let mut all = self.average();
@@ -352,13 +372,13 @@
         ts.sort_by(f64::total_cmp);
         let by = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
         let product = |t: f64| sets.iter().map(|s| by(s, t)).product::<f64>() * by(&all, t).powi(like_all);
-        ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or_else(|| self.start_value(q))
+        ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or(self.shortest / 10.0)
     }
 
     fn unloaded_tail(&self, now: f64, q: &Search, id: &ReplicaId) -> f64 {
         let parts = q.parts.iter().filter(|p| p.step == q.step).count();
         let samples = self.unloaded(now, id).unwrap_or_else(|| self.average());
-        quantile(samples, Self::tail(parts)).unwrap_or_else(|| self.start_value(q))
+        quantile(samples, Self::tail(parts)).unwrap_or(self.shortest / 10.0) // binds nothing
     }
 
     /// p^(1/k), as far as 32 samples can tell: beyond 1 - 1/16 it is the one worst of them, and one stray
@@ -368,10 +388,10 @@
     }
 
     /// Out for over `late_after` counts against a replica: beyond the 0.95 quantile and 2.5 medians of all
-    /// recent answers, so that a fleet slow as a whole condemns none, and an eighth of the target. Danger: where
-    /// answers take a hundredth of that, a moment in which this process stands still makes sound replicas bad.
-    /// Harm: one slowed by less is used on. Out for `copy_after` gets a copy, while that has its unloaded tail
-    /// left of the shortest target, but not before 2.5 medians.
+    /// recent answers, so that a fleet slow as a whole condemns none, and an eighth of the target. Danger:
+    /// where answers take a hundredth of that, a moment in which this process stands still makes sound
+    /// replicas bad. Harm: one slowed by less is used on. Out for `copy_after` gets a copy, while that has
+    /// its unloaded tail left of the shortest target, but not before 2.5 medians.
     fn time_limits(&mut self) {
         let of = |samples: Vec<f64>, p| quantile(samples, p).unwrap_or(0.0);
         let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
@@ -384,13 +404,14 @@
 
     /// Chance that a part sent now is answered within `left`: its replica's unloaded samples, put off by the
     /// queue there. Danger: answers alone tell of a queue only once it has passed, and nothing once none
-    /// come, so what is out counts by its age and what ended unanswered by its time.
+    /// come, so what is out counts by its age and what ended unanswered by its time. A queue turns over in 2
+    /// s.
     fn chance(&self, now: f64, id: &ReplicaId, left: f64) -> f64 {
         let Some(r) = self.replicas.get(id) else { return 0.0 };
         // Danger: where all holders are bad and this one has answered nothing of late, the work on the other
         // parts is lost. With no outcome for 2 s it gets another try.
-        let mut marks = r.health.marks.iter().filter(|m| m.0 > now - 2.0);
-        let dead = marks.clone().count() >= 3 && marks.all(|m| m.1);
+        let mut marks = r.health.marks.iter().filter(|m| m.at > now - 2.0);
+        let dead = marks.clone().count() >= 3 && marks.all(|m| m.bad);
         if dead {
             return 0.0;
         }
@@ -398,7 +419,6 @@
         if samples.is_empty() {
             return 1.0;
         }
-        // Two seconds: a queue turns over faster than that.
         let fresh = r.loaded.iter().rev().take(4).filter(|x| x.0 > now - 2.0).map(|x| x.1).collect();
         let oldest = r.running.values().map(|x| now - x.sent_at).fold(0.0, f64::max);
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
@@ -471,20 +491,16 @@
 
     /// The latency target of the step in hand, and the last moment at which an answer still earns value.
     fn ends(&self, q: &Search) -> (f64, f64) {
-        // Four ticks: one to be asked, one to reply, and the way to the client.
-        let margin = 4.0 * self.set.tick;
+        let margin = 4.0 * self.set.tick; // one to be asked, one to reply, and the way to the client
         let t = &self.set.query_types[q.query_type.0];
         let end = q.ends - margin;
         let target = (q.asked.unwrap_or(q.arrived) + t.latency_target - margin).min(end);
         // A late answer costs as much work as one in time: it is waited for only where it keeps over half its
         // value, and not under overload.
         let until = if t.late_value > 0.5 && !self.overloaded { end } else { target };
-        let reserve = if q.step == 1 && t.second_step > 0 {
-            // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
-            2.0 * quantile(self.average(), Self::tail(t.second_step)).unwrap_or(t.latency_target / 10.0)
-        } else {
-            0.0
-        };
+        // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
+        let tail = quantile(self.average(), Self::tail(t.second_step)).unwrap_or(self.shortest / 10.0);
+        let reserve = if q.step == 1 && t.second_step > 0 { 2.0 * tail } else { 0.0 };
         (target - reserve, until)
     }
 
@@ -524,12 +540,9 @@
         let picks = self.pick_all(now, until, q, &step);
         if first_look {
             push(&mut self.taken, (now, step.len()), 4096);
-            let to = |(_, p): &(usize, Pick)| match p {
-                Pick::Go(r) | Pick::Hold(r) => Some(r.clone()),
-                _ => None,
-            };
-            let chosen: Vec<ReplicaId> = picks.iter().filter_map(to).collect();
-            q.queue_by = Some(target - self.unloaded_search(now, q, &chosen));
+            let to = |p: &Pick| if let Pick::Go(r) | Pick::Hold(r) = p { Some(r.clone()) } else { None };
+            let chosen: Vec<ReplicaId> = picks.iter().filter_map(|(_, p)| to(p)).collect();
+            q.queue_by = Some(target - self.unloaded_search(now, &chosen));
             if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
                 return self.give_up(now, q, plan);
             }
@@ -551,17 +564,15 @@
 
     /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
     /// while nobody waits for it in time any more. First tries of a query type all have the same time left,
-    /// a retry's is what remains of the client timeout, and differs from one to the next: the most common
-    /// value is that of first tries, also while retries are most of the traffic. One under the latency target
-    /// that recurs among the last few is a patience of its own (a tenant whose clients ask again early and
-    /// often), and as fresh as can be told. Clients' own marks go before. Harm: the first search of such a
-    /// patience passes for a retry, and a retry may recur by chance.
+    /// the most common one; a retry's is what remains of the client timeout. One under the latency target
+    /// that recurs among the last few is a patience of its own (clients that ask again early and often), and
+    /// as fresh as can be told. Clients' own marks go before. Harm: the first search of such a patience
+    /// passes for a retry.
     fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
         let left = q.ends - q.arrived;
         let lefts = &mut self.lefts[q.query_type.0];
         if q.repeated != Some(true) {
-            // 64: some seconds of traffic, in which retries scatter.
-            push(lefts, left, 64);
+            push(lefts, left, 64); // some seconds of traffic, in which retries scatter
         }
         // 10 ms: what jitter on the way does to a time left.
         let alike = |x: &f64| lefts.iter().filter(|y| (*y - x).abs() < 0.01).count();
@@ -573,17 +584,14 @@
         let retry = q.repeated != Some(false) && !recurs && (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
         push(&mut self.arrivals, (t.value / q.parts.len().max(1) as f64, q.tenant), 64);
-        // 4096: more than a budget's window holds; to count fewer is safe.
-        push(&mut self.taken, (now, 1), 4096);
+        push(&mut self.taken, (now, 1), 4096); // more than a budget's window holds; fewer is safe
     }
 
     /// Danger: beyond capacity every queue grows until all answers are late. A search is shed on arrival if
-    /// its replicas' last answers give it too little chance to make its latency target; one that is worth
-    /// more than the average for each part is let in at less, that of a tenant beyond its share at more.
-    /// Covers bursts, floods, costly searches, lost replicas. Harm: a stale view sheds for up to 2 s.
+    /// its replicas give it too little chance to make its latency target, one worth more than the average for
+    /// each part at less, that of a tenant beyond its share at more. Harm: a stale view sheds for up to 2 s.
     fn shed_early(&mut self, now: f64, target: f64, q: &Search, t: &QueryType, chosen: &[ReplicaId]) -> bool {
-        // A part that fails its first replica may still have a second.
-        let again = if self.overloaded || !self.budget_left(now) { 1 } else { 2 };
+        let again = if self.overloaded || !self.budget_left(now) { 1 } else { 2 }; // replicas for a part
         let lost = |r: &ReplicaId| (1.0 - self.chance(now, r, target - now)).powi(again);
         let mut chances: Vec<f64> = chosen.iter().map(|r| 1.0 - lost(r)).collect();
         chances.sort_by(|a, b| b.total_cmp(a));
@@ -592,17 +600,15 @@
         let n = self.arrivals.len() as f64;
         let mean = self.arrivals.iter().map(|a| a.0).sum::<f64>() / n;
         let mine = self.arrivals.iter().filter(|a| a.1 == q.tenant).count() as f64 / n;
-        let mut value = t.value / q.parts.len().max(1) as f64 / mean.max(1e-9);
-        if self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share) {
-            value *= self.set.over_share_value;
-        }
+        let over = self.set.tenants.get(q.tenant.0).is_some_and(|share| mine > 1.5 * share);
+        let value = if over { self.set.over_share_value } else { 1.0 } * t.value / mean.max(1e-9);
         // Half: below it a search of average worth costs others more than it is likely to bring.
-        chance < 0.5 / value.clamp(0.6, 2.0)
+        chance < 0.5 / (value / q.parts.len().max(1) as f64).clamp(0.6, 2.0)
     }
 
     /// A pick for each part of the step that has nothing out and no answer.
     fn pick_all(&mut self, now: f64, until: f64, q: &Search, step: &[usize]) -> Vec<(usize, Pick)> {
-        let mut extra: BTreeMap<ReplicaId, usize> = BTreeMap::new();
+        let mut extra = Counts::new();
         let mut picks = Vec::new();
         for &i in step {
             let part = &q.parts[i];
@@ -619,14 +625,7 @@
         picks
     }
 
-    fn pick(
-        &mut self,
-        now: f64,
-        until: f64,
-        q: &Search,
-        part: &Part,
-        extra: &BTreeMap<ReplicaId, usize>,
-    ) -> Pick {
+    fn pick(&mut self, now: f64, until: f64, q: &Search, part: &Part, extra: &Counts) -> Pick {
         let mut only = None;
         if !part.subs.is_empty() {
             // Carry-over: no further sub-requests under overload, else up to two.
@@ -646,18 +645,17 @@
             }
         };
         let none = if at.is_empty() { Pick::Never } else { Pick::Later };
-        // The rule's guard first: a distrusted replica beats none.
-        at.retain(|id| !self.cold_closed(now, &self.replicas[id]));
+        at.retain(|id| !self.cold_closed(now, &self.replicas[id])); // first: a distrusted one beats none
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
-        let sound = |r: &Replica| r.health.distrust.is_none() && !self.silent(now, r);
+        let sound = |r: &Replica| r.health.out(q.query_type).is_none() && !self.silent(now, r);
         keep(&mut at, &|id| sound(&self.replicas[id]));
         // Danger: with a part every few seconds two bad outcomes take long to see. Where 10 s hold under four
         // the last decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
         keep(&mut at, &|id| {
-            let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.0 > now - 10.0);
-            self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.1)
+            let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.at > now - 10.0);
+            self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.bad)
         });
         let extra = |id: &ReplicaId| extra.get(id).copied().unwrap_or(0);
         let load = |id: &ReplicaId| self.replicas[id].calls(now, self.set.per_call, extra(id));
@@ -679,13 +677,16 @@
         r.running.values().any(|x| x.sent_at + self.copy_after < now + 1e-6 && r.answered_at < x.sent_at)
     }
 
-    /// Whether every sub-request that is out waits on a replica that is silent or distrusted. Only then is a
-    /// second copy worth its load: where queues are the cause, copies lengthen them.
+    /// Whether every sub-request that is out waits on a replica that is silent or distrusted, or was passed
+    /// by four sent later, as many as a replica of few cores has at work: it is lost. Only then is a second
+    /// copy worth its load: where queues are the cause, copies lengthen them.
     fn stuck(&self, now: f64, part: &Part) -> bool {
-        part.subs
-            .iter()
-            .filter(|s| s.ending.is_none())
-            .all(|s| self.distrusted(&s.replica) || self.silent(now, &self.replicas[&s.replica]))
+        let lost = |n: usize, r: &Replica| {
+            let passed = r.running.get(&(part.id, n)).is_some_and(|x| x.passed >= 4);
+            passed || r.health.distrust.is_some() || self.way_bad(r) || self.silent(now, r)
+        };
+        let mut waits = part.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none());
+        waits.all(|(n, s)| self.replicas.get(&s.replica).is_none_or(|r| lost(n, r)))
     }
 
     fn holders(&self, shard: ShardId) -> impl Iterator<Item = &ReplicaId> {
@@ -721,7 +722,8 @@
             self.further.push_back(now);
         }
         let nth = part.subs.len();
-        r.running.insert((part.id, nth), Running { sent_at: now, alone: r.running.is_empty() });
+        let run = Running { sent_at: now, alone: r.running.is_empty(), query_type: q.query_type, passed: 0 };
+        r.running.insert((part.id, nth), run);
         if let Some(rule) = &self.set.cold {
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
             r.cold_sends.push_back(now);
@@ -734,30 +736,28 @@
     /// that no search waits on it. Where copies are barred it is used once the other holders are no better.
     fn try_distrusted(&mut self, now: f64, until: f64, q: &mut Search, i: usize, plan: &mut Plan) {
         let part = &q.parts[i];
-        if !self.set.may_copy || !out(part) || self.may_repeat(now, q, part) != Some(None) {
+        let free = self.set.may_copy && out(part) && self.may_repeat(now, q, part) == Some(None);
+        if !free || !self.budget_left(now) {
             return;
         }
         // A replica's own distrust goes first: its zone's trials are for the others.
-        let bad = |r: &Replica| r.health.distrust.is_some();
-        let due = |h: &Health| h.distrust.as_ref().is_some_and(|d| now >= d.next_trial);
+        let t = q.query_type;
         let ready = |id: &ReplicaId| {
             let r = &self.replicas[id];
             let way = r.zone.and_then(|z| self.ways.get(&z));
             r.running.is_empty()
-                && if bad(r) { due(&r.health) } else { way.is_some_and(due) }
+                && r.health.out(t).or(way.and_then(|w| w.out(t))).is_some_and(|d| now >= d.next_trial)
                 && !part.subs.iter().any(|s| s.replica == *id)
                 && !self.cold_closed(now, r)
         };
         let Some(id) = self.holders(part.shard).find(|id| ready(id)).cloned() else { return };
-        if self.budget_left(now) {
-            let Some(r) = self.replicas.get_mut(&id) else { return };
-            let way = r.zone.and_then(|z| self.ways.get_mut(&z));
-            let tried = if bad(r) { Some(&mut r.health) } else { way };
-            if let Some(d) = tried.and_then(|h| h.distrust.as_mut()) {
-                d.next_trial = now + d.gap;
-            }
-            self.send(now, until, q, i, id, plan);
+        let Some(r) = self.replicas.get_mut(&id) else { return };
+        let way = r.zone.and_then(|z| self.ways.get_mut(&z));
+        let tried = if r.health.out(t).is_some() { Some(&mut r.health) } else { way };
+        if let Some(d) = tried.and_then(|h| h.distrust.as_mut()) {
+            d.next_trial = now + d.gap;
         }
+        self.send(now, until, q, i, id, plan);
     }
 
     fn unhold(&mut self, q: &mut Search, i: usize, plan: &mut Plan) {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -342,6 +342,49 @@
     assert_eq!(b.after(0.1, Some(&mut q), &ended(&lost, 0, Ending::Errored, 0.1)).send.len(), again);
 }
 
+/// A replica that fails one query type, and only part of it, is left out for that one alone. What was sent
+/// before that is no trial.
+#[rstest]
+#[case::one_type(false, [false, true])]
+#[case::both(true, [false, false])]
+fn one_query_type_may_fail(#[case] both: bool, #[case] used: [bool; 2]) {
+    let mut set = settings();
+    set.query_types.push(query_type());
+    set.may_copy = false;
+    let mut b = balancer(set, &["a", "b"]);
+    let typed = |n: u64, t: usize| Search { query_type: QueryTypeId(t), ..search(n, 1, 0.0, 3.0) };
+    // All are out, by turns at either, before the first ends; those that come last are answered.
+    let types = [1; 8].into_iter().chain((0..16).map(|n| n / 2 % 2)).chain([0; 10]);
+    let sent: Vec<_> =
+        types.zip(1..).map(|(t, n)| (t, b.place(0.0, &mut typed(n, t)).send.remove(0))).collect();
+    for (n, (t, p)) in sent.iter().filter(|(_, p)| p.replica == id("a")).enumerate() {
+        let bad = both || (*t == 0 && n < 12);
+        b.after(0.1, None, &ended(p, 0, if bad { Ending::Errored } else { Ending::Answered }, 0.1));
+    }
+    for (t, used) in used.into_iter().enumerate() {
+        let sent = (5000..5010).flat_map(|n| b.place(0.2, &mut typed(n, t)).send);
+        assert_eq!(sent.filter(|p| p.replica == id("a")).count() > 0, used, "query type {t}");
+    }
+}
+
+/// A part that is late while four sent later at the same replica have been answered is lost: it gets a copy.
+#[rstest]
+#[case::by_three(3, 0)]
+#[case::by_four(4, 1)]
+fn passed_parts_get_a_copy(#[case] later: u64, #[case] copies: usize) {
+    let mut b = balancer(settings(), &["a", "b"]);
+    let (mut q, _) = stuck_at(&mut b, "a", 0.0);
+    let others = 2000..2002 + 2 * later;
+    let sent: Vec<_> = others.map(|n| b.place(0.1, &mut search(n, 1, 0.1, 3.0)).send.remove(0)).collect();
+    let mut at_a = 0;
+    for p in sent {
+        at_a += u64::from(p.replica == id("a"));
+        let ending = if p.replica == id("b") || at_a <= later { Ending::Answered } else { Ending::NeverSent };
+        b.after(0.2, None, &ended(&p, 0, ending, 0.1));
+    }
+    assert_eq!(b.place(0.6, &mut q).send.len(), copies);
+}
+
 /// What is known of a replica goes with it, at once or with its last part.
 #[rstest]
 #[case::idle(false)]
