After SIGTERM it serves for as long as what comes can be answered

Logs: the second is told at 16.04 s and has ended at 16.69, the first, told at 13.04, listens again at 16.90: for 0.2 s there is nobody, and each of them was gone for three seconds of which it could have served two. Ruled out: overload of the one left (its searches answered in time, 14 ms a part), loss of connections under way (none sent again). At fault: main.rs closed 0.7 s after SIGTERM, front.rs ended each connection with its answer from SIGTERM on. Now it closes when what comes could not be answered before SIGKILL any more (longest client timeout, 3 s at most, and 0.7 s, less the longest latency target and 0.3 s), and answers what is still in hand as errored 0.3 s before.

--- a/crates/woadreachd/src/config.rs
+++ b/crates/woadreachd/src/config.rs
@@ -90,6 +90,7 @@
             // A quarter of the memory: a request is held as it came, and once more as it is worked on.
             max_bytes: (limit("memory_mb")? * 1024.0 * 1024.0 / 4.0) as usize,
             longest: rows("/requestClasses", "giveUpMs").fold(0.0, f64::max) / 1000.0,
+            longest_target: rows("/requestClasses", "aimMs").fold(0.0, f64::max) / 1000.0,
             zones: names(set, "/localities", ""),
             fetch: fetch.into_iter().flatten().map(|n| n.as_u64().unwrap_or(0) as usize).collect(),
         },
--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -86,8 +86,9 @@
     pub zones: Vec<String>,
     /// Parts of a second step, by query type.
     pub fetch: Vec<usize>,
-    /// The longest that any client waits.
+    /// The longest that any client waits, and the longest latency target.
     pub longest: f64,
+    pub longest_target: f64,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/woadreachd/src/front.rs
+++ b/crates/woadreachd/src/front.rs
@@ -51,13 +51,15 @@
     pub marks_repeats: bool,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
 pub enum Phase {
     Serving,
-    /// SIGTERM has come: not ready, each answer ends its connection.
+    /// SIGTERM has come: not ready, but all that comes is served.
     Draining,
-    /// Nothing new is taken; idle connections end.
+    /// Nothing new is taken; idle connections end, others with their answer.
     Closing,
+    /// What is still in hand is answered as errored.
+    Ending,
 }
 
 pub struct Front {
@@ -168,7 +170,7 @@
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
-            let closing = phase.wait_for(|p| *p == Phase::Closing);
+            let closing = phase.wait_for(|p| *p >= Phase::Closing);
             tokio::select! {
                 biased;
                 _ = closing => break,
@@ -360,7 +362,7 @@
                     }
                 }
                 () = wake.notified() => break 0,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break 0,
+                _ = phase.wait_for(|p| *p >= Phase::Closing) => break 0,
                 () = sleep_until(until) => break 0,
             }
         };
@@ -383,7 +385,7 @@
         // uses. Harm: a handshake before the next request of such a client.
         let ends = |front: &Self| {
             let crowded = front.crowded.get() || front.sockets.many_clients();
-            close || crowded || *front.phase.borrow() != Phase::Serving
+            close || crowded || *front.phase.borrow() >= Phase::Closing
         };
         let (search, mut reply) = match self.route(head, &content, client.came) {
             Err(r) => {
@@ -400,10 +402,16 @@
         };
         // The core holds what it needs of it, and counts that.
         drop(content);
+        let (mut phase, mut ending) = (self.phase.clone(), false);
         let answer = loop {
             tokio::select! {
                 biased;
                 answer = &mut reply => break answer,
+                // The core lets go of it, and so of the channel, before anything is answered.
+                _ = phase.wait_for(|p| *p == Phase::Ending), if !ending => {
+                    ending = true;
+                    let _ = self.events.send(Event::Gone(search));
+                }
                 n = client.read(self.clock), if client.bytes.len() < http::LONGEST_HEAD => {
                     if matches!(n, Ok(0) | Err(_)) {
                         let _ = self.events.send(Event::Gone(search));
--- a/crates/woadreachd/src/main.rs
+++ b/crates/woadreachd/src/main.rs
@@ -23,9 +23,12 @@
 use tokio::sync::{mpsc, watch};
 use tracing::info;
 
-/// PROTOCOL: after SIGTERM new connections keep coming for up to 0.4 s; 0.7 s is the time for which it counts
-/// what comes.
-const AFTER_TERM: Duration = Duration::from_millis(700);
+/// PROTOCOL: SIGKILL comes no sooner after SIGTERM than the longest client timeout, counted as 3 s where it is
+/// longer, and 0.7 s more. Until then clients use the connections that they have.
+const AFTER_TERM: f64 = 0.7;
+const COUNTED: f64 = 3.0;
+/// For the last answers to be written, by a process that may be held up.
+const SPARE: f64 = 0.3;
 /// Connections that wait to be accepted, as many as the kernel allows.
 const BACKLOG: u32 = 4096;
 
@@ -52,6 +55,9 @@
     let (events, queue) = mpsc::unbounded_channel();
     let (lists, list_queue) = mpsc::unbounded_channel();
     let (phase, phases) = watch::channel(Phase::Serving);
+    let killed = AFTER_TERM + config.core.longest.min(COUNTED);
+    // What comes until then is answered in time, or not at all.
+    let closing = (killed - config.core.longest_target - SPARE).max(AFTER_TERM);
     let replicas = replicas::Replicas::new(config.replicas, clock, sockets.clone(), events.clone());
     let mut core = Core::new(clock, config.settings, config.core, replicas, sockets.clone());
     let front = Rc::new(Front::new(config.names, clock, sockets.clone(), events, phases));
@@ -73,11 +79,22 @@
     }
     info!("SIGTERM: finishing what is in hand");
     let _ = phase.send(Phase::Draining);
-    tokio::time::sleep(AFTER_TERM).await;
-    let _ = phase.send(Phase::Closing);
+    // Danger: one that leaves at once is missed: clients are dealt out again only among those that have come
+    // back, and there may be none. It serves for as long as what it takes can be answered. Covers a restart
+    // of all, one after the other. Harm: a restart by hand takes that long.
+    let term = tokio::time::Instant::now();
+    let until = |after: f64| tokio::time::sleep_until(term + Duration::from_secs_f64(after));
+    let ending = async {
+        until(closing).await;
+        let _ = phase.send(Phase::Closing);
+        until(killed - SPARE).await;
+        let _ = phase.send(Phase::Ending);
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
         ended = serving => ended.map_err(|e| format!("serving: {e}"))?,
         ended = &mut core => return Err(format!("the core has ended: {ended:?}")),
+        () = ending => {}
     }
     info!("nothing in hand: end");
     Ok(())
