Module: first tries are no retries where impatient clients outnumber them

Event lines, now with the time left: 66 searches of a tenant whose clients ask again after 0.15 s are the most common of the last 64, so 0.81 passed for what remains of a client timeout. Ruled out: reset connections (their parts are sent again), overload (none seen), stale queues (none at the replicas drawn). At fault: arrive(), which knew one most common time left.

--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -400,7 +400,8 @@
             let _ = a.reply.send(Answer::Shed { retry_after: 0.0 });
             return;
         }
-        debug!("search {} type {} parts {}", a.trace, a.query_type.0, a.parts.len());
+        let left = a.ends - a.at;
+        debug!("search {} type {} parts {} left {left:.3}", a.trace, a.query_type.0, a.parts.len());
         let mut search = Search::new(a.search, a.query_type, a.tenant, a.at, a.ends);
         search.repeated = a.repeated;
         self.hands.traces.insert(a.trace.clone());
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -565,10 +565,10 @@
 
     /// When the client first asked. Danger: a client's retry comes as a fresh search with a full budget,
     /// while nobody waits for it in time any more. First tries of a query type all have the same time left,
-    /// the most common one; a retry's is what remains of the client timeout. One under the latency target
-    /// that recurs among the last few is a patience of its own (clients that ask again early and often), and
-    /// as fresh as can be told. Clients' own marks go before. Harm: the first search of such a patience
-    /// passes for a retry.
+    /// the most common one; a retry's is what remains of the client timeout. One a quarter as common, or
+    /// under the latency target and seen again of late, is a patience of its own (clients that ask again
+    /// early and often), and as fresh as can be told. Clients' own marks go before. Harm: its first search is
+    /// shed.
     fn arrive(&mut self, now: f64, q: &mut Search, t: &QueryType) {
         let left = q.ends - q.arrived;
         let lefts = &mut self.lefts[q.query_type.0];
@@ -580,7 +580,7 @@
         let first = lefts.iter().copied().max_by_key(alike).unwrap_or(left);
         // 16: two retries of so many that lie within 10 ms are rare over client timeouts of seconds.
         let alike_lately = lefts.iter().rev().take(16).filter(|y| (*y - left).abs() < 0.01).count();
-        let recurs = left < t.latency_target && alike_lately > 1;
+        let recurs = (left < t.latency_target && alike_lately > 1) || 4 * alike(&left) >= alike(&first);
         // 50 ms: more than clocks and links differ by, less than any client's pause before a retry.
         let retry = q.repeated != Some(false) && !recurs && (left - first).abs() > 0.05;
         q.asked = Some(if retry { q.arrived - (t.client_timeout - left).max(0.0) } else { q.arrived });
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -554,6 +554,7 @@
 #[case::recurs_under_target(0.6, 3, false)]
 #[case::scattered_under_target(0.6, 0, true)]
 #[case::recurs_over_target(1.5, 3, true)]
+#[case::outnumbers_first_tries(0.6, 40, false)]
 fn impatient_clients_are_not_stale(#[case] left: f64, #[case] before: u64, #[case] shed: bool) {
     let mut b = balancer(settings(), &["a", "b"]);
     for n in 1..=20 {
@@ -561,6 +562,7 @@
     }
     (0..before).for_each(|n| drop(b.place(0.0, &mut search(100 + n, 1, 0.0, left))));
     assert_eq!(b.place(0.5, &mut search(50, 1, 0.5, left)).reply.is_some(), shed);
+    assert_eq!(b.place(0.5, &mut search(51, 1, 0.5, 1.8)).reply, None, "a first try");
 }
 
 /// Admission sees a queue by what is out for long, also when no answer comes any more.
