Module: a replica out for one query type is out for all once another fares as badly

At fault: Health::mark, which took no mark of another query type while one was out, so that a dead replica kept the parts of the other.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -55,26 +55,26 @@
 
 impl Health {
     /// Bad: half of the last `window` outcomes within 10 s, at least `least`. That is longer than a sparse
-    /// sight needs for two outcomes of one replica, shorter than most troubles. Danger: a replica that
-    /// swallows most parts of one query type is out for all, or, by the others' outcomes, for none. Where the
-    /// others fare well only this type is out, by three bad of its own. Harm: it takes one more to see.
+    /// sight needs for two of one replica, shorter than most troubles. Danger: one that swallows most parts
+    /// of a query type is out for all, or, by the others' fare, for none. Where they fare well only this type
+    /// is out, by three bad of its own. Harm: it takes one more to see.
     fn mark(&mut self, mark: Mark, window: usize, least: usize) -> Option<&'static str> {
         push(&mut self.marks, mark, window);
-        let now = mark.at;
+        let (now, fresh) = (mark.at, self.marks.iter().filter(|m| m.at > mark.at - 10.0));
+        let (own, others): (Vec<_>, Vec<_>) = fresh.partition(|m| m.query_type == mark.query_type);
+        let bads = |of: &[&Mark]| of.iter().filter(|m| m.bad).count();
+        let bad = |of: &[&Mark], least| bads(of) >= least && bads(of) * 2 >= of.len();
         let Some(d) = &mut self.distrust else {
-            let fresh = self.marks.iter().filter(|m| m.at > now - 10.0);
-            let (own, others): (Vec<_>, Vec<_>) = fresh.partition(|m| m.query_type == mark.query_type);
-            let bads = |of: &[&Mark]| of.iter().filter(|m| m.bad).count();
             let only = Some(mark.query_type).filter(|_| others.len() >= 3 && bads(&others) == 0);
-            let (of, least) = if only.is_some() { (own, 3) } else { ([own, others].concat(), least) };
-            if bads(&of) < least || bads(&of) * 2 < of.len() {
+            if !(if only.is_some() { bad(&own, 3) } else { bad(&[own, others].concat(), least) }) {
                 return None;
             }
             self.distrust = Some(Distrust { only, since: now, next_trial: now + 1.0, gap: 1.0, good: 0 });
             return Some("distrusted");
         };
-        // One that fails a share of a query type's parts has others out that it will answer.
-        if d.only.is_some_and(|only| only != mark.query_type || mark.sent_at < d.since) {
+        // What it was sent before it may answer. Where another query type fares as badly all are out.
+        if let Some(only) = d.only.filter(|only| *only != mark.query_type || mark.sent_at < d.since) {
+            d.only = d.only.filter(|_| only == mark.query_type || !bad(&own, least));
             return None;
         }
         // Four good answers in a row end it, so that a replica that fails half its parts stays out; trials
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -345,9 +345,10 @@
 /// A replica that fails one query type, and only part of it, is left out for that one alone. What was sent
 /// before that is no trial.
 #[rstest]
-#[case::one_type(false, [false, true])]
-#[case::both(true, [false, false])]
-fn one_query_type_may_fail(#[case] both: bool, #[case] used: [bool; 2]) {
+#[case::one_type(false, 0, [false, true])]
+#[case::both(true, 0, [false, false])]
+#[case::the_other_later(false, 2, [false, false])]
+fn one_query_type_may_fail(#[case] both: bool, #[case] later: u64, #[case] used: [bool; 2]) {
     let mut set = settings();
     set.query_types.push(query_type());
     set.may_copy = false;
@@ -361,6 +362,11 @@
         let bad = both || (*t == 0 && n < 12);
         b.after(0.1, None, &ended(p, 0, if bad { Ending::Errored } else { Ending::Answered }, 0.1));
     }
+    for n in 0..later {
+        let p = b.place(0.1, &mut typed(1000 + n, 1)).send.remove(0);
+        assert_eq!(p.replica, id("a"));
+        b.after(0.1, None, &ended(&p, 0, Ending::Errored, 0.01));
+    }
     for (t, used) in used.into_iter().enumerate() {
         let sent = (5000..5010).flat_map(|n| b.place(0.2, &mut typed(n, t)).send);
         assert_eq!(sent.filter(|p| p.replica == id("a")).count() > 0, used, "query type {t}");
