--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -524,11 +524,13 @@
 
 #[test]
 fn sigterm_finishes_what_is_in_hand() {
-    let mut s = scene();
+    let mut s = scene_with(|c| c.replace("\"sockets\":1024", "\"sockets\":40"));
     let (mut first, mut kept) = (Wire::to(s.address), Wire::to(s.address));
     first.write(request("browse", "t", &[0], "q"));
     kept.write("GET /health/ready HTTP/1.1\r\n\r\n");
     assert_eq!(kept.reply().0, 200);
+    // So many that answers end connections while it serves.
+    let _many: Vec<Wire> = (0..8).map(|_| Wire::to(s.address)).collect();
     let mut a = s.a.accept();
     a.call();
     s.program.signal("-TERM");
