Host keeps a watch on an asked-for list; searches asked again are planned in their turn

Cause: the simulator host never sent observe or queryAll, so each co-ordinator kept the list remembered at its start while the rule counted it as told after askWithinMs. Traced by replaying the tap into the host with a print in send(): Hand::carry_out (crates/woadreach-host/src/hand.rs) made the plans of searches asked again when they were queued, and carried them out after an earlier plan had closed the same search, so its sends were dropped while the module counted them out.

--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -96,17 +96,20 @@
     }
 
     fn carry_out(&mut self, now: f64, search: Option<SearchId>, plan: Plan, sink: &mut impl Sink) {
-        let mut plans = VecDeque::from([(search, plan)]);
+        // A search to be asked about again is asked when its turn comes, not when it is queued: a plan made
+        // earlier could be carried out after its search was over, and its sends would be lost unsent.
+        let mut plans = VecDeque::from([(search, Some(plan))]);
         while let Some((search, plan)) = plans.pop_front() {
+            let plan = match (plan, search.and_then(|id| self.searches.get_mut(&id))) {
+                (Some(plan), _) => plan,
+                (None, Some(held)) => self.balancer.place(now, &mut held.search),
+                (None, None) => continue,
+            };
             self.steps(search, &plan, sink);
             if let Some(id) = search {
                 self.settle(now, id, sink);
             }
-            for next in plan.ask_again {
-                if let Some(held) = self.searches.get_mut(&next) {
-                    plans.push_back((Some(next), self.balancer.place(now, &mut held.search)));
-                }
-            }
+            plans.extend(plan.ask_again.into_iter().map(|next| (Some(next), None)));
         }
     }
 
--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -11,6 +11,10 @@
     by_number: BTreeMap<u64, SearchId>,
     query_types: usize,
     marks_repeats: bool,
+    /// The list comes only when asked (`discovery = "subscribe"`): a watch is kept open, and asked for
+    /// anew when it is refused or breaks. Danger: without it the list is the one remembered at the start,
+    /// and the drain rule counts the instance as told of what the list said `askWithinMs` ago.
+    asks: bool,
     /// Arrived in this batch, or grew by a step: to be asked about once all their parts are in.
     fresh: Vec<SearchId>,
 }
@@ -63,7 +67,13 @@
                 match woadreach_host::settings(event.get(1)?.as_u64()?, event.get(2)?) {
                     Ok(set) => {
                         let marks = event.pointer("/2/clients/marksRetry").and_then(Value::as_bool);
-                        self.instances.insert(id, Instance::new(set, marks == Some(true)));
+                        let asks = event.pointer("/2/discovery").and_then(Value::as_str) == Some("subscribe");
+                        let mut instance = Instance::new(set, marks == Some(true));
+                        instance.asks = asks;
+                        self.instances.insert(id, instance);
+                        if asks {
+                            out.push(json!(["observe", true]));
+                        }
                     }
                     Err(why) => {
                         eprintln!("co-ordinator {id}: {why}");
@@ -89,6 +99,10 @@
         match name {
             "sync" => {
                 let form = event.get(2)?.as_str()?;
+                if form == "refused" && instance.asks {
+                    // A failed call or a broken watch: the old list still holds, and a new watch is allowed.
+                    actions.out.push(json!(["observe", true]));
+                }
                 if matches!(form, "all" | "remembered" | "changes") {
                     let lines = self.sheets.get(&event.get(1)?.as_u64()?)?;
                     instance.hand.list(form != "changes", lines);
@@ -110,6 +124,7 @@
     fn new(set: Settings, marks_repeats: bool) -> Self {
         Instance {
             marks_repeats,
+            asks: false,
             query_types: set.query_types.len(),
             hand: Hand::new(set),
             by_number: BTreeMap::new(),
