--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -2,6 +2,7 @@
 //! `take` until it is over and knows when each wants to be asked about next; what a plan asks for goes, in
 //! its order, into a sink. Must never decide, nor keep a clock: the caller tells the time.
 
+use crate::watch::{Counts, Shape};
 use std::collections::{BTreeMap, VecDeque};
 use woadreach::api::*;
 use woadreach::balance::Balancer;
@@ -29,11 +30,28 @@
     balancer: Balancer,
     searches: BTreeMap<SearchId, InHand>,
     by_part: BTreeMap<PartId, SearchId>,
+    /// While operators watch before a move: the new shape, which query types it makes `once`, the counts.
+    watch: Option<(Shape, Vec<bool>, Counts)>,
 }
 
 impl Hand {
     pub fn new(set: Settings) -> Self {
-        Hand { balancer: Balancer::new(set), searches: BTreeMap::new(), by_part: BTreeMap::new() }
+        Hand {
+            balancer: Balancer::new(set),
+            searches: BTreeMap::new(),
+            by_part: BTreeMap::new(),
+            watch: None,
+        }
+    }
+
+    /// Decides as before, and counts where `shape` would have decided otherwise; names: of the query types.
+    pub fn watching(&mut self, shape: Shape, query_types: &[String]) {
+        let once = query_types.iter().map(|n| shape.once.contains(n)).collect();
+        self.watch = Some((shape, once, Counts::default()));
+    }
+
+    pub fn watched(&self) -> Option<Counts> {
+        self.watch.as_ref().map(|w| w.2)
     }
 
     pub fn list(&mut self, full: bool, lines: &[Listed]) {
@@ -113,7 +131,7 @@
         }
     }
 
-    fn steps(&self, search: Option<SearchId>, plan: &Plan, sink: &mut impl Sink) {
+    fn steps(&mut self, search: Option<SearchId>, plan: &Plan, sink: &mut impl Sink) {
         plan.notes.iter().for_each(|n| sink.note(n));
         plan.cancel.iter().for_each(|(part, nth)| sink.cancel(*part, *nth));
         let Some(search) = search.and_then(|id| self.searches.get(&id)).map(|h| &h.search) else { return };
@@ -122,9 +140,18 @@
             let subs = search.parts.iter().find(|p| p.id == s.part).map_or(0, |p| p.subs.len());
             let later = plan.send[i..].iter().filter(|x| x.part == s.part).count();
             sink.send(search, s, subs.saturating_sub(later));
+            if let (Some((shape, once, counts)), Some(part)) =
+                (&mut self.watch, search.parts.iter().find(|p| p.id == s.part))
+            {
+                let once = once.get(search.query_type.0).copied().unwrap_or(false);
+                shape.sent(part, subs.saturating_sub(later), once, counts);
+            }
         }
         if let Some(reply) = plan.reply {
             sink.reply(search, reply);
+            if let Some((shape, _, counts)) = &mut self.watch {
+                shape.replied(reply, counts);
+            }
         }
     }
 
--- a/crates/woadreach-host/src/lib.rs
+++ b/crates/woadreach-host/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod hand;
 mod settings;
+pub mod watch;
 
 pub use hand::{Hand, Sink};
 pub use settings::settings;
--- a/crates/woadreachd/src/config.rs
+++ b/crates/woadreachd/src/config.rs
@@ -19,6 +19,8 @@
     pub names: Names,
     pub core: core::Figures,
     pub replicas: replicas::Figures,
+    /// Before a move: the new shape to count against (`settings.watch`); decisions stay as before.
+    pub watch: Option<woadreach_host::watch::Shape>,
     /// The file as it was read, but for what is of use once only.
     pub file: Value,
 }
@@ -108,6 +110,7 @@
             connect_timeout: need_number("/limits/connectTimeoutMs")? / 1000.0,
             cancelling: flag("/limits/cancelling"),
         },
+        watch: woadreach_host::watch::shape(set)?,
         file: Value::Null,
     };
     for once in ["known", "seed", "discovery"] {
--- a/crates/woadreachd/src/core.rs
+++ b/crates/woadreachd/src/core.rs
@@ -249,6 +249,11 @@
         Core { hand: Hand::new(set), hands, zones, sockets, knows: false, late: 0.0, report }
     }
 
+    /// Operators watch before a move: counts of where the new shape would have decided otherwise.
+    pub fn watch(&mut self, shape: woadreach_host::watch::Shape, query_types: &[String]) {
+        self.hand.watching(shape, query_types);
+    }
+
     pub fn list(&mut self, list: List) {
         self.hands.now = self.hands.net.now();
         let mut lines = Vec::new();
@@ -440,6 +445,12 @@
                     held.bytes,
                     held.late * 1000.0
                 );
+                if let Some(c) = self.hand.watched() {
+                    info!(
+                        "watch retry_after={} second_copy={} repeat_once={}",
+                        c.retry_after, c.second_copy, c.repeat_once
+                    );
+                }
                 (self.report)(&held);
                 self.late = 0.0;
                 self.hands.timer_at(now + REPORT, Timer::Report);
--- a/crates/woadreachd/src/lib.rs
+++ b/crates/woadreachd/src/lib.rs
@@ -55,6 +55,9 @@
     let closing = (killed - config.core.longest_target - SPARE).max(AFTER_TERM);
     let replicas = replicas::Replicas::new(config.replicas, net.clone(), sockets.clone(), events.clone());
     let mut core = Core::new(net.clone(), config.settings, config.core, replicas, sockets.clone(), report);
+    if let Some(shape) = config.watch {
+        core.watch(shape, &config.names.query_types);
+    }
     let front = Rc::new(Front::new(config.names, net.clone(), sockets.clone(), events, phases));
     let generation = config.known.as_ref().map(|k| k.generation);
     if let Some(known) = config.known {
