A refused watch on the list is asked for again after a wait that doubles

Cause: crates/woadreach-simhost/src/host.rs asked again at once after each refused sync, so the calls of 29 co-ordinators kept the list's source too busy to grant any, and most never heard of the gone ones. Ruled out: the module's reading of draining and gone lines (the co-ordinators with a watch sent nothing there).

--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -6,6 +6,9 @@
 use woadreach::api::*;
 use woadreach_host::{Hand, Sink};
 
+/// The name of the timer after which a refused watch is asked for again; search timers carry numbers.
+const WATCH: &str = "watch";
+
 struct Instance {
     hand: Hand,
     by_number: BTreeMap<u64, SearchId>,
@@ -15,6 +18,8 @@
     /// anew when it is refused or breaks. Danger: without it the list is the one remembered at the start,
     /// and the drain rule counts the instance as told of what the list said `askWithinMs` ago.
     asks: bool,
+    /// Watches refused in a row; the next is asked for after a wait that doubles with each.
+    refused: u32,
     /// Arrived in this batch, or grew by a step: to be asked about once all their parts are in.
     fresh: Vec<SearchId>,
 }
@@ -101,7 +106,16 @@
                 let form = event.get(2)?.as_str()?;
                 if form == "refused" && instance.asks {
                     // A failed call or a broken watch: the old list still holds, and a new watch is allowed.
-                    actions.out.push(json!(["observe", true]));
+                    // Danger: asked again at once, the calls of all co-ordinators keep the list's source too
+                    // busy to answer any. The wait doubles from a quarter second to 4 s, spread by instance:
+                    // well within the four times `askWithinMs` after a failed call. Harm: a list late by that.
+                    let wait = (0.25 * 2f64.powi(instance.refused.min(4) as i32)).min(4.0);
+                    let spread =
+                        0.75 + 0.5 * ((id as f64 * 0.618_034 + instance.refused as f64 * 0.381_966) % 1.0);
+                    instance.refused += 1;
+                    actions.out.push(json!(["setTimer", wait * spread * 1000.0, WATCH]));
+                } else if form != "remembered" {
+                    instance.refused = 0;
                 }
                 if matches!(form, "all" | "remembered" | "changes") {
                     let lines = self.sheets.get(&event.get(1)?.as_u64()?)?;
@@ -110,6 +124,7 @@
             }
             "newRequest" => instance.arrival(now, event)?,
             "closedAttempt" => instance.hand.outcome(now, &decode::outcome(event)?, actions),
+            "timer" if event.get(1)?.as_str()? == WATCH => actions.out.push(json!(["observe", true])),
             "timer" => {
                 instance.hand.due(now, SearchId(event.get(1)?.as_str()?.parse().ok()?), actions);
             }
@@ -125,6 +140,7 @@
         Instance {
             marks_repeats,
             asks: false,
+            refused: 0,
             query_types: set.query_types.len(),
             hand: Hand::new(set),
             by_number: BTreeMap::new(),
