--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -617,3 +617,44 @@
     let plan = b.after(failed, Some(&mut q), &ended(&p, 0, Ending::Errored, failed - 5.0));
     assert_eq!(plan.send.len(), usize::from(again));
 }
+
+/// Where copies are barred (`second_copies = false`), a lost part gets none, however it was passed.
+#[rstest]
+#[case::copies_allowed(true, 1)]
+#[case::copies_barred(false, 0)]
+fn no_copy_where_copies_are_barred(#[case] may_copy: bool, #[case] copies: usize) {
+    let mut set = settings();
+    set.may_copy = may_copy;
+    let mut b = balancer(set, &["a", "b"]);
+    let (mut q, _) = stuck_at(&mut b, "a", 0.0);
+    let sent: Vec<_> =
+        (2000..2010).map(|n| b.place(0.1, &mut search(n, 1, 0.1, 3.0)).send.remove(0)).collect();
+    for p in sent {
+        b.after(0.2, None, &ended(&p, 0, Ending::Answered, 0.1));
+    }
+    assert_eq!(b.place(0.6, &mut q).send.len(), copies);
+}
+
+/// A search that is shed is answered in the same plan that gives it up, and says when to come back only
+/// where the settings allow it (`allow.retry_after`), never later than the longest that clients honour.
+#[rstest]
+#[case::allowed(Some(0.5))]
+#[case::not_allowed(None)]
+fn shed_at_once_with_retry_after_only_where_allowed(#[case] advice: Option<f64>) {
+    let mut set = settings();
+    set.longest_retry_advice = advice;
+    let mut b = balancer(set, &["a", "b"]);
+    for n in 1..=10 {
+        b.place(0.0, &mut search(n, 1, 0.0, 1.8));
+        b.place(0.0, &mut search(100 + n, 1, 0.0, 1.2 + 0.03 * n as f64));
+        b.place(0.0, &mut search(200 + n, 1, 0.0, 0.8 + 0.02 * n as f64));
+    }
+    let mut q = search(50, 1, 0.5, 1.5);
+    let plan = b.place(0.5, &mut q);
+    let Some(Reply::Shed { retry_after }) = plan.reply else { panic!("not shed at once: {:?}", plan.reply) };
+    assert!(plan.send.is_empty());
+    match advice {
+        Some(most) => assert!(retry_after > 0.0 && retry_after <= most, "{retry_after}"),
+        None => assert_eq!(retry_after, 0.0),
+    }
+}
