--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,6 +14,9 @@
 
 type Counts = BTreeMap<ReplicaId, usize>;
 const ROUNDING: f64 = 1e-4; // sums of weights may fall this short
+/// Out this many times `late_after` with no answer since: called off where copies are barred. Of 0.7, 1, 1.5,
+/// 2 and 3 on three rennes-stock days with hangs, 1.5 did best on all; shorter cuts busy replicas short.
+const CALL_OFF: f64 = 1.5;
 
 #[derive(Clone, Copy)]
 struct Running {
@@ -21,6 +24,7 @@
     alone: bool,
     query_type: QueryTypeId,
     passed: usize, // by how many parts sent later and answered before
+    called_off: bool,
 }
 
 /// After a full or timed-out answer: while over `above` own parts are out, until `answers` have come.
@@ -251,7 +255,7 @@
     /// What to do after this outcome; the search is absent if the caller no longer holds it.
     pub fn after(&mut self, now: f64, q: Option<&mut Search>, outcome: &Outcome) -> Plan {
         let mut plan = Plan::default();
-        self.learn(now, outcome, &mut plan);
+        let called_off = self.learn(now, outcome, &mut plan);
         self.time_limits();
         if let Some(q) = q {
             if let Some(part) = q.parts.iter_mut().find(|p| p.id == outcome.part)
@@ -262,7 +266,10 @@
             }
             self.decide(now, q, &mut plan);
         }
-        self.next_held(&outcome.replica, &mut plan);
+        // One called off frees no room at its replica: that it answers nothing is why.
+        if !called_off {
+            self.next_held(&outcome.replica, &mut plan);
+        }
         self.forget(&outcome.replica);
         plan
     }
@@ -289,10 +296,11 @@
 
     // ---- what is known of replicas ----
 
-    fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) {
+    /// Whether it was one that this co-ordinator called off.
+    fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) -> bool {
         let (late, trusted) = (o.latency > self.late_after, !self.distrusted(&o.replica));
-        let Some(r) = self.replicas.get_mut(&o.replica) else { return };
-        let Some(run) = r.running.remove(&(o.part, o.nth)) else { return };
+        let Some(r) = self.replicas.get_mut(&o.replica) else { return false };
+        let Some(run) = r.running.remove(&(o.part, o.nth)) else { return false };
         let left_out = r.running.len();
         if o.ending == Ending::Answered {
             r.running.values_mut().filter(|x| x.sent_at < run.sent_at).for_each(|x| x.passed += 1);
@@ -315,11 +323,12 @@
         }
         // One called off says something only if it is late: it has lost to its copy.
         if o.ending == Ending::NeverSent || (o.ending == Ending::Cancelled && !late) {
-            return;
+            return run.called_off;
         }
         let bad = o.ending != Ending::Answered || late;
         let mark = Mark { at: now, sent_at: run.sent_at, query_type: run.query_type, bad };
         self.mark(&o.replica, mark, plan);
+        run.called_off
     }
 
     /// Danger: a replica that is silent, slow, failing fast, stalling or cut off draws parts, the more so as
@@ -570,6 +579,7 @@
             return self.give_up(now, q, plan);
         }
         for (i, pick) in picks {
+            self.call_off(now, target, q, i, plan);
             self.act(now, until, q, i, pick, plan);
             if first_look {
                 self.try_distrusted(now, until, q, i, plan);
@@ -737,7 +747,8 @@
             self.further.push_back(now);
         }
         let nth = part.subs.len();
-        let run = Running { sent_at: now, alone: r.running.is_empty(), query_type: q.query_type, passed: 0 };
+        let alone = r.running.is_empty();
+        let run = Running { sent_at: now, alone, query_type: q.query_type, passed: 0, called_off: false };
         r.running.insert((part.id, nth), run);
         if let Some(rule) = &self.set.cold {
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
@@ -747,6 +758,38 @@
         plan.send.push(Placement { part: part.id, replica: id, timeout: until - now });
     }
 
+    /// Where copies are barred, a part out for `CALL_OFF` times `late_after` at a replica that has answered
+    /// nothing since is called off, if another holder can still make the latency target: it goes there once
+    /// the outcome is in. Danger: a part waits on a hung replica until its search is given up. Only where a
+    /// repeat is harmless. Harm: a slow answer on its way is lost, its work wasted.
+    fn call_off(&mut self, now: f64, target: f64, q: &Search, i: usize, plan: &mut Plan) {
+        let part = &q.parts[i];
+        let barred =
+            self.set.may_copy || !self.set.may_cancel || part.subs.len() >= self.set.sub_requests_cap;
+        if barred || !out(part) || self.may_repeat(now, q, part) != Some(None) {
+            return;
+        }
+        let hung = |s: &SubRequest| {
+            let r = self.replicas.get(&s.replica);
+            s.ending.is_some()
+                || r.is_some_and(|r| {
+                    now - s.sent_at > CALL_OFF * self.late_after && r.answered_at < s.sent_at
+                })
+        };
+        let other = self.holders(part.shard).find(|id| !part.subs.iter().any(|s| s.replica == **id));
+        let fits = other.is_some_and(|id| target - now > self.unloaded_tail(now, q, id));
+        if !fits || !part.subs.iter().all(hung) {
+            return;
+        }
+        for (n, s) in part.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none()) {
+            let r = self.replicas.get_mut(&s.replica);
+            if let Some(run) = r.and_then(|r| r.running.get_mut(&(part.id, n))).filter(|x| !x.called_off) {
+                run.called_off = true;
+                plan.cancel.push((part.id, n));
+            }
+        }
+    }
+
     /// Trial traffic: a second copy of a part whose first is out, to a distrusted holder with nothing out, so
     /// that no search waits on it. Where copies are barred it is used once the other holders are no better.
     fn try_distrusted(&mut self, now: f64, until: f64, q: &mut Search, i: usize, plan: &mut Plan) {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -658,3 +658,33 @@
         None => assert_eq!(retry_after, 0.0),
     }
 }
+
+/// Where copies are barred, a part at a replica that has answered nothing since it was sent is called off
+/// once it is long overdue, and goes to the other holder when the outcome is in; never where a copy may go
+/// instead, never a part that may not run twice, and never before it is overdue.
+#[rstest]
+#[case::barred(false, Repeat::Idempotent, 0.6, true)]
+#[case::not_yet_overdue(false, Repeat::Idempotent, 0.12, false)]
+#[case::copies_allowed(true, Repeat::Idempotent, 0.6, false)]
+#[case::once(false, Repeat::NonIdempotent, 0.6, false)]
+fn a_part_at_a_silent_replica_is_called_off(
+    #[case] may_copy: bool,
+    #[case] repeat: Repeat,
+    #[case] later: f64,
+    #[case] called_off: bool,
+) {
+    let mut set = settings();
+    set.may_copy = may_copy;
+    set.query_types[0].repeat = repeat;
+    let mut b = balancer(set, &["a", "b"]);
+    let (mut q, p) = stuck_at(&mut b, "a", 0.01);
+    let plan = b.place(later, &mut q);
+    assert!(plan.reply.is_none());
+    assert_eq!(plan.cancel.contains(&(p.part, 0)), called_off, "{:?}", plan.cancel);
+    if called_off {
+        assert!(plan.send.is_empty(), "never two out at once");
+        assert!(b.place(later + 0.01, &mut q).cancel.is_empty(), "called off once");
+        let resent = b.after(later + 0.02, Some(&mut q), &ended(&p, 0, Ending::Cancelled, later));
+        assert_eq!(resent.send.iter().map(|s| s.replica.clone()).collect::<Vec<_>>(), vec![id("b")]);
+    }
+}
