--- a/crates/woadreachd/tests/daemon.rs
+++ b/crates/woadreachd/tests/daemon.rs
@@ -774,3 +774,36 @@
     assert!(program.says("woadreachd: ").contains(&taken));
     assert_eq!(program.exit(), Some(1));
 }
+
+/// Before a move: a watch of the new shape counts, by kind, what it would not have allowed, and decides
+/// nothing otherwise. Here `browse` is to become a query type that may not run twice: its part is sent again
+/// after an error, as before, and that is counted.
+#[test]
+fn the_watch_counts_what_a_new_shape_would_not_allow() {
+    let s = scene_with(|c| c.replacen(r#""settings":{"#, r#""settings":{"watch":{"once":["browse"]},"#, 1));
+    let mut program = s.program;
+    let mut client = Wire::to(s.address);
+    client.write(request("browse", "t", &[0], "q"));
+    let mut a = s.a.accept();
+    a.call();
+    a.answer("t.0", "500", 0, "");
+    assert_eq!(a.call()[0].id, "t.0", "decided as before: sent again");
+    a.answer("t.0", "200", 0, "v");
+    assert_eq!(client.reply().0, 200);
+    // The counts are told with each report, the first of them perhaps before the search came.
+    let told: Vec<String> = (0..2).map(|_| program.says("watch ")).collect();
+    assert!(told.iter().any(|t| t == "retry_after=0 second_copy=0 repeat_once=1"), "{told:?}");
+}
+
+/// A watch that is not sound refuses the start, naming the key.
+#[rstest]
+#[case::not_an_object(r#"3"#, "/watch")]
+#[case::not_a_flag(r#"{"retryAfter":"no"}"#, "/watch/retryAfter")]
+#[case::unknown(r#"{"probes":false}"#, "/watch/probes")]
+fn an_unsound_watch_refuses_the_start(#[case] watch: &str, #[case] key: &str) {
+    let config = config(&[], SocketAddr::from(([127, 0, 0, 1], 1)));
+    let config = config.replacen(r#""settings":{"#, &format!(r#""settings":{{"watch":{watch},"#), 1);
+    let mut program = Program::start(env!("CARGO_BIN_EXE_woadreachd"), Some(&config));
+    program.says(key);
+    assert_ne!(program.exit(), Some(0));
+}
