The watch uses the module's own test of a sub-request proven never run

Need: crates/woadreach-host/src/watch.rs wrote again what src/balance.rs had (proven_unrun), so the two could come apart. The module's is now public and the watch calls it.

--- a/crates/woadreach-host/src/watch.rs
+++ b/crates/woadreach-host/src/watch.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 use woadreach::api::*;
+use woadreach::balance::proven_unrun;
 
 /// What the new shape would allow. Read from the settings' `watch` object, each key optional: an absent one
 /// allows what the settings in force allow, so nothing is counted for it.
@@ -56,7 +57,7 @@
         if self.second_copies == Some(false) && before.iter().any(|s| s.ending.is_none()) {
             counts.second_copy += 1;
         }
-        if once && before.iter().any(|s| !never_ran(s)) {
+        if once && before.iter().any(|s| !proven_unrun(s)) {
             counts.repeat_once += 1;
         }
     }
@@ -70,11 +71,6 @@
     }
 }
 
-/// Proven never to have run: refused unseen, no connection, or never sent.
-fn never_ran(s: &SubRequest) -> bool {
-    matches!(s.ending, Some(Ending::Full | Ending::Unreachable | Ending::NeverSent))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -173,7 +173,8 @@
     samples.get(at.max(1) - 1).or(samples.last()).copied()
 }
 
-fn proven_unrun(sub: &SubRequest) -> bool {
+/// Proven never to have run: refused unseen, no connection, or never sent.
+pub fn proven_unrun(sub: &SubRequest) -> bool {
     matches!(sub.ending, Some(Ending::Full | Ending::Unreachable | Ending::NeverSent))
 }
 
