The host's wait before asking for a watch again stands in a function of its own

It is now watch_wait(refused, instance): plain values, its danger and how its figures were chosen beside it. Same waits (rem_euclid for %, ids are never negative).

--- a/crates/woadreach-simhost/src/host.rs
+++ b/crates/woadreach-simhost/src/host.rs
@@ -9,6 +9,17 @@
 /// The name of the timer after which a refused watch is asked for again; search timers carry numbers.
 const WATCH: &str = "watch";
 
+/// Seconds until a watch is asked for again after `refused` refusals in a row. Danger: asked again at once,
+/// the calls of all co-ordinators keep the list's source too busy to answer any (a norte-movimientos day:
+/// 92,759 calls, 14 watches granted). The wait doubles from a quarter second to 4 s, spread by instance to
+/// between 0.75 and 1.25 times that: well within the four times `askWithinMs` that a failed call allows.
+/// Harm: a list late by as much.
+fn watch_wait(refused: u32, instance: i64) -> f64 {
+    let wait = 0.25 * 2f64.powi(refused.min(4) as i32);
+    let spread = (instance as f64 * 0.618_034 + refused as f64 * 0.381_966).rem_euclid(1.0);
+    wait * (0.75 + 0.5 * spread)
+}
+
 struct Instance {
     hand: Hand,
     by_number: BTreeMap<u64, SearchId>,
@@ -106,14 +117,9 @@
                 let form = event.get(2)?.as_str()?;
                 if form == "refused" && instance.asks {
                     // A failed call or a broken watch: the old list still holds, and a new watch is allowed.
-                    // Danger: asked again at once, the calls of all co-ordinators keep the list's source too
-                    // busy to answer any. The wait doubles from a quarter second to 4 s, spread by instance:
-                    // well within the four times `askWithinMs` after a failed call. Harm: a list late by that.
-                    let wait = (0.25 * 2f64.powi(instance.refused.min(4) as i32)).min(4.0);
-                    let spread =
-                        0.75 + 0.5 * ((id as f64 * 0.618_034 + instance.refused as f64 * 0.381_966) % 1.0);
+                    let wait = watch_wait(instance.refused, id);
                     instance.refused += 1;
-                    actions.out.push(json!(["setTimer", wait * spread * 1000.0, WATCH]));
+                    actions.out.push(json!(["setTimer", wait * 1000.0, WATCH]));
                 } else if form != "remembered" {
                     instance.refused = 0;
                 }
