Cold guard counts a plan's own parts, a replica back from death, mean work

Change: the guard counts the plan's planned parts; a reset followed by a refused connect marks a replica as born at its next use until the list says more; the guard prices a part at the mean.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -117,6 +117,8 @@
     answered_at: f64,
     cold_sends: VecDeque<f64>,
     cold_phase: f64,
+    reset: bool,                 // its connections were reset since it last answered
+    reborn: (bool, Option<f64>), // judged a new process not yet listed; born at its first use since
 }
 
 impl Replica {
@@ -326,6 +328,11 @@
         if o.ending == Ending::NeverSent || (o.ending == Ending::Cancelled && !late) {
             return run.called_off;
         }
+        // Danger: one whose connections were reset and which then refused a new one has died; what answers
+        // there next is a cold process that the list may name as the old for seconds. A cut way falls silent
+        // instead. Harm: a reset and a connect lost by chance cost a warm one its cold time of slow warming.
+        r.reborn.0 |= r.reset && o.ending == Ending::Unreachable;
+        r.reset = o.ending == Ending::Broken || (r.reset && o.ending != Ending::Answered);
         let bad = o.ending != Ending::Answered || late;
         let mark = Mark { at: now, sent_at: run.sent_at, query_type: run.query_type, bad };
         self.mark(&o.replica, mark, plan);
@@ -459,9 +466,12 @@
     /// it can do, over any window; one of them may carry nearly all traffic, or all may. Each keeps under the
     /// larger of two shares: its even one, in parts at the unloaded latency on one core, and what a replica
     /// answers it on average, since these sum to what replicas can do. Shares under one part go by a draw
-    /// each window; 0.75 of it, as draws scatter. Harm: slow warming.
-    fn cold_closed(&self, now: f64, r: &Replica) -> bool {
-        let (Some(rule), Some(ready)) = (&self.set.cold, r.ready_at) else { return false };
+    /// each window; 0.75 of it, as draws scatter. `planned`: parts this plan already gives it, not yet sent;
+    /// without them every part of one search passed on what was sent before. Harm: slow warming.
+    fn cold_closed(&self, now: f64, r: &Replica, planned: usize) -> bool {
+        let born = if r.reborn.0 { Some(now) } else { r.reborn.1 };
+        let ready = r.ready_at.into_iter().chain(born).max_by(f64::total_cmp);
+        let (Some(rule), Some(ready)) = (&self.set.cold, ready) else { return false };
         if planted("module-cold-cap") {
             return false;
         }
@@ -469,13 +479,15 @@
         if warmth >= 1.0 || r.running.len() > r.answers / 4 {
             return warmth < 1.0;
         }
-        let work = quantile(self.average(), 0.5).unwrap_or(self.shortest / 5.0);
+        // The mean, not the median: parts' work is skewed, and the rule sums it (median: 1 in 2,500 seeds broke).
+        let n = self.fleet.len() as f64;
+        let work = if n > 0.0 { self.fleet.iter().sum::<f64>() / n } else { self.shortest / 5.0 };
         let answered = self.recent.iter().filter(|x| x.0 > now - 2.0).count() as f64 / 2.0;
         let even = 1.0 / work / self.set.siblings.max(1) as f64;
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
         let share =
             rule.tip_multiple * capacity * rule.tip_time * even.max(answered / self.open.max(1) as f64);
-        let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count();
+        let sent = r.cold_sends.iter().filter(|t| **t > now - rule.tip_time).count() + planned;
         // Golden-ratio steps from a drawn start: even over windows, apart between co-ordinators.
         let draw = (r.cold_phase + ((now - ready) / rule.tip_time).floor() * 0.618_034).rem_euclid(1.0);
         sent as f64 + 1.0 > 0.75 * share + draw
@@ -671,7 +683,8 @@
             }
         };
         let none = if at.is_empty() { Pick::Never } else { Pick::Later };
-        at.retain(|id| !self.cold_closed(now, &self.replicas[id])); // first: a distrusted one beats none
+        let planned = |id: &ReplicaId| extra.get(id).copied().unwrap_or(0);
+        at.retain(|id| !self.cold_closed(now, &self.replicas[id], planned(id))); // first: a distrusted one beats none
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
@@ -751,6 +764,9 @@
         let alone = r.running.is_empty();
         let run = Running { sent_at: now, alone, query_type: q.query_type, passed: 0, called_off: false };
         r.running.insert((part.id, nth), run);
+        if std::mem::take(&mut r.reborn.0) {
+            (r.reborn.1, r.cold_sends) = (Some(now), VecDeque::new());
+        }
         if let Some(rule) = &self.set.cold {
             r.cold_sends.retain(|t| *t > now - rule.tip_time);
             r.cold_sends.push_back(now);
@@ -807,7 +823,7 @@
             r.running.is_empty()
                 && r.health.out(t).or(way.and_then(|w| w.out(t))).is_some_and(|d| now >= d.next_trial)
                 && !part.subs.iter().any(|s| s.replica == *id)
-                && !self.cold_closed(now, r)
+                && !self.cold_closed(now, r, 0)
         };
         let Some(id) = self.holders(part.shard).find(|id| ready(id)).cloned() else { return };
         let Some(r) = self.replicas.get_mut(&id) else { return };
