--- a/src/balance.rs
+++ b/src/balance.rs
@@ -479,7 +479,7 @@
         if warmth >= 1.0 || r.running.len() > r.answers / 4 {
             return warmth < 1.0;
         }
-        // The mean, not the median: parts' work is skewed, and the rule sums it (median: 1 in 2,500 seeds broke).
+        // The mean, not the median: parts' work is skewed, and the rule sums it (the median broke seed 9217).
         let n = self.fleet.len() as f64;
         let work = if n > 0.0 { self.fleet.iter().sum::<f64>() / n } else { self.shortest / 5.0 };
         let answered = self.recent.iter().filter(|x| x.0 > now - 2.0).count() as f64 / 2.0;
@@ -684,7 +684,8 @@
         };
         let none = if at.is_empty() { Pick::Never } else { Pick::Later };
         let planned = |id: &ReplicaId| extra.get(id).copied().unwrap_or(0);
-        at.retain(|id| !self.cold_closed(now, &self.replicas[id], planned(id))); // first: a distrusted one beats none
+        // First: a distrusted one beats none.
+        at.retain(|id| !self.cold_closed(now, &self.replicas[id], planned(id)));
         keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
         // Never all holders: each test applies only where some holder passes it.
         keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
