--- a/crates/woadreachd/tests/endings.rs
+++ b/crates/woadreachd/tests/endings.rs
@@ -7,7 +7,7 @@
 use common::*;
 use rstest::rstest;
 use scene::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 /// What there is to tell counts as told so long after discovery had it and could be reached.
@@ -359,3 +359,31 @@
     assert_eq!((last.reply().0, busy.reply().0), (200, 200));
     assert_eq!(s.program.exit(), Some(0));
 }
+
+/// A client that asks and does not read its answers holds nothing up for others, and is left after a while.
+#[test]
+fn a_client_that_never_reads() {
+    const ASKED: usize = 200;
+    const VALUE: usize = 60_000;
+    let Scene { a, discovery: _discovery, program: _program, address, .. } = scene();
+    let mut slow = Wire::to(address);
+    let ask = |i| request("browse", &format!("t{i}"), &[0], "q");
+    slow.write((0..ASKED).map(ask).collect::<String>());
+    std::thread::spawn(move || {
+        let mut a = a.accept();
+        let value = "v".repeat(VALUE);
+        while let Some(('D', body)) = a.frame() {
+            parts(&body).iter().for_each(|p| a.answer(&p.id, "200", 0, &value));
+        }
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let mut other = Wire::to(address);
+    other.write("GET /health/live HTTP/1.1\r\n\r\n");
+    assert_eq!(other.reply().0, 200);
+    // Long enough for it to be left; then all that was written to it is read, and the end.
+    std::thread::sleep(Duration::from_secs(7));
+    let mut read = Vec::new();
+    let _ = slow.0.read_to_end(&mut read);
+    let answers = read.windows(9).filter(|w| w == b"HTTP/1.1 ").count();
+    assert!((1..ASKED).contains(&answers), "{answers} answers: it was waited for");
+}
