--- a/crates/woadreach-faults/src/plants.rs
+++ b/crates/woadreach-faults/src/plants.rs
@@ -21,6 +21,9 @@
     pub small: Option<Small>,
 }
 
+/// Hunted on days of a whole tier.
+const OF_A_TIER: [&str; 2] = ["module-cold-cap", "host-siblings"];
+
 /// The names of all plants.
 pub fn names() -> Vec<&'static str> {
     PLANTS.iter().map(|p| p.0).collect()
@@ -33,7 +36,9 @@
         Hunted { plant: name, defence, seed: None, after: seeds.end - seeds.start, rule: None, small: None };
     plant(Some(name));
     for seed in seeds.clone() {
-        let script = Script::draw(seed, &[], None);
+        // What only many together bring about does not show where there are few.
+        let tier = OF_A_TIER.contains(&name);
+        let script = if tier { Script::draw_tier(seed) } else { Script::draw(seed, &[], None) };
         let outcome = play(&script, Options { stop_at_breach: true, ..Options::default() });
         if let Some(breach) = outcome.breaches.first() {
             (hunted.seed, hunted.after) = (Some(seed), seed - seeds.start + 1);
