--- /dev/null
+++ b/crates/woadreach-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of the data plane: placement, hold, retry, refusal.
--- /dev/null
+++ b/crates/woadreach-chain/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of the control plane: agreed view, chain replication, control state.
--- /dev/null
+++ b/crates/woadreach-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's configuration: reading, checking, route table.
--- /dev/null
+++ b/crates/woadreach-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control plane and storage of the serving tier.
--- /dev/null
+++ b/crates/woadreach-control/src/main.rs
@@ -0,0 +1,3 @@
+//! Control plane and storage of the serving tier.
+
+fn main() {}
--- /dev/null
+++ b/crates/woadreach-journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable state: two slots written in turn with a short log between.
--- /dev/null
+++ b/crates/woadreach-proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data plane of the serving tier.
--- /dev/null
+++ b/crates/woadreach-proxy/src/main.rs
@@ -0,0 +1,3 @@
+//! Data plane of the serving tier.
+
+fn main() {}
--- /dev/null
+++ b/crates/woadreach-rpc/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed requests and responses between processes.
--- /dev/null
+++ b/crates/woadreach-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings file of a process: reading and checking.
--- /dev/null
+++ b/crates/woadreach-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Kept turns and budgets: state, placement groups, quorum client, storage view.
