--- /dev/null
+++ b/crates/woadreach-control/src/instances.rs
@@ -0,0 +1,1 @@
+//! HTTP interface of the replicas' heartbeats: `PUT` and `DELETE /instances/{id}`.
--- a/crates/woadreach-control/src/lib.rs
+++ b/crates/woadreach-control/src/lib.rs
@@ -1,1 +1,4 @@
-//! Control plane and storage of the serving tier.
+//! Control plane and storage of the serving tier: the roles of the binary `woadreach-control`.
+
+pub mod instances;
+pub mod storage_role;
--- /dev/null
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -0,0 +1,1 @@
+//! The `storage` role: keeps turns and programs' budgets.
