--- /dev/null
+++ b/crates/woadreach-control/tests/instances.rs
@@ -0,0 +1,72 @@
+//! Bodies of heartbeats: what is read, and what is refused by the name of the field at fault.
+
+use quickcheck::quickcheck;
+use serde_json::{Value, json};
+use woadreach_control::instances::read_heartbeat;
+use woadreach_discovery::ReplicaState;
+
+fn body() -> Value {
+    json!({
+        "service": "svc", "address": "10.128.0.9:8080", "zone": "a", "generation": "v1", "capacity": 32,
+        "state": "draining", "cold_remaining_ms": 0, "stage": "both",
+        "models": [{"name": "m", "generation": 1, "adapters": ["x"]}], "sequence": 4, "later_field": [1]
+    })
+}
+
+#[test]
+fn a_whole_body_is_read_and_unknown_fields_are_ignored() {
+    let heartbeat = read_heartbeat(body().to_string().as_bytes()).unwrap();
+    assert_eq!(heartbeat.address, "10.128.0.9:8080".parse().unwrap());
+    assert_eq!(heartbeat.state, ReplicaState::Draining);
+    assert_eq!((heartbeat.capacity, heartbeat.sequence), (32, 4));
+    assert_eq!(heartbeat.models[0].adapters, ["x"]);
+}
+
+#[test]
+fn plain_services_name_no_stage_and_no_models() {
+    let mut body = body();
+    let fields = body.as_object_mut().unwrap();
+    fields.remove("stage");
+    fields.remove("models");
+    let heartbeat = read_heartbeat(body.to_string().as_bytes()).unwrap();
+    assert!(heartbeat.stage.is_none() && heartbeat.models.is_empty());
+}
+
+#[test]
+fn a_missing_field_is_refused_by_its_name() {
+    let required =
+        ["service", "address", "zone", "generation", "capacity", "state", "cold_remaining_ms", "sequence"];
+    for field in required {
+        let mut body = body();
+        body.as_object_mut().unwrap().remove(field);
+        let error = read_heartbeat(body.to_string().as_bytes()).unwrap_err().to_string();
+        assert!(error.contains(field), "{field}: {error}");
+    }
+}
+
+#[test]
+fn an_unknown_state_and_other_values_of_the_wrong_kind_are_refused() {
+    let wrong = [
+        ("state", json!("asleep")),
+        ("address", json!("nowhere")),
+        ("capacity", json!(-1)),
+        ("sequence", json!("4")),
+        ("models", json!({})),
+    ];
+    for (field, value) in wrong {
+        let mut body = body();
+        body[field] = value;
+        assert!(read_heartbeat(body.to_string().as_bytes()).is_err(), "{field}");
+    }
+}
+
+quickcheck! {
+    fn bytes_that_are_no_heartbeat_are_an_error(bytes: Vec<u8>) -> bool {
+        read_heartbeat(&bytes).is_err()
+    }
+
+    fn a_body_that_is_cut_short_is_an_error(length: usize) -> bool {
+        let whole = body().to_string();
+        read_heartbeat(&whole.as_bytes()[..length % whole.len()]).is_err()
+    }
+}
--- a/crates/woadreach-discovery/src/lib.rs
+++ b/crates/woadreach-discovery/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod committed;
 pub mod control_watch;
 pub mod core;
+pub mod core_state;
 pub mod exchange;
 pub mod messages;
 pub mod registry;
