--- /dev/null
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -0,0 +1,140 @@
+//! Agreement on the next view: single-decree Paxos, one instance for each epoch.
+//!
+//! The instance of epoch `e` is decided by the voters of view `e` and yields view `e + 1`. A promise seals epoch
+//! `e`: whoever has promised takes no more writes of it, so the state that it reports with the promise stays.
+//!
+//! | proposer's phase | event | next |
+//! | --- | --- | --- |
+//! | `Idle` | [`Proposer::start`] | `Preparing` |
+//! | `Preparing` | [`Proposer::promised`], a majority | stays, until [`Proposer::propose`] |
+//! | `Preparing` | [`Proposer::propose`] | `Accepting` |
+//! | `Accepting` | [`Proposer::accepted`], a majority | `Idle`, the view is decided |
+//! | any | [`Proposer::abandon`] | `Idle` |
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use speedy::{Readable, Writable};
+
+use crate::durable::Accepted;
+use crate::state::Stamp;
+use crate::view::{MemberId, View};
+
+/// Number of a proposal; the proposer's identity breaks ties.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub struct Ballot {
+    pub round: u64,
+    pub proposer: MemberId,
+}
+
+/// A promise to take no proposal below `ballot` in the instance of `epoch`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Promise {
+    pub epoch: u64,
+    pub ballot: Ballot,
+}
+
+/// What a voter reports with its promise.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Report {
+    /// Its vote on the next view, if it has given one.
+    pub accepted: Option<Accepted>,
+    /// Whether its state holds every write that may have been committed.
+    pub complete: bool,
+    /// Stamp of its state.
+    pub stamp: Stamp,
+    /// Whether it may be in a chain (neither leaving nor unable to sync).
+    pub fit: bool,
+    /// Members that it has heard lately.
+    pub hears: Vec<MemberId>,
+}
+
+/// Phase of a proposer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    #[default]
+    Idle,
+    Preparing {
+        ballot: Ballot,
+        since: Duration,
+        reports: BTreeMap<MemberId, Report>,
+    },
+    Accepting {
+        ballot: Ballot,
+        since: Duration,
+        view: View,
+        accepted_by: Vec<MemberId>,
+    },
+}
+
+/// The proposing side of one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Proposer {
+    phase: Phase,
+    highest_round: u64,
+}
+
+impl Proposer {
+    pub fn phase(&self) -> &Phase {
+        &self.phase
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle
+    }
+
+    /// Begins a proposal above every ballot seen so far.
+    pub fn start(&mut self, now: Duration, own: MemberId) -> Ballot {
+        self.highest_round += 1;
+        let ballot = Ballot { round: self.highest_round, proposer: own };
+        self.phase = Phase::Preparing { ballot, since: now, reports: BTreeMap::new() };
+        ballot
+    }
+
+    /// Notes a ballot of another proposer, so that the next own one is above it.
+    pub fn saw(&mut self, ballot: Ballot) {
+        self.highest_round = self.highest_round.max(ballot.round);
+    }
+
+    /// Takes a promise. Reports of members that don't vote must not be passed in.
+    pub fn promised(&mut self, from: MemberId, ballot: Ballot, report: Report) {
+        if let Phase::Preparing { ballot: own, reports, .. } = &mut self.phase
+            && *own == ballot
+        {
+            reports.insert(from, report);
+        }
+    }
+
+    /// The view that must be proposed because it may have been decided: that of the highest vote reported.
+    pub fn bound_view(reports: &BTreeMap<MemberId, Report>) -> Option<View> {
+        let votes = reports.values().filter_map(|report| report.accepted.as_ref());
+        votes.max_by_key(|vote| vote.ballot).map(|vote| vote.view.clone())
+    }
+
+    /// Goes on to the second phase with `view`.
+    pub fn propose(&mut self, now: Duration, view: View) -> Option<Ballot> {
+        let Phase::Preparing { ballot, .. } = self.phase else { return None };
+        self.phase = Phase::Accepting { ballot, since: now, view, accepted_by: Vec::new() };
+        Some(ballot)
+    }
+
+    /// Takes a vote; gives the view back once a majority of `current`'s voters has voted for it.
+    pub fn accepted(&mut self, from: MemberId, voted: Ballot, current: &View) -> Option<View> {
+        let Phase::Accepting { ballot, view, accepted_by, .. } = &mut self.phase else { return None };
+        if *ballot != voted || !current.is_voter(from) || accepted_by.contains(&from) {
+            return None;
+        }
+        accepted_by.push(from);
+        if accepted_by.len() < current.majority() {
+            return None;
+        }
+        let decided = view.clone();
+        self.phase = Phase::Idle;
+        Some(decided)
+    }
+
+    /// Gives the proposal up.
+    pub fn abandon(&mut self) {
+        self.phase = Phase::Idle;
+    }
+}
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -1,1 +1,38 @@
-//! Decisions of the control plane: agreed view, chain replication, control state.
+//! Decisions of the control plane, without I/O and without a clock.
+//!
+//! A [`Member`] is one core machine. It takes the time and an [`Input`] (a message of another member, a request,
+//! a finished sync, a tick) and gives back [`Output`]s (records to persist, messages to send, replies). The driver
+//! around it owns the sockets, the disk and the timers.
+//!
+//! - [`View`]: the agreed membership. An epoch, the voters, and the chain. The view of epoch `e + 1` is decided by
+//!   single-decree Paxos among the voters of view `e` (`agreement`); a promise seals epoch `e` at the voter.
+//! - [`ControlState`]: two compare-and-set registers, the operator's configuration and the view of the storage
+//!   machines. It is replicated down the chain (`replication`): the head takes commands, every member persists
+//!   before it passes on, and what the tail has persisted is committed.
+//! - [`Durable`]: what a member has on its disk, as the result of applying [`Record`]s in order.
+//! - `peers` detects failures and `plan` chooses the next view.
+
+mod agreement;
+mod blob;
+mod durable;
+mod member;
+mod message;
+mod peers;
+mod plan;
+mod replication;
+mod requests;
+mod state;
+mod view;
+
+pub use agreement::{Ballot, Promise};
+pub use blob::Blob;
+pub use durable::{Accepted, Durable, Record, RecordError};
+pub use member::{Input, Member, MemberOptions, Output, Status};
+pub use message::{Body, DecodeError, Envelope, Ping};
+pub use plan::{Candidate, PlanError, Policy, next_view};
+pub use requests::{Reply, Request, RequestId};
+pub use state::{
+    Command, ControlState, Digest, PutConfiguration, PutStorageView, Rejection, Stamp, StoredConfiguration,
+    StoredStorageView, TakenConfiguration, Verdict,
+};
+pub use view::{MemberId, View};
--- /dev/null
+++ b/crates/woadreach-chain/src/message.rs
@@ -0,0 +1,110 @@
+//! Messages between members.
+
+use snafu::{OptionExt, ResultExt, Snafu};
+use speedy::{Readable, Writable};
+
+use crate::agreement::{Ballot, Report};
+use crate::durable::Accepted;
+use crate::state::{Command, ControlState, Stamp};
+use crate::view::{MemberId, View};
+
+/// Version of the messages' format.
+const MESSAGE_VERSION: u8 = 1;
+
+/// A message that can't be read.
+#[derive(Debug, Snafu)]
+pub enum DecodeError {
+    #[snafu(display("the message is empty"))]
+    EmptyMessage,
+    #[snafu(display("message version {found}, expected {MESSAGE_VERSION}"))]
+    MessageVersion { found: u8 },
+    #[snafu(display("malformed message"))]
+    MalformedMessage { source: speedy::Error },
+}
+
+/// A sign of life.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Ping {
+    /// Whether the sender may be in a chain (neither leaving nor unable to sync).
+    pub fit: bool,
+    /// Whether the sender is stopping and wants to be replaced.
+    pub leaving: bool,
+    /// Whether the sender may vote in epoch 0.
+    pub bootstrap: bool,
+    /// Stamp of the newest committed state that the sender knows.
+    pub committed: Stamp,
+    /// Members that the sender has heard lately.
+    pub hears: Vec<MemberId>,
+}
+
+/// Number of a barrier of one life of a head.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Barrier {
+    /// Drawn when the head took office.
+    pub session: u64,
+    pub number: u64,
+}
+
+/// A write on its way down the chain.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Write {
+    pub stamp: Stamp,
+    pub command: Command,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Body {
+    Ping(Ping),
+    /// First phase of a proposal.
+    Prepare { ballot: Ballot },
+    /// Answer to `Prepare`: the sender has sealed the epoch.
+    Promise { ballot: Ballot, report: Report },
+    /// Second phase of a proposal.
+    Accept(Accepted),
+    /// Answer to `Accept`: the sender has voted.
+    Accepted { ballot: Ballot },
+    /// The sender has promised more.
+    Superseded { promised: Ballot },
+    /// A decided view.
+    Decided(View),
+    /// Asks for the newest decided view.
+    RequestView,
+    /// From the predecessor: the writes after `after`.
+    Replicate { after: Stamp, writes: Vec<Write>, barrier: Barrier },
+    /// From the predecessor: its whole state.
+    Transfer { state: ControlState, barrier: Barrier },
+    /// From the successor: how far it is, and how far the rest of the chain is.
+    Replicated { active: bool, persisted: Stamp, committed: Option<Stamp>, barrier: Barrier },
+    /// Asks for the newest committed state.
+    RequestState,
+    /// The newest committed state, for members outside the chain.
+    Committed(ControlState),
+}
+
+/// A message with its sender and the epoch in which the sender is.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Envelope {
+    pub from: MemberId,
+    pub epoch: u64,
+    pub body: Body,
+}
+
+impl Envelope {
+    /// The message as it is sent.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = vec![MESSAGE_VERSION];
+        // Writing to a vector fails only when a length exceeds 32 bits, far above every bound on our values.
+        self.write_to_stream(&mut bytes).expect("lengths within 32 bits");
+        bytes
+    }
+
+    /// Reads a message.
+    pub fn decode(bytes: &[u8]) -> Result<Envelope, DecodeError> {
+        let (&version, rest) = bytes.split_first().context(EmptyMessageSnafu)?;
+        if version != MESSAGE_VERSION {
+            return MessageVersionSnafu { found: version }.fail();
+        }
+        Envelope::read_from_buffer(rest).context(MalformedMessageSnafu)
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/peers.rs
@@ -0,0 +1,178 @@
+//! Which members are alive and reach each other, from their signs of life.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::message::Ping;
+use crate::state::Stamp;
+use crate::view::MemberId;
+
+/// A member that has been silent for so long is suspected.
+pub const SILENCE: Duration = Duration::from_millis(600);
+/// A new or returned member is taken into a view after so long a time of signs of life.
+pub const STEADY: Duration = Duration::from_millis(800);
+/// How long a member that has fallen silent is remembered.
+const FORGET: Duration = Duration::from_secs(30);
+/// How many members are remembered.
+const PEER_LIMIT: usize = 128;
+
+/// What is known of one other member.
+#[derive(Clone, Debug)]
+struct PeerState {
+    last_heard: Duration,
+    /// Start of the present time without a silence.
+    alive_since: Duration,
+    fit: bool,
+    leaving: bool,
+    bootstrap: bool,
+    committed: Stamp,
+    /// When each other member was last among those that this one hears.
+    hears: BTreeMap<MemberId, Duration>,
+}
+
+/// The other members, as heard.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    own: MemberId,
+    started: Duration,
+    table: BTreeMap<MemberId, PeerState>,
+}
+
+impl Peers {
+    pub fn new(own: MemberId, now: Duration) -> Peers {
+        Peers { own, started: now, table: BTreeMap::new() }
+    }
+
+    /// Notes a message of `from`.
+    pub fn heard(&mut self, now: Duration, from: MemberId) {
+        if let Some(peer) = self.table.get_mut(&from) {
+            if now.saturating_sub(peer.last_heard) > SILENCE {
+                peer.alive_since = now;
+            }
+            peer.last_heard = now;
+        }
+    }
+
+    /// Notes a sign of life of `from`.
+    pub fn pinged(&mut self, now: Duration, from: MemberId, ping: &Ping) {
+        if !self.table.contains_key(&from) && self.table.len() >= PEER_LIMIT {
+            return;
+        }
+        let peer = self.table.entry(from).or_insert_with(|| PeerState {
+            last_heard: now,
+            alive_since: now,
+            fit: true,
+            leaving: false,
+            bootstrap: false,
+            committed: Stamp::default(),
+            hears: BTreeMap::new(),
+        });
+        peer.fit = ping.fit;
+        peer.leaving = ping.leaving;
+        peer.bootstrap = ping.bootstrap;
+        peer.committed = ping.committed;
+        for &member in ping.hears.iter().take(PEER_LIMIT) {
+            peer.hears.insert(member, now);
+        }
+        peer.hears.retain(|_, heard| now.saturating_sub(*heard) <= SILENCE);
+        self.heard(now, from);
+    }
+
+    /// Forgets members that have been silent for long, and earlier identities of addresses in use.
+    pub fn expire(&mut self, now: Duration) {
+        self.table.retain(|_, peer| now.saturating_sub(peer.last_heard) <= FORGET);
+        let table = &self.table;
+        let replaced: Vec<MemberId> = table
+            .iter()
+            .filter(|(member, peer)| {
+                table.iter().any(|(other, newer)| {
+                    other.address == member.address && newer.last_heard > peer.last_heard + SILENCE
+                })
+            })
+            .map(|(&member, _)| member)
+            .collect();
+        for member in replaced {
+            self.table.remove(&member);
+        }
+    }
+
+    /// After this process itself stood still: nobody is suspected for a silence that it could not have heard.
+    pub fn forgive(&mut self, now: Duration, last_tick: Duration) {
+        self.started = now;
+        for peer in self.table.values_mut() {
+            if last_tick.saturating_sub(peer.last_heard) <= SILENCE {
+                peer.last_heard = now;
+            }
+            peer.hears.values_mut().for_each(|heard| *heard = now);
+        }
+    }
+
+    /// Whether a sign of life of `member` came lately.
+    pub fn is_heard(&self, now: Duration, member: MemberId) -> bool {
+        member == self.own || self.table.get(&member).is_some_and(|peer| is_recent(now, peer.last_heard))
+    }
+
+    /// Whether `member` isn't suspected: heard lately, or this process has not listened for long enough.
+    pub fn is_alive(&self, now: Duration, member: MemberId) -> bool {
+        is_recent(now, self.started) || self.is_heard(now, member)
+    }
+
+    /// Whether `member` has given signs of life, without a silence, for long enough to be taken into a view.
+    pub fn is_steady(&self, now: Duration, member: MemberId) -> bool {
+        self.table.get(&member).is_some_and(|peer| now.saturating_sub(peer.alive_since) >= STEADY)
+    }
+
+    /// Whether `first` hears `second`, as far as is known.
+    pub fn hears(&self, now: Duration, first: MemberId, second: MemberId) -> bool {
+        if first == self.own {
+            return self.is_alive(now, second);
+        }
+        let Some(peer) = self.table.get(&first) else { return is_recent(now, self.started) };
+        let listed = peer.hears.get(&second).is_some_and(|&heard| is_recent(now, heard));
+        listed || is_recent(now, peer.alive_since)
+    }
+
+    /// Whether the two hear each other.
+    pub fn linked(&self, now: Duration, first: MemberId, second: MemberId) -> bool {
+        self.hears(now, first, second) && self.hears(now, second, first)
+    }
+
+    /// Whether `member` is heard and is known to hear this one.
+    pub fn is_reachable(&self, now: Duration, member: MemberId) -> bool {
+        if member == self.own {
+            return true;
+        }
+        self.table.get(&member).is_some_and(|peer| {
+            let heard_by = peer.hears.get(&self.own).is_some_and(|&heard| is_recent(now, heard));
+            is_recent(now, peer.last_heard) && heard_by
+        })
+    }
+
+    /// Whether `member` may be in a chain; assumed of those that have said nothing yet.
+    pub fn is_fit(&self, member: MemberId) -> bool {
+        self.table.get(&member).is_none_or(|peer| peer.fit && !peer.leaving)
+    }
+
+    /// Members heard lately, this one among them.
+    pub fn heard_lately(&self, now: Duration) -> Vec<MemberId> {
+        let others = self.table.iter().filter(|(_, peer)| is_recent(now, peer.last_heard));
+        std::iter::once(self.own).chain(others.map(|(&member, _)| member)).collect()
+    }
+
+    /// The member at `address` that was heard lately and may vote in epoch 0.
+    pub fn is_bootstrapping(&self, now: Duration, address: std::net::SocketAddrV4) -> bool {
+        self.table.iter().any(|(member, peer)| {
+            member.address == address && peer.bootstrap && is_recent(now, peer.last_heard)
+        })
+    }
+
+    /// Members that are known from others only: heard by those that are heard.
+    pub fn heard_of(&self, now: Duration) -> Vec<MemberId> {
+        let recent = self.table.values().filter(|peer| is_recent(now, peer.last_heard));
+        recent.flat_map(|peer| peer.hears.keys().copied()).collect()
+    }
+}
+
+fn is_recent(now: Duration, then: Duration) -> bool {
+    now.saturating_sub(then) <= SILENCE
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/view.rs
@@ -0,0 +1,96 @@
+//! The agreed view of the core.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use speedy::{Context, Readable, Reader, Writable, Writer};
+
+/// A core machine with one life of its disk.
+///
+/// The identity is drawn when an empty disk is first used: a machine that lost its disk has forgotten its promises
+/// and is another member.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberId {
+    /// Internal address.
+    pub address: SocketAddrV4,
+    /// Identity of the disk, 0 where it isn't known (the voters of epoch 0).
+    pub identity: u64,
+}
+
+impl fmt::Debug for MemberId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{:04x}", self.address, self.identity & 0xffff)
+    }
+}
+
+impl<C: Context> Writable<C> for MemberId {
+    fn write_to<T: ?Sized + Writer<C>>(&self, writer: &mut T) -> Result<(), C::Error> {
+        writer.write_u32(u32::from(*self.address.ip()))?;
+        writer.write_u16(self.address.port())?;
+        writer.write_u64(self.identity)
+    }
+}
+
+impl<'a, C: Context> Readable<'a, C> for MemberId {
+    fn read_from<R: Reader<'a, C>>(reader: &mut R) -> Result<Self, C::Error> {
+        let ip = Ipv4Addr::from(reader.read_u32()?);
+        let port = reader.read_u16()?;
+        let identity = reader.read_u64()?;
+        Ok(MemberId { address: SocketAddrV4::new(ip, port), identity })
+    }
+
+    fn minimum_bytes_needed() -> usize {
+        14
+    }
+}
+
+/// A view: who votes on the next one, and who replicates the control state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct View {
+    pub epoch: u64,
+    /// Members whose majority decides the next view.
+    pub voters: Vec<MemberId>,
+    /// Members that replicate the state, head first. Part of the voters.
+    pub chain: Vec<MemberId>,
+    /// Members of the chain that held every write of earlier epochs when the view was proposed.
+    pub complete: Vec<MemberId>,
+}
+
+impl View {
+    /// The view that a system starts from: the seeds vote, known by address only.
+    pub fn bootstrap(seeds: &[SocketAddrV4]) -> View {
+        let voters = seeds.iter().map(|&address| MemberId { address, identity: 0 }).collect();
+        View { epoch: 0, voters, chain: Vec::new(), complete: Vec::new() }
+    }
+
+    /// How many voters decide.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether `member` votes on the view after this one.
+    pub fn is_voter(&self, member: MemberId) -> bool {
+        if self.epoch == 0 {
+            return self.voters.iter().any(|voter| voter.address == member.address);
+        }
+        self.voters.contains(&member)
+    }
+
+    pub fn head(&self) -> Option<MemberId> {
+        self.chain.first().copied()
+    }
+
+    pub fn is_tail(&self, member: MemberId) -> bool {
+        self.chain.last() == Some(&member)
+    }
+
+    pub fn predecessor(&self, member: MemberId) -> Option<MemberId> {
+        let position = self.chain.iter().position(|&other| other == member)?;
+        position.checked_sub(1).map(|previous| self.chain[previous])
+    }
+
+    pub fn successor(&self, member: MemberId) -> Option<MemberId> {
+        let position = self.chain.iter().position(|&other| other == member)?;
+        self.chain.get(position + 1).copied()
+    }
+}
