--- a/crates/woadreach-chain/src/agreement.rs
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -79,8 +79,12 @@
         &self.phase
     }
 
-    pub fn is_idle(&self) -> bool {
-        self.phase == Phase::Idle
+    /// Ballot of the present proposal.
+    pub fn ballot(&self) -> Option<Ballot> {
+        match self.phase {
+            Phase::Idle => None,
+            Phase::Preparing { ballot, .. } | Phase::Accepting { ballot, .. } => Some(ballot),
+        }
     }
 
     /// Begins a proposal above every ballot seen so far.
--- a/crates/woadreach-chain/src/durable.rs
+++ b/crates/woadreach-chain/src/durable.rs
@@ -132,7 +132,7 @@
 fn encode_versioned<T: Writable<Endianness>>(value: &T) -> Vec<u8> {
     let mut bytes = vec![FORMAT_VERSION];
     // Writing to a vector fails only when a length exceeds 32 bits, far above every bound on our values.
-    value.write_to_stream(&mut bytes).expect("lengths within 32 bits");
+    value.write_to_stream_with_ctx(Endianness::LittleEndian, &mut bytes).expect("lengths within 32 bits");
     bytes
 }
 
@@ -141,5 +141,5 @@
     if version != FORMAT_VERSION {
         return VersionSnafu { found: version }.fail();
     }
-    T::read_from_buffer(rest).context(MalformedSnafu)
+    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).context(MalformedSnafu)
 }
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -15,6 +15,7 @@
 mod agreement;
 mod blob;
 mod durable;
+mod election;
 mod member;
 mod message;
 mod peers;
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -57,25 +57,46 @@
 pub enum Body {
     Ping(Ping),
     /// First phase of a proposal.
-    Prepare { ballot: Ballot },
+    Prepare {
+        ballot: Ballot,
+    },
     /// Answer to `Prepare`: the sender has sealed the epoch.
-    Promise { ballot: Ballot, report: Report },
+    Promise {
+        ballot: Ballot,
+        report: Report,
+    },
     /// Second phase of a proposal.
     Accept(Accepted),
     /// Answer to `Accept`: the sender has voted.
-    Accepted { ballot: Ballot },
+    Accepted {
+        ballot: Ballot,
+    },
     /// The sender has promised more.
-    Superseded { promised: Ballot },
+    Superseded {
+        promised: Ballot,
+    },
     /// A decided view.
     Decided(View),
     /// Asks for the newest decided view.
     RequestView,
     /// From the predecessor: the writes after `after`.
-    Replicate { after: Stamp, writes: Vec<Write>, barrier: Barrier },
+    Replicate {
+        after: Stamp,
+        writes: Vec<Write>,
+        barrier: Barrier,
+    },
     /// From the predecessor: its whole state.
-    Transfer { state: ControlState, barrier: Barrier },
+    Transfer {
+        state: ControlState,
+        barrier: Barrier,
+    },
     /// From the successor: how far it is, and how far the rest of the chain is.
-    Replicated { active: bool, persisted: Stamp, committed: Option<Stamp>, barrier: Barrier },
+    Replicated {
+        active: bool,
+        persisted: Stamp,
+        committed: Option<Stamp>,
+        barrier: Barrier,
+    },
     /// Asks for the newest committed state.
     RequestState,
     /// The newest committed state, for members outside the chain.
--- a/crates/woadreach-chain/src/peers.rs
+++ b/crates/woadreach-chain/src/peers.rs
@@ -78,6 +78,13 @@
         self.heard(now, from);
     }
 
+    /// When the next of `members` will have been silent for too long, if none is heard after `now`.
+    pub fn next_suspicion(&self, now: Duration, members: &[MemberId]) -> Option<Duration> {
+        let heard = members.iter().filter_map(|member| self.table.get(member));
+        let silent = heard.map(|peer| peer.last_heard + SILENCE + Duration::from_millis(1));
+        silent.filter(|&at| at > now).min()
+    }
+
     /// Forgets members that have been silent for long, and earlier identities of addresses in use.
     pub fn expire(&mut self, now: Duration) {
         self.table.retain(|_, peer| now.saturating_sub(peer.last_heard) <= FORGET);
--- a/crates/woadreach-chain/src/plan.rs
+++ b/crates/woadreach-chain/src/plan.rs
@@ -124,7 +124,7 @@
 
 /// Whether another member lives at the address of `voter`.
 fn has_lost_its_disk(voter: MemberId, learners: &[Candidate]) -> bool {
-    learners.iter().any(|learner| {
-        learner.member.address == voter.address && learner.member.identity != voter.identity
-    })
+    learners
+        .iter()
+        .any(|learner| learner.member.address == voter.address && learner.member.identity != voter.identity)
 }
--- a/crates/woadreach-chain/src/state.rs
+++ b/crates/woadreach-chain/src/state.rs
@@ -10,8 +10,6 @@
 //! | `PutStorageView` | an epoch other than `expected_epoch` | `Rejected(StorageEpochMismatch)` |
 //! | `PutStorageView` | `expected_epoch` | `Take` |
 
-use std::collections::VecDeque;
-
 use snafu::Snafu;
 use speedy::{Readable, Writable};
 
@@ -108,7 +106,7 @@
     pub configuration: Option<StoredConfiguration>,
     pub storage_view: Option<StoredStorageView>,
     /// Configurations that were taken, oldest first, the current one included.
-    pub taken: VecDeque<TakenConfiguration>,
+    pub taken: Vec<TakenConfiguration>,
 }
 
 impl ControlState {
@@ -136,8 +134,7 @@
         match command {
             Command::PutConfiguration(put) => self.apply_configuration(put),
             Command::PutStorageView(put) => {
-                self.storage_view =
-                    Some(StoredStorageView { epoch: put.epoch, bytes: put.bytes.clone() });
+                self.storage_view = Some(StoredStorageView { epoch: put.epoch, bytes: put.bytes.clone() });
             }
         }
     }
@@ -171,9 +168,9 @@
 
     fn apply_configuration(&mut self, put: &PutConfiguration) {
         if self.taken.len() == TAKEN_LIMIT {
-            self.taken.pop_front();
+            self.taken.remove(0);
         }
-        self.taken.push_back(TakenConfiguration { generation: put.generation, digest: put.digest });
+        self.taken.push(TakenConfiguration { generation: put.generation, digest: put.digest });
         self.configuration = Some(StoredConfiguration {
             generation: put.generation,
             digest: put.digest,
