--- /dev/null
+++ b/crates/woadreach-control/src/logging.rs
@@ -0,0 +1,22 @@
+//! Logs on standard error.
+
+use tracing_subscriber::EnvFilter;
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Starts logging; a filter that can't be read counts as `info`.
+pub fn start(format: LogFormat, filter: &str) {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match format {
+        LogFormat::Text => builder.with_ansi(false).init(),
+        LogFormat::Json => builder.json().init(),
+    }
+}
--- /dev/null
+++ b/crates/woadreach-control/src/order.rs
@@ -0,0 +1,175 @@
+//! Orders of the operator: carried out by the head of the chain, passed there by every other core machine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::Snafu;
+use speedy::{Endianness, Readable, Writable};
+use tokio::time::{Instant, timeout_at};
+use woadreach_chain::{Blob, Command, PutConfiguration, Rejection, Reply, Request};
+use woadreach_rpc::{CallError, Client, ServiceId};
+
+use crate::member_driver::MemberDriver;
+
+/// Version of the format of orders between core machines.
+const ORDER_VERSION: u8 = 1;
+/// Callers move on after a second of silence; an order that takes longer is left without a clear answer.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(780);
+/// Longest wait for news of the view before the head is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time that the head keeps back from the caller's for the way back.
+const RETURN_TIME: Duration = Duration::from_millis(20);
+
+/// An order.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Order {
+    PutConfiguration(PutConfiguration),
+    ReadConfiguration,
+    Retire { node: String },
+    RetireState { node: String },
+}
+
+/// A clear answer to an order.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum Answer {
+    /// Committed, now or earlier.
+    Done,
+    /// Not taken, and never will be.
+    Rejected(Rejection),
+    Configuration {
+        generation: u64,
+        body: Blob,
+    },
+    NoConfiguration,
+    /// No such storage machine.
+    UnknownNode,
+    /// Too few storage machines would remain.
+    TooFewNodes,
+    /// Whether the storage machine may be taken away.
+    RetireState {
+        is_finished: bool,
+    },
+}
+
+/// An order that got no clear answer; it may be carried out yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Unanswered {
+    /// This machine knows of no head that answers.
+    #[snafu(display("no head of the chain answers"))]
+    NoHead,
+    /// The chain did not finish in time.
+    #[snafu(display("the chain did not finish in time"))]
+    Late,
+}
+
+/// Passes orders to the head of the chain.
+pub struct OrderService {
+    driver: Arc<MemberDriver>,
+    rpc: Client,
+    own_address: SocketAddr,
+}
+
+impl OrderService {
+    pub fn new(driver: Arc<MemberDriver>, rpc: Client, own_address: SocketAddr) -> OrderService {
+        OrderService { driver, rpc, own_address }
+    }
+
+    /// Carries an order out, here or at the head, and waits for the answer until `deadline`.
+    pub async fn execute(&self, order: Order, deadline: Instant) -> Result<Answer, Unanswered> {
+        let mut changes = self.driver.changes();
+        let mut reached_head = false;
+        loop {
+            changes.borrow_and_update();
+            if let Some(answer) = self.attempt(&order, deadline, &mut reached_head).await {
+                return Ok(answer);
+            }
+            let retry = (Instant::now() + RETRY_PAUSE).min(deadline);
+            // A pause that ends without news is a try of its own.
+            let _ = timeout_at(retry, changes.changed()).await;
+            if Instant::now() >= deadline {
+                return if reached_head { LateSnafu.fail() } else { NoHeadSnafu.fail() };
+            }
+        }
+    }
+
+    async fn attempt(&self, order: &Order, deadline: Instant, reached_head: &mut bool) -> Option<Answer> {
+        let status = self.driver.status();
+        if status.is_head {
+            *reached_head = true;
+            return timeout_at(deadline, execute_at_head(&self.driver, order)).await.ok().flatten();
+        }
+        let head = SocketAddr::V4(status.head?.address);
+        if head == self.own_address {
+            return None;
+        }
+        let result = self.forward(head, order, deadline).await;
+        *reached_head |= !matches!(result, Err(CallError::Unreachable | CallError::Refused));
+        result.ok().and_then(|response| decode_answer(&response))
+    }
+
+    async fn forward(&self, head: SocketAddr, order: &Order, deadline: Instant) -> Result<Bytes, CallError> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        self.rpc.call(head, ServiceId::FORWARD, encode_order(order, left), left).await
+    }
+
+    /// Answers an order that another core machine passed on; an empty response is no answer.
+    pub async fn take_forwarded(&self, body: Bytes) -> Vec<u8> {
+        let Some((order, left)) = decode_order(&body) else { return Vec::new() };
+        let wait = left.min(ORDER_TIMEOUT).saturating_sub(RETURN_TIME);
+        let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, &order)).await;
+        answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer))
+    }
+}
+
+/// Carries an order out at the head; nothing if this machine isn't the head any more.
+async fn execute_at_head(driver: &MemberDriver, order: &Order) -> Option<Answer> {
+    match order {
+        Order::PutConfiguration(put) => {
+            let command = Command::PutConfiguration(put.clone());
+            match driver.request(Request::Submit(command)).await {
+                Reply::Taken | Reply::AlreadyTaken => Some(Answer::Done),
+                Reply::Rejected(rejection) => Some(Answer::Rejected(rejection)),
+                _ => None,
+            }
+        }
+        Order::ReadConfiguration => match driver.request(Request::ReadConfiguration).await {
+            Reply::Configuration(Some((generation, body))) => {
+                Some(Answer::Configuration { generation, body })
+            }
+            Reply::Configuration(None) => Some(Answer::NoConfiguration),
+            _ => None,
+        },
+        Order::Retire { .. } | Order::RetireState { .. } => Some(Answer::UnknownNode),
+    }
+}
+
+fn encode<T: Writable<Endianness>>(value: &T) -> Vec<u8> {
+    let mut bytes = vec![ORDER_VERSION];
+    // Writing to a vector fails only when a length exceeds 32 bits, far above every bound on our values.
+    value.write_to_stream_with_ctx(Endianness::LittleEndian, &mut bytes).expect("lengths within 32 bits");
+    bytes
+}
+
+fn decode<'a, T: Readable<'a, Endianness>>(bytes: &'a [u8]) -> Option<T> {
+    let (&version, rest) = bytes.split_first()?;
+    if version != ORDER_VERSION {
+        return None;
+    }
+    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).ok()
+}
+
+fn encode_order(order: &Order, left: Duration) -> Vec<u8> {
+    let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+    encode(&(left_ms, order))
+}
+
+fn decode_order(bytes: &[u8]) -> Option<(Order, Duration)> {
+    let (left_ms, order): (u32, Order) = decode(bytes)?;
+    Some((order, Duration::from_millis(u64::from(left_ms))))
+}
+
+fn decode_answer(bytes: &[u8]) -> Option<Answer> {
+    decode(bytes)
+}
