Storage, thin: view, groups, quorum client, member, pull and the storage role

Turns and budgets live at 2f + 1 machines by rendezvous hashing over the agreed view; a write waits for a quorum of synced copies, in a joint epoch for one of each group; a new disk pulls before the joint epoch ends. Decisions are pure (member, quorum, pull, plan), drivers apart. The role announces itself to the seeds; views come by clients until the core's watch is there.

--- /dev/null
+++ b/crates/woadreach-storage/src/client/exchange.rs
@@ -0,0 +1,62 @@
+//! One request to one storage machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use woadreach_rpc::{CallError, ServiceId};
+
+use super::StorageClient;
+use crate::message::{Answer, Fence, Operation, Request, Response, decode, encode};
+use crate::view::StorageMember;
+
+/// Place of the disk's identity in an encoded request: after the version and the epoch.
+const DISK_OFFSET: usize = 9;
+
+/// A request that was encoded once for all machines of a group.
+#[derive(Clone)]
+pub(super) struct EncodedRequest {
+    bytes: Arc<Vec<u8>>,
+}
+
+impl EncodedRequest {
+    pub(super) fn new(epoch: u64, operation: &Operation) -> EncodedRequest {
+        let request = Request { fence: Fence { epoch, disk: 0 }, operation: operation.clone() };
+        EncodedRequest { bytes: Arc::new(encode(&request)) }
+    }
+
+    fn addressed_to(&self, disk: u64) -> Vec<u8> {
+        let mut bytes = Vec::clone(&self.bytes);
+        bytes[DISK_OFFSET..DISK_OFFSET + 8].copy_from_slice(&disk.to_le_bytes());
+        bytes
+    }
+}
+
+impl StorageClient {
+    /// Sends a request and reads the answer; brings views up to date on both sides.
+    pub(super) async fn exchange(
+        &self,
+        member: &StorageMember,
+        request: &EncodedRequest,
+        timeout: Duration,
+    ) -> Result<Answer, CallError> {
+        let body = request.addressed_to(member.disk);
+        let reply = self.shared.rpc.call(member.address, ServiceId::STORAGE, body, timeout).await?;
+        let response: Response = decode(&reply).ok_or(CallError::Broken)?;
+        if let Answer::Stale { view } = &response.answer {
+            self.set_view(Arc::new(view.clone()));
+        }
+        self.bring_view(member, response.epoch);
+        Ok(response.answer)
+    }
+
+    /// Tells a machine the newer view.
+    fn bring_view(&self, member: &StorageMember, known_epoch: u64) {
+        let view = self.view();
+        if known_epoch < view.epoch {
+            let fence = Fence { epoch: view.epoch, disk: member.disk };
+            let operation = Operation::NewView { view: (*view).clone() };
+            let body = encode(&Request { fence, operation });
+            self.shared.rpc.send(member.address, ServiceId::STORAGE, body);
+        }
+    }
+}
--- a/crates/woadreach-storage/src/lib.rs
+++ b/crates/woadreach-storage/src/lib.rs
@@ -1,1 +1,31 @@
-//! Kept turns and budgets: state, placement groups, quorum client, storage view.
+//! Kept turns and programs' budgets, on the disks of the storage machines.
+//!
+//! A program's turns and its budget live at its *group*: the first `2f + 1` storage machines by rendezvous
+//! hashing over the agreed [`StorageView`]. Turns never change and budgets only grow, so no machine decides
+//! alone: a write is durable once a quorum of the group has synced it. When the membership changes, a joint
+//! epoch demands quorums of the present and of the next group until every next member has pulled its part.
+//!
+//! Pure parts, without I/O or clock: [`placement`], [`view`], [`budget`], [`store`], [`member`] (one storage
+//! machine), [`quorum`] (one operation of a client), [`pull`] (copying from other members). Drivers: [`client`]
+//! for proxies, [`server`] for storage machines, [`announce`] for both ends of the membership.
+
+#![warn(missing_docs)]
+
+pub mod announce;
+pub mod budget;
+pub mod cache;
+pub mod client;
+pub mod member;
+pub mod message;
+pub mod placement;
+pub mod pull;
+pub mod quorum;
+pub mod record;
+pub mod server;
+pub mod store;
+pub mod turn;
+pub mod view;
+
+pub use client::{ChainError, ReserveError, ReserveRequest, StorageClient, Unavailable};
+pub use turn::{Turn, TurnKey};
+pub use view::{StorageMember, StorageView};
--- /dev/null
+++ b/crates/woadreach-storage/src/member.rs
@@ -0,0 +1,305 @@
+//! One storage machine, without I/O or clock.
+//!
+//! A request is either answered at once or leads to a record that must be synced first; the answer to the
+//! latter can only be had for the receipt of that sync.
+
+use std::time::Duration;
+
+use woadreach_journal::Synced;
+
+use crate::budget::Reservation;
+use crate::message::{
+    Answer, Fence, Operation, ProgramRecords, Request, Response, Settlement, decode, encode,
+};
+use crate::placement::holds;
+use crate::record::Record;
+use crate::store::Store;
+use crate::turn::TurnRecord;
+use crate::view::StorageView;
+
+/// Most bytes of turns in one answer.
+const MOST_ANSWER_BYTES: usize = 512 << 10;
+/// Most digests in one answer.
+const MOST_DIGESTS: usize = 4_000;
+
+/// What to do with a request.
+#[derive(Debug)]
+#[must_use]
+pub enum Step {
+    /// Send this answer.
+    Reply(Response),
+    /// Append the record to the journal; the receipt of its sync gives the answer.
+    Persist {
+        /// Record to append.
+        record: Vec<u8>,
+        /// What the answer depends on.
+        pending: Pending,
+    },
+}
+
+/// An answer that waits for a sync.
+#[derive(Debug)]
+pub enum Pending {
+    /// Tell all reservations of the program.
+    Reservations(String),
+    /// Say that it is stored.
+    Stored,
+    /// Epoch that is sealed by the sync.
+    Sealed(u64),
+}
+
+/// State of one storage machine.
+#[derive(Debug)]
+pub struct Member {
+    node: String,
+    disk: u64,
+    tolerated: usize,
+    view: StorageView,
+    /// Epoch whose predecessors are refused even after a restart.
+    sealed_epoch: u64,
+    pulled_epoch: u64,
+    store: Store,
+}
+
+impl Member {
+    /// A machine whose disk is new, with the record that gives the disk its identity.
+    #[must_use]
+    pub fn create(node: String, disk: u64, tolerated: usize) -> (Member, Vec<u8>) {
+        let member = Member {
+            node,
+            disk,
+            tolerated,
+            view: StorageView::default(),
+            sealed_epoch: 0,
+            pulled_epoch: 0,
+            store: Store::default(),
+        };
+        (member, encode(&Record::Identity { disk }))
+    }
+
+    /// A machine from its journal; `None` if the journal does not begin with the disk's identity or holds
+    /// what cannot be read.
+    #[must_use]
+    pub fn recover(
+        now: Duration,
+        node: String,
+        tolerated: usize,
+        snapshot: Option<&[u8]>,
+        records: &[Vec<u8>],
+    ) -> Option<Member> {
+        let snapshot: Vec<Vec<u8>> = snapshot.map_or(Some(Vec::new()), decode)?;
+        let mut all = snapshot.iter().chain(records);
+        let Record::Identity { disk } = decode(all.next()?)? else { return None };
+        let (mut member, _) = Member::create(node, disk, tolerated);
+        for bytes in all {
+            match decode::<Record>(bytes)? {
+                Record::Identity { .. } => return None,
+                Record::View(view) => {
+                    member.sealed_epoch = view.epoch;
+                    member.view = view;
+                }
+                Record::Program(records) => {
+                    member.store.merge(now, records);
+                }
+            }
+        }
+        Some(member)
+    }
+
+    /// Everything durable in one piece, for [`Member::recover`].
+    #[must_use]
+    pub fn snapshot(&self, now: Duration) -> Vec<u8> {
+        let mut records = vec![encode(&Record::Identity { disk: self.disk })];
+        if self.view.epoch > 0 {
+            records.push(encode(&Record::View(self.view.clone())));
+        }
+        let programs = self.store.names().filter_map(|name| self.store.program(now, name));
+        records.extend(programs.map(|program| encode(&Record::Program(program))));
+        encode(&records)
+    }
+
+    /// Identity of the disk.
+    #[must_use]
+    pub fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// Name of the machine.
+    #[must_use]
+    pub fn node(&self) -> &str {
+        &self.node
+    }
+
+    /// The newest view that is known here.
+    #[must_use]
+    pub fn view(&self) -> &StorageView {
+        &self.view
+    }
+
+    /// Tolerated losses.
+    #[must_use]
+    pub fn tolerated(&self) -> usize {
+        self.tolerated
+    }
+
+    /// Joint epoch for which everything has been pulled.
+    #[must_use]
+    pub fn pulled_epoch(&self) -> u64 {
+        self.pulled_epoch
+    }
+
+    /// Everything that was to be pulled for `epoch` is synced here.
+    pub fn pulled(&mut self, epoch: u64) {
+        self.pulled_epoch = self.pulled_epoch.max(epoch);
+    }
+
+    /// Turns and budgets.
+    #[must_use]
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: Duration) {
+        self.store.expire(now);
+    }
+
+    /// Takes a request.
+    pub fn handle(&mut self, now: Duration, request: Request) -> Step {
+        if let Operation::NewView { view } = request.operation {
+            return self.learn_view(view).unwrap_or_else(|| self.reply(Answer::Stored));
+        }
+        if let Err(answer) = self.admit(request.fence) {
+            return self.reply(answer);
+        }
+        match request.operation {
+            Operation::Reserve { program, reservation, most } => {
+                self.reserve(now, program, reservation, most)
+            }
+            Operation::Settle { program, settlement } => self.put(now, program, Vec::new(), Some(settlement)),
+            Operation::PutTurns { program, turns, settlement } => self.put(now, program, turns, settlement),
+            Operation::ReadChain { program, request_id } => {
+                let chain = self.store.chain(&program, &request_id, MOST_ANSWER_BYTES);
+                let turns = chain.iter().map(|turn| TurnRecord::clone(turn)).collect();
+                self.reply(Answer::Chain { turns })
+            }
+            Operation::Find { request_id } => {
+                self.reply(Answer::Found { programs: self.store.programs_of(&request_id) })
+            }
+            Operation::Digests { node, after } => self.digests(request.fence, &node, after.as_deref()),
+            Operation::Fetch { programs } => self.fetch(now, &programs),
+            Operation::NewView { .. } => unreachable!("taken above"),
+        }
+    }
+
+    /// Answer to a request whose record is synced.
+    #[must_use]
+    pub fn complete(&mut self, pending: Pending, _synced: &Synced) -> Response {
+        match pending {
+            Pending::Reservations(program) => {
+                let reservations = self.store.reservations(&program);
+                self.response(Answer::Reserved { reservations })
+            }
+            Pending::Stored => self.response(Answer::Stored),
+            Pending::Sealed(epoch) => {
+                self.sealed_epoch = self.sealed_epoch.max(epoch);
+                self.response(Answer::Stored)
+            }
+        }
+    }
+
+    /// Answer to a request whose record the disk did not take.
+    #[must_use]
+    pub fn failed(&self) -> Response {
+        self.response(Answer::Failed)
+    }
+
+    /// Takes a newer view: older ones are refused from now on, and pulls are served once it is synced.
+    pub fn learn_view(&mut self, view: StorageView) -> Option<Step> {
+        if view.epoch <= self.view.epoch {
+            return None;
+        }
+        let epoch = view.epoch;
+        let record = encode(&Record::View(view.clone()));
+        self.view = view;
+        Some(Step::Persist { record, pending: Pending::Sealed(epoch) })
+    }
+
+    /// Merges records from another machine; `None` if nothing of them is new here.
+    pub fn merge(&mut self, now: Duration, records: ProgramRecords) -> Option<Step> {
+        let record = encode(&Record::Program(records.clone()));
+        let changed = self.store.merge(now, records);
+        changed.then_some(Step::Persist { record, pending: Pending::Stored })
+    }
+
+    fn admit(&self, fence: Fence) -> Result<(), Answer> {
+        if fence.disk != self.disk {
+            return Err(Answer::WrongDisk);
+        }
+        if fence.epoch < self.view.epoch {
+            return Err(Answer::Stale { view: self.view.clone() });
+        }
+        Ok(())
+    }
+
+    fn reserve(&mut self, now: Duration, program: String, id: u64, most: u64) -> Step {
+        let reservation = Reservation { id, tokens: most, settled: false };
+        let records = Store::records(program.clone(), vec![reservation], Vec::new());
+        self.persist(now, records, Pending::Reservations(program))
+    }
+
+    fn put(
+        &mut self,
+        now: Duration,
+        program: String,
+        turns: Vec<TurnRecord>,
+        settlement: Option<Settlement>,
+    ) -> Step {
+        if turns.iter().any(|turn| turn.program != program) {
+            return self.reply(Answer::Malformed);
+        }
+        let settled =
+            settlement.map(|end| Reservation { id: end.reservation, tokens: end.given, settled: true });
+        let records = Store::records(program, settled.into_iter().collect(), turns);
+        self.persist(now, records, Pending::Stored)
+    }
+
+    fn persist(&mut self, now: Duration, records: ProgramRecords, pending: Pending) -> Step {
+        let record = encode(&Record::Program(records.clone()));
+        self.store.merge(now, records);
+        Step::Persist { record, pending }
+    }
+
+    fn digests(&self, fence: Fence, node: &str, after: Option<&str>) -> Step {
+        if self.sealed_epoch < fence.epoch {
+            return self.reply(Answer::Behind);
+        }
+        let wanted = |program: &str| holds(self.view.latest(), program, self.tolerated, node);
+        let (digests, more) = self.store.digests(after, MOST_DIGESTS, wanted);
+        self.reply(Answer::DigestPage { digests, more })
+    }
+
+    fn fetch(&self, now: Duration, names: &[String]) -> Step {
+        let mut programs = Vec::new();
+        let mut bytes = 0;
+        for name in names {
+            if bytes > MOST_ANSWER_BYTES {
+                break;
+            }
+            let expired = || Store::records(name.clone(), Vec::new(), Vec::new());
+            let records = self.store.program(now, name).unwrap_or_else(expired);
+            bytes +=
+                records.turns.iter().map(TurnRecord::size).sum::<usize>() + records.reservations.len() * 17;
+            programs.push(records);
+        }
+        self.reply(Answer::Records { programs })
+    }
+
+    fn reply(&self, answer: Answer) -> Step {
+        Step::Reply(self.response(answer))
+    }
+
+    fn response(&self, answer: Answer) -> Response {
+        Response { epoch: self.view.epoch, answer }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/placement.rs
@@ -0,0 +1,71 @@
+//! Which machines hold a program's records, and how many of them a quorum needs.
+//!
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): every machine is ranked by a hash of its name and the
+//! program's, so that a change of the membership moves only what it must. Machines of zones that are not
+//! represented yet go first.
+
+use crate::view::StorageMember;
+
+/// The machines that hold `program`: the first `2f + 1` of `members` by rank, of different zones where there
+/// are. Ranked by name, not by disk, so that a machine with a new disk keeps its place.
+#[must_use]
+pub fn group<'a>(members: &'a [StorageMember], program: &str, tolerated: usize) -> Vec<&'a StorageMember> {
+    let size = group_size(members.len(), tolerated);
+    let mut ranked: Vec<_> = members.iter().map(|member| (rank(program, &member.node), member)).collect();
+    ranked.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.node.cmp(&right.1.node)));
+    let mut chosen: Vec<&StorageMember> = Vec::with_capacity(size);
+    while chosen.len() < size {
+        let mut zones: Vec<&str> = Vec::new();
+        ranked.retain(|(_, member)| {
+            let fresh = chosen.len() < size && !zones.contains(&member.zone.as_str());
+            if fresh {
+                zones.push(&member.zone);
+                chosen.push(member);
+            }
+            !fresh
+        });
+    }
+    chosen
+}
+
+/// Whether `node` belongs to the group of `program`.
+#[must_use]
+pub fn holds(members: &[StorageMember], program: &str, tolerated: usize, node: &str) -> bool {
+    group(members, program, tolerated).iter().any(|member| member.node == node)
+}
+
+/// Size of a group out of `members` machines.
+#[must_use]
+pub fn group_size(members: usize, tolerated: usize) -> usize {
+    members.min(2 * tolerated + 1)
+}
+
+/// Machines of a group that must have synced a write.
+#[must_use]
+pub fn write_quorum(group: usize, tolerated: usize) -> usize {
+    (tolerated + 1).max(group / 2 + 1)
+}
+
+/// Machines of a group that must answer a read, so that it meets every write.
+#[must_use]
+pub fn read_quorum(group: usize, tolerated: usize) -> usize {
+    (group + 1).saturating_sub(write_quorum(group, tolerated)).max(1)
+}
+
+fn rank(program: &str, node: &str) -> u64 {
+    let mut hash = hash64(program.as_bytes(), 0xcbf2_9ce4_8422_2325);
+    hash = hash64(&[0xff], hash);
+    finish(hash64(node.as_bytes(), hash))
+}
+
+/// FNV-1a, continued from `state`.
+pub(crate) fn hash64(bytes: &[u8], state: u64) -> u64 {
+    bytes.iter().fold(state, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// The final mix of SplitMix64, which spreads the low entropy of FNV over all bits.
+pub(crate) fn finish(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/pull.rs
@@ -0,0 +1,100 @@
+//! Copying from other members what a machine should hold.
+//!
+//! A machine of `next` pulls from the members of `current`, page by page: digests first, then the records of
+//! the programs whose digests differ. A source that serves a page has sealed the epoch, so no write under an
+//! earlier one can be acknowledged without being in some source's pages.
+
+use std::collections::VecDeque;
+
+use crate::message::{Answer, Operation, ProgramRecords};
+use crate::placement::{group_size, write_quorum};
+use crate::store::Store;
+use crate::view::StorageView;
+
+/// Programs asked for in one message.
+const FETCH_AT_ONCE: usize = 64;
+
+/// Progress of one pull from all sources of an epoch.
+#[derive(Debug, Clone)]
+pub struct Pull {
+    epoch: u64,
+    disks: Vec<u64>,
+    finished: Vec<u64>,
+    may_miss: usize,
+}
+
+impl Pull {
+    /// A pull for the joint epoch of `view` by the machine with disk `own`.
+    #[must_use]
+    pub fn new(view: &StorageView, own: u64, tolerated: usize) -> Pull {
+        let size = group_size(view.current.len(), tolerated);
+        let may_miss = write_quorum(size, tolerated).min(size).saturating_sub(1);
+        let disks: Vec<u64> = view.current.iter().map(|member| member.disk).collect();
+        let finished = disks.iter().copied().filter(|disk| *disk == own).collect();
+        Pull { epoch: view.epoch, disks, finished, may_miss }
+    }
+
+    /// Epoch that is pulled for.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Everything of one source is synced here.
+    pub fn finished(&mut self, disk: u64) {
+        if self.disks.contains(&disk) && !self.finished.contains(&disk) {
+            self.finished.push(disk);
+        }
+    }
+
+    /// Whether a source is done.
+    #[must_use]
+    pub fn has_finished(&self, disk: u64) -> bool {
+        self.finished.contains(&disk)
+    }
+
+    /// Whether so many sources are done that every acknowledged write was met.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        self.disks.len() - self.finished.len() <= self.may_miss
+    }
+}
+
+/// Pages from one source.
+#[derive(Debug, Clone, Default)]
+pub struct Pages {
+    after: Option<String>,
+    last_page: bool,
+    to_fetch: VecDeque<String>,
+}
+
+impl Pages {
+    /// The next request; `None` once everything has been asked for.
+    #[must_use]
+    pub fn next(&self, node: &str) -> Option<Operation> {
+        if !self.to_fetch.is_empty() {
+            let programs = self.to_fetch.iter().take(FETCH_AT_ONCE).cloned().collect();
+            return Some(Operation::Fetch { programs });
+        }
+        (!self.last_page).then(|| Operation::Digests { node: node.to_owned(), after: self.after.clone() })
+    }
+
+    /// Takes the answer to [`Pages::next`]; gives the records to be merged. `None` if it is another answer.
+    pub fn answered(&mut self, store: &Store, answer: Answer) -> Option<Vec<ProgramRecords>> {
+        match answer {
+            Answer::DigestPage { digests, more } => {
+                self.last_page = !more;
+                self.after = digests.last().map(|last| last.program.clone());
+                let differs = |digest: &u64, name: &str| store.digest(name) != Some(*digest);
+                let wanted = digests.into_iter().filter(|entry| differs(&entry.digest, &entry.program));
+                self.to_fetch.extend(wanted.map(|entry| entry.program));
+                Some(Vec::new())
+            }
+            Answer::Records { programs } if !programs.is_empty() => {
+                self.to_fetch.drain(..programs.len().min(self.to_fetch.len()));
+                Some(programs)
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/store.rs
@@ -0,0 +1,223 @@
+//! State of one storage machine in memory: turns and budgets by program.
+//!
+//! A program's turns are kept together until the retention of its newest turn has passed, so that a chain is
+//! never cut; its budget is kept for longer, as the program may go on.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::budget::{Budget, Reservation};
+use crate::message::{ProgramDigest, ProgramRecords};
+use crate::placement::{finish, hash64};
+use crate::turn::TurnRecord;
+
+/// Kept beyond the retention, for the way to the client and back.
+const RETENTION_MARGIN: Duration = Duration::from_secs(5);
+/// How long the budget of a program is kept after its last use.
+const BUDGET_RETENTION: Duration = Duration::from_secs(600);
+
+/// Records of one program.
+#[derive(Debug, Default)]
+struct Program {
+    budget: Budget,
+    turns: BTreeMap<String, Arc<TurnRecord>>,
+    turns_until: Duration,
+    budget_until: Duration,
+}
+
+impl Program {
+    /// When something of it expires next.
+    fn next_expiry(&self) -> Duration {
+        if self.turns.is_empty() { self.budget_until } else { self.turns_until }
+    }
+
+    fn digest(&self) -> u64 {
+        let turns = self.turns.keys().map(|name| finish(hash64(name.as_bytes(), 1)));
+        let reservations = self.budget.iter().map(|entry| {
+            let state = hash64(&entry.id.to_le_bytes(), 2 + u64::from(entry.settled));
+            finish(hash64(&entry.tokens.to_le_bytes(), state))
+        });
+        turns.chain(reservations).fold(0, u64::wrapping_add)
+    }
+}
+
+/// Turns and budgets. Times are of the process's steady clock.
+#[derive(Debug, Default)]
+pub struct Store {
+    programs: BTreeMap<String, Program>,
+    /// Programs of a turn's name.
+    programs_of: BTreeMap<String, BTreeSet<String>>,
+    expiries: BTreeSet<(Duration, String)>,
+    bytes: usize,
+}
+
+impl Store {
+    /// Merges records of a program; returns whether anything was new.
+    pub fn merge(&mut self, now: Duration, records: ProgramRecords) -> bool {
+        let name = records.program;
+        let mut changed = false;
+        let program = self.programs.entry(name.clone()).or_default();
+        let before = (program.next_expiry(), name.clone());
+        for reservation in records.reservations {
+            changed |= program.budget.join(reservation);
+        }
+        for turn in records.turns {
+            if program.turns.contains_key(&turn.request_id) {
+                continue;
+            }
+            self.bytes += turn.size();
+            self.programs_of.entry(turn.request_id.clone()).or_default().insert(name.clone());
+            program.turns.insert(turn.request_id.clone(), Arc::new(turn));
+            changed = true;
+        }
+        let kept_for = Duration::from_millis(records.remaining_ms);
+        program.turns_until = program.turns_until.max(now + kept_for);
+        program.budget_until = program.budget_until.max(now + BUDGET_RETENTION);
+        let after = (program.next_expiry(), name);
+        if before != after {
+            self.expiries.remove(&before);
+        }
+        self.expiries.insert(after);
+        changed
+    }
+
+    /// Records that store `turns` and `reservations` of a program, kept for the longest of the turns'
+    /// retentions.
+    #[must_use]
+    pub fn records(
+        program: String,
+        reservations: Vec<Reservation>,
+        turns: Vec<TurnRecord>,
+    ) -> ProgramRecords {
+        let longest = turns.iter().map(|turn| turn.retention_ms).max();
+        let margin = u64::try_from(RETENTION_MARGIN.as_millis()).unwrap_or(u64::MAX);
+        let remaining_ms = longest.map_or(0, |retention| retention.saturating_add(margin));
+        ProgramRecords { program, reservations, turns, remaining_ms }
+    }
+
+    /// All reservations of a program.
+    #[must_use]
+    pub fn reservations(&self, program: &str) -> Vec<Reservation> {
+        let budget = self.programs.get(program).map(|found| &found.budget);
+        budget.map(|found| found.iter().copied().collect()).unwrap_or_default()
+    }
+
+    /// A turn and its ancestors, newest first, up to one that is not here or `most_bytes`.
+    #[must_use]
+    pub fn chain(&self, program: &str, request_id: &str, most_bytes: usize) -> Vec<Arc<TurnRecord>> {
+        let mut chain: Vec<Arc<TurnRecord>> = Vec::new();
+        let Some(found) = self.programs.get(program) else { return chain };
+        let mut next = found.turns.get(request_id);
+        let mut bytes = 0;
+        while let Some(turn) = next {
+            bytes += turn.size();
+            let full = bytes > most_bytes && !chain.is_empty();
+            if full || chain.len() > found.turns.len() {
+                break;
+            }
+            chain.push(Arc::clone(turn));
+            next = turn.previous.as_ref().and_then(|previous| found.turns.get(previous));
+        }
+        chain
+    }
+
+    /// Programs that have a turn of this name.
+    #[must_use]
+    pub fn programs_of(&self, request_id: &str) -> Vec<String> {
+        self.programs_of.get(request_id).map(|names| names.iter().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Digests of up to `most` programs after `after` that `filter` accepts, and whether more follow.
+    #[must_use]
+    pub fn digests(
+        &self,
+        after: Option<&str>,
+        most: usize,
+        filter: impl Fn(&str) -> bool,
+    ) -> (Vec<ProgramDigest>, bool) {
+        let start = after.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        let range = self.programs.range::<str, _>((start, std::ops::Bound::Unbounded));
+        let mut digests = Vec::new();
+        for (name, program) in range.filter(|(name, _)| filter(name)) {
+            if digests.len() == most {
+                return (digests, true);
+            }
+            digests.push(ProgramDigest { program: name.clone(), digest: program.digest() });
+        }
+        (digests, false)
+    }
+
+    /// Digest of one program; `None` if nothing of it is here.
+    #[must_use]
+    pub fn digest(&self, program: &str) -> Option<u64> {
+        self.programs.get(program).map(Program::digest)
+    }
+
+    /// All records of a program.
+    #[must_use]
+    pub fn program(&self, now: Duration, name: &str) -> Option<ProgramRecords> {
+        let program = self.programs.get(name)?;
+        let remaining = program.turns_until.saturating_sub(now);
+        Some(ProgramRecords {
+            program: name.to_owned(),
+            reservations: program.budget.iter().copied().collect(),
+            turns: program.turns.values().map(|turn| TurnRecord::clone(turn)).collect(),
+            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
+    /// Names of all programs.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.programs.keys().map(String::as_str)
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: Duration) {
+        while let Some((when, name)) = self.expiries.first().cloned() {
+            if when > now {
+                return;
+            }
+            self.expiries.pop_first();
+            self.expire_program(now, name);
+        }
+    }
+
+    fn expire_program(&mut self, now: Duration, name: String) {
+        let Some(program) = self.programs.get_mut(&name) else { return };
+        if program.turns_until <= now {
+            for (request_id, turn) in std::mem::take(&mut program.turns) {
+                self.bytes -= turn.size();
+                if let Some(names) = self.programs_of.get_mut(&request_id) {
+                    names.remove(&name);
+                    if names.is_empty() {
+                        self.programs_of.remove(&request_id);
+                    }
+                }
+            }
+        }
+        if program.turns.is_empty() && program.budget_until <= now {
+            self.programs.remove(&name);
+        } else {
+            self.expiries.insert((program.next_expiry(), name));
+        }
+    }
+
+    /// Bytes of all turns, roughly.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Number of programs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.programs.len()
+    }
+
+    /// Whether nothing is stored.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.programs.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/turn.rs
@@ -0,0 +1,135 @@
+//! Turns of a conversation: what a client sent and what it was answered.
+
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use speedy::{Readable, Writable};
+
+/// Name of a turn.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct TurnKey {
+    /// Program that took the turn.
+    pub program: String,
+    /// `Request-Id` of the turn.
+    pub request_id: String,
+}
+
+/// A turn that was answered whole. Turns never change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Turn {
+    /// Program that took the turn.
+    pub program: String,
+    /// Line of turns within the program.
+    pub session: String,
+    /// `Request-Id` of the turn.
+    pub request_id: String,
+    /// Turn that this one goes on from.
+    pub previous: Option<TurnKey>,
+    /// The client's new input.
+    pub input: Bytes,
+    /// Data of each event of the answer.
+    pub events: Vec<Bytes>,
+    /// How long the turn and its chain are kept after the end of the answer.
+    pub retention: Duration,
+}
+
+impl Turn {
+    /// Name of the turn.
+    #[must_use]
+    pub fn key(&self) -> TurnKey {
+        TurnKey { program: self.program.clone(), request_id: self.request_id.clone() }
+    }
+
+    /// Bytes that the turn takes in memory, roughly.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let events: usize = self.events.iter().map(|event| event.len() + size_of::<Bytes>()).sum();
+        size_of::<Turn>() + self.input.len() + events
+    }
+
+    /// The form in which it is sent and stored, under `program`: a turn that another program goes on from is
+    /// copied into that program's group, so that a chain always lies in one group.
+    #[must_use]
+    pub fn to_record(&self, program: &str) -> TurnRecord {
+        TurnRecord {
+            program: program.to_owned(),
+            session: self.session.clone(),
+            request_id: self.request_id.clone(),
+            previous: self.previous.as_ref().map(|key| key.request_id.clone()),
+            retention_ms: u64::try_from(self.retention.as_millis()).unwrap_or(u64::MAX),
+            content: encode_content(&self.input, &self.events),
+        }
+    }
+}
+
+/// A turn as it is sent and stored. Its content stays opaque to the storage machines.
+#[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
+pub struct TurnRecord {
+    /// Program in whose group it is stored.
+    pub program: String,
+    /// Line of turns within the program.
+    pub session: String,
+    /// `Request-Id` of the turn.
+    pub request_id: String,
+    /// Turn of the same program that this one goes on from.
+    pub previous: Option<String>,
+    /// How long it is kept after the end of the answer.
+    pub retention_ms: u64,
+    /// Input and events, each with its length before it.
+    pub content: Vec<u8>,
+}
+
+impl TurnRecord {
+    /// Name of the turn.
+    #[must_use]
+    pub fn key(&self) -> TurnKey {
+        TurnKey { program: self.program.clone(), request_id: self.request_id.clone() }
+    }
+
+    /// Bytes that the record takes in memory, roughly.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        size_of::<TurnRecord>() + self.program.len() + self.request_id.len() + self.content.len()
+    }
+
+    /// The turn, or `None` if the content cannot be read.
+    #[must_use]
+    pub fn into_turn(self) -> Option<Turn> {
+        let (input, events) = decode_content(self.content.into())?;
+        let program = self.program;
+        let previous = self.previous.map(|request_id| TurnKey { program: program.clone(), request_id });
+        Some(Turn {
+            program,
+            session: self.session,
+            request_id: self.request_id,
+            previous,
+            input,
+            events,
+            retention: Duration::from_millis(self.retention_ms),
+        })
+    }
+}
+
+fn encode_content(input: &Bytes, events: &[Bytes]) -> Vec<u8> {
+    let length: usize = events.iter().map(|event| 4 + event.len()).sum();
+    let mut content = BytesMut::with_capacity(4 + input.len() + length);
+    for part in std::iter::once(input).chain(events) {
+        content.put_u32_le(u32::try_from(part.len()).expect("a part is shorter than 4 GiB"));
+        content.put_slice(part);
+    }
+    content.into()
+}
+
+fn decode_content(mut content: Bytes) -> Option<(Bytes, Vec<Bytes>)> {
+    let mut parts = Vec::new();
+    while !content.is_empty() {
+        let length = u32::from_le_bytes(content.get(..4)?.try_into().ok()?) as usize;
+        if content.len() < 4 + length {
+            return None;
+        }
+        parts.push(content.slice(4..4 + length));
+        content = content.slice(4 + length..);
+    }
+    let mut parts = parts.into_iter();
+    Some((parts.next()?, parts.collect()))
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/view/mod.rs
@@ -0,0 +1,100 @@
+//! The agreed membership of the storage machines.
+
+mod member;
+mod plan;
+
+use std::collections::BTreeSet;
+
+use snafu::Snafu;
+use speedy::{Readable, Writable};
+
+pub use member::StorageMember;
+pub use plan::plan;
+
+use crate::message;
+
+/// Membership at one epoch. While `next` is there the epoch is a *joint* one: writes need quorums of both.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Readable, Writable)]
+pub struct StorageView {
+    /// Rises with each change.
+    pub epoch: u64,
+    /// Machines that hold all that was ever acknowledged; empty before the first view.
+    pub current: Vec<StorageMember>,
+    /// Machines that are to take over, once each has pulled what it should hold.
+    pub next: Option<Vec<StorageMember>>,
+    /// Machines that are to be emptied.
+    pub retiring: BTreeSet<String>,
+    /// Machines that were emptied and may be taken away.
+    pub retired: BTreeSet<String>,
+}
+
+/// Why a machine cannot be emptied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum RetireError {
+    /// No such machine.
+    #[snafu(display("no storage machine of this name"))]
+    Unknown,
+    /// Fewer machines than the tolerated losses and one would remain.
+    #[snafu(display("too few storage machines would remain"))]
+    TooFew,
+}
+
+impl StorageView {
+    /// Bytes for the control state.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        message::encode(self)
+    }
+
+    /// View from the control state's bytes; `None` if they are not one.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<StorageView> {
+        message::decode(bytes)
+    }
+
+    /// Whether the disk belongs to the machines that hold everything.
+    #[must_use]
+    pub fn is_current(&self, disk: u64) -> bool {
+        self.current.iter().any(|member| member.disk == disk)
+    }
+
+    /// Machines that hold, or are to hold, the records: `next` if there is one.
+    #[must_use]
+    pub fn latest(&self) -> &[StorageMember] {
+        self.next.as_deref().unwrap_or(&self.current)
+    }
+
+    /// All machines of the view, each disk once.
+    #[must_use]
+    pub fn members(&self) -> Vec<&StorageMember> {
+        let mut members: Vec<&StorageMember> = self.current.iter().collect();
+        for member in self.next.iter().flatten() {
+            if !self.is_current(member.disk) {
+                members.push(member);
+            }
+        }
+        members
+    }
+}
+
+/// The view in which `node` is to be emptied. A repeated order changes nothing.
+///
+/// # Errors
+/// [`RetireError::Unknown`] if no view names the machine, [`RetireError::TooFew`] if fewer than
+/// `tolerated + 1` machines would remain.
+pub fn retire(view: &StorageView, node: &str, tolerated: usize) -> Result<StorageView, RetireError> {
+    if view.retiring.contains(node) || view.retired.contains(node) {
+        return Ok(view.clone());
+    }
+    if !view.members().iter().any(|member| member.node == node) {
+        return Err(RetireError::Unknown);
+    }
+    let stays = |member: &&StorageMember| member.node != node && !view.retiring.contains(&member.node);
+    if view.latest().iter().filter(stays).count() < tolerated + 1 {
+        return Err(RetireError::TooFew);
+    }
+    let mut changed = view.clone();
+    changed.epoch += 1;
+    changed.retiring.insert(node.to_owned());
+    Ok(changed)
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/loopback.rs
@@ -0,0 +1,190 @@
+//! Client and servers over loopback, with real files.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+use woadreach_rpc::{Client, ClientOptions, Router, serve};
+use woadreach_storage::server::{Server, ServerOptions};
+use woadreach_storage::{
+    ChainError, ReserveError, ReserveRequest, StorageClient, StorageMember, StorageView, Turn, TurnKey,
+};
+
+const TOLERATED: usize = 1;
+
+/// A machine on a thread and runtime of its own, so that stopping it ends all its connections.
+struct Machine {
+    node: String,
+    address: SocketAddr,
+    folder: TempDir,
+    server: Server,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+fn start(node: &str, folder: TempDir, address: Option<SocketAddr>) -> Machine {
+    let (started, start) = channel();
+    let (stop, stopped) = oneshot::channel();
+    let (name, path) = (node.to_owned(), folder.path().to_owned());
+    let thread = std::thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async move {
+            let any = "127.0.0.1:0".parse().unwrap();
+            let listener = TcpListener::bind(address.unwrap_or(any)).await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let options = ServerOptions {
+                zone: format!("zone-of-{name}"),
+                node: name,
+                address,
+                tolerated: TOLERATED,
+                disk_bytes: 50 << 20,
+            };
+            let rpc = Client::new(ClientOptions::default());
+            let server = Server::open(&path, rpc, options).await.unwrap();
+            let router = server.routes(Router::new());
+            started.send((address, server.clone())).unwrap();
+            tokio::select! {
+                () = serve(listener, router) => {}
+                () = server.run() => {}
+                _ = stopped => {}
+            }
+        });
+    });
+    let (address, server) = start.recv().unwrap();
+    Machine { node: node.to_owned(), address, folder, server, stop, thread }
+}
+
+impl Machine {
+    fn member(&self) -> StorageMember {
+        self.server.announcement().member
+    }
+
+    fn stop(self) -> (String, SocketAddr, TempDir) {
+        drop(self.stop);
+        self.thread.join().unwrap();
+        (self.node, self.address, self.folder)
+    }
+}
+
+fn machines(count: usize) -> (Vec<Machine>, StorageView) {
+    let mut machines = Vec::new();
+    for number in 0..count {
+        machines.push(start(&format!("store-{number}"), tempfile::tempdir().unwrap(), None));
+    }
+    let current = machines.iter().map(Machine::member).collect();
+    (machines, StorageView { epoch: 1, current, ..StorageView::default() })
+}
+
+fn client(view: &StorageView) -> StorageClient {
+    let client =
+        StorageClient::new(Client::new(ClientOptions::default()), "zone-of-store-0".into(), TOLERATED);
+    client.set_view(Arc::new(view.clone()));
+    client
+}
+
+fn turn(program: &str, request_id: &str, previous: Option<(&str, &str)>) -> Turn {
+    Turn {
+        program: program.into(),
+        session: "session".into(),
+        request_id: request_id.into(),
+        previous: previous
+            .map(|(program, request_id)| TurnKey { program: program.into(), request_id: request_id.into() }),
+        input: Bytes::from(format!("input of {request_id}")),
+        events: vec![Bytes::from_static(b"one"), Bytes::from_static(b"two")],
+        retention: Duration::from_secs(60),
+    }
+}
+
+fn request(program: &str, request_id: &str, budget: u64, most: u64) -> ReserveRequest {
+    ReserveRequest { program: program.into(), request_id: request_id.into(), budget, most }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_chain_is_read_by_another_client() {
+    let (_machines, view) = machines(4);
+    let writer = client(&view);
+    writer.put_turn(turn("p", "a", None), None).await.unwrap();
+    writer.put_turn(turn("p", "b", Some(("p", "a"))), None).await.unwrap();
+    let reader = client(&view);
+    let chain = reader.chain("p", "b").await.unwrap();
+    let inputs: Vec<_> = chain.iter().map(|turn| turn.input.clone()).collect();
+    assert_eq!(inputs, [Bytes::from("input of a"), Bytes::from("input of b")]);
+    assert_eq!(chain[0].events.len(), 2);
+    assert_eq!(reader.chain("p", "c").await, Err(ChainError::NotFound));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn another_program_may_go_on_from_a_turn() {
+    let (_machines, view) = machines(4);
+    let writer = client(&view);
+    writer.put_turn(turn("p", "a", None), None).await.unwrap();
+    let other = client(&view);
+    let chain = other.chain("q", "a").await.unwrap();
+    assert_eq!(chain[0].program, "p");
+    other.put_turn(turn("q", "b", Some(("p", "a"))), None).await.unwrap();
+    let reader = client(&view);
+    let chain = reader.chain("q", "b").await.unwrap();
+    assert_eq!(chain.len(), 2);
+    assert_eq!(chain[0].input, "input of a");
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_budget_is_spent_once_across_clients() {
+    let (_machines, view) = machines(4);
+    let (one, two) = (client(&view), client(&view));
+    one.reserve(&request("p", "a", 100, 60)).await.unwrap();
+    assert_eq!(two.reserve(&request("p", "b", 100, 60)).await, Err(ReserveError::Spent));
+    one.put_turn(turn("p", "a", None), Some(30)).await.unwrap();
+    two.reserve(&request("p", "c", 100, 60)).await.unwrap();
+    assert_eq!(one.reserve(&request("p", "d", 100, 60)).await, Err(ReserveError::Spent));
+    one.reserve(&request("p", "e", 100, 10)).await.unwrap();
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn one_machine_may_be_down_and_come_back_with_its_disk() {
+    let (mut machines, view) = machines(3);
+    let writer = client(&view);
+    writer.put_turn(turn("p", "a", None), None).await.unwrap();
+    let (node, address, folder) = machines.remove(0).stop();
+    writer.put_turn(turn("p", "b", Some(("p", "a"))), None).await.unwrap();
+    let back = start(&node, folder, Some(address));
+    assert_eq!(back.member(), view.current[0]);
+    machines.remove(0).stop();
+    let reader = client(&view);
+    assert_eq!(reader.chain("p", "b").await.unwrap().len(), 2);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_wiped_machine_pulls_before_it_counts() {
+    let (mut machines, view) = machines(3);
+    let writer = client(&view);
+    for number in 0..50 {
+        writer.put_turn(turn(&format!("p{number}"), "a", None), None).await.unwrap();
+    }
+    let (node, address, _) = machines.remove(0).stop();
+    let wiped = start(&node, tempfile::tempdir().unwrap(), Some(address));
+    assert_ne!(wiped.member().disk, view.current[0].disk);
+    let mut joint = view.clone();
+    joint.epoch = 2;
+    joint.next = Some(vec![wiped.member(), view.current[1].clone(), view.current[2].clone()]);
+    let mut pulled = wiped.server.pulled();
+    wiped.server.learn_view(joint.clone()).await;
+    writer.set_view(Arc::new(joint.clone()));
+    writer.put_turn(turn("p0", "b", Some(("p0", "a"))), None).await.unwrap();
+    pulled.wait_for(|epoch| *epoch == 2).await.unwrap();
+    let after = StorageView { epoch: 3, current: joint.next.unwrap(), ..StorageView::default() };
+    let only_wiped = StorageView { epoch: 3, current: vec![wiped.member()], ..StorageView::default() };
+    wiped.server.learn_view(after).await;
+    let reader = client(&only_wiped);
+    for number in 1..50 {
+        assert_eq!(reader.chain(&format!("p{number}"), "a").await.unwrap().len(), 1);
+    }
+    assert_eq!(reader.chain("p0", "b").await.unwrap().len(), 2);
+}
