--- a/crates/woadreach-discovery/src/control_watch.rs
+++ b/crates/woadreach-discovery/src/control_watch.rs
@@ -10,6 +10,7 @@
 use woadreach_config::Configuration;
 use woadreach_rpc::{Client, ServiceId};
 use woadreach_settings::NodeSettings;
+use woadreach_storage::view::StorageView;
 
 use crate::messages::{ConfigurationResponse, PollResponse, Request, decode, encode};
 use crate::snapshot::ControlSnapshot;
@@ -130,6 +131,9 @@
         if change.standing {
             self.snapshot.core_members = self.watcher.members().to_vec();
         }
+        if change.storage_view {
+            self.take_storage_view();
+        }
         let snapshot = Arc::new(self.snapshot.clone());
         self.publisher.send_if_modified(|published| {
             *published = snapshot;
@@ -137,6 +141,14 @@
         });
     }
 
+    fn take_storage_view(&mut self) {
+        let Some((epoch, bytes)) = self.watcher.storage_view() else { return };
+        match StorageView::decode(bytes) {
+            Some(view) => self.snapshot.storage_view = Some(Arc::new(view)),
+            None => tracing::error!(epoch, "storage view cannot be decoded"),
+        }
+    }
+
     /// The settings may name other seeds by now: read them again while no core machine answers.
     fn reread_seeds(&mut self) {
         if !self.watcher.is_lost(self.now()) || self.settings_read_at.elapsed() < SETTINGS_INTERVAL {
--- a/crates/woadreach-discovery/src/snapshot.rs
+++ b/crates/woadreach-discovery/src/snapshot.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 use woadreach_config::Configuration;
+use woadreach_storage::view::StorageView;
 
 use crate::replica::ReplicaRecord;
 
@@ -16,6 +17,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Replicas that are there, by id.
     pub replicas: Arc<BTreeMap<String, ReplicaRecord>>,
+    /// The newest view of the storage machines known.
+    pub storage_view: Option<Arc<StorageView>>,
     /// Internal addresses of the core's members.
     pub core_members: Vec<SocketAddr>,
     /// Configuration and replicas are known from a core machine that was in quorum and not warming. Stays set.
