--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -5,7 +5,7 @@
 use crate::watch::{Counts, Shape};
 use std::collections::{BTreeMap, VecDeque};
 use woadreach::api::*;
-use woadreach::balance::Balancer;
+use woadreach::decide::balancer::Balancer;
 use woadreach::plants::planted;
 
 /// Where the steps of a plan go. `nth` numbers the sub-requests of a part.
--- a/crates/woadreach-host/src/watch.rs
+++ b/crates/woadreach-host/src/watch.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 use woadreach::api::*;
-use woadreach::balance::proven_unrun;
+use woadreach::decide::balancer::proven_unrun;
 
 /// What the new shape would allow. Read from the settings' `watch` object, each key optional: an absent one
 /// allows what the settings in force allow, so nothing is counted for it.
--- a/src/balance.rs
+++ b/src/decide/balancer.rs
@@ -5,9 +5,15 @@
 //! about again). `list` and `left` hand in facts. `api.rs` has the types; a `Plan` says what to cancel, send
 //! and reply, and which held searches to ask about next, in that order (docs/design.md).
 
+use super::candidates::Candidates;
+use super::held_queue::HeldQueue;
+use super::hold::Hold;
+use super::outlier_detector::{Change, EjectionRule, Observation, OutlierDetector};
+use super::part_budget::PartBudget;
+use super::unloaded_latency::UnloadedLatency;
 use crate::api::*;
 use crate::plants::planted;
-use crate::samples::{groups, mean, push, quantile};
+use crate::samples::{Sample, groups, mean, push, quantile, since};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -26,79 +32,9 @@
     called_off: bool,
 }
 
-/// After a full or timed-out answer: while over `above` own parts are out, until `answers` have come.
-struct Hold {
-    above: usize,
-    answers: usize,
-}
-
-/// An outcome, as far as it tells of health.
-#[derive(Clone, Copy)]
-struct Mark {
-    at: f64,
-    sent_at: f64,
-    query_type: QueryTypeId,
-    bad: bool,
-}
-
-/// Out of use but for trials, after too many bad marks.
-struct Distrust {
-    only: Option<QueryTypeId>, // all if none
-    since: f64,
-    next_trial: f64,
-    gap: f64,
-    good: usize,
-}
-
-/// What the last outcomes say of a replica, or of the way to a zone.
-#[derive(Default)]
-struct Health {
-    marks: VecDeque<Mark>,
-    distrust: Option<Distrust>,
-}
-
-impl Health {
-    /// Bad: half of the last `window` outcomes within 10 s, at least `least`. That is longer than a sparse
-    /// sight needs for two of one replica, shorter than most troubles. Danger: one that swallows most parts
-    /// of a query type is out for all, or, by the others' fare, for none. Where they fare well only this type
-    /// is out, by three bad of its own. Harm: it takes one more to see.
-    fn mark(&mut self, mark: Mark, window: usize, least: usize) -> Option<&'static str> {
-        push(&mut self.marks, mark, window);
-        let (now, fresh) = (mark.at, self.marks.iter().filter(|m| m.at > mark.at - 10.0));
-        let (own, others): (Vec<_>, Vec<_>) = fresh.partition(|m| m.query_type == mark.query_type);
-        let bads = |of: &[&Mark]| of.iter().filter(|m| m.bad).count();
-        let bad = |of: &[&Mark], least| bads(of) >= least && bads(of) * 2 >= of.len();
-        let Some(d) = &mut self.distrust else {
-            let only = Some(mark.query_type).filter(|_| others.len() >= 3 && bads(&others) == 0);
-            if !(if only.is_some() { bad(&own, 3) } else { bad(&[own, others].concat(), least) }) {
-                return None;
-            }
-            self.distrust = Some(Distrust { only, since: now, next_trial: now + 1.0, gap: 1.0, good: 0 });
-            return Some("distrusted");
-        };
-        // What it was sent before it may answer. Where another query type fares as badly all are out.
-        if let Some(only) = d.only.filter(|only| *only != mark.query_type || mark.sent_at < d.since) {
-            d.only = d.only.filter(|_| only == mark.query_type || !bad(&own, least));
-            return None;
-        }
-        // Four good answers in a row end it; trials grow rarer, to every 4 s, while it stays bad.
-        if mark.bad {
-            (d.good, d.gap) = (0, (d.gap * 2.0).min(4.0));
-        } else {
-            (d.good, d.next_trial) = (d.good + 1, now);
-        }
-        if d.good < 4 {
-            return None;
-        }
-        self.distrust = None;
-        self.marks.retain(|m| !m.bad);
-        Some("trusted again")
-    }
-
-    fn out(&self, t: QueryTypeId) -> Option<&Distrust> {
-        self.distrust.as_ref().filter(|d| d.only.is_none_or(|only| only == t))
-    }
-}
+/// Latest outcomes that count for a replica, and for the way to a zone.
+const REPLICA_RULE: EjectionRule = EjectionRule { window: 8, least: 2 };
+const ZONE_RULE: EjectionRule = EjectionRule { window: 32, least: 8 };
 
 #[derive(Default)]
 struct Replica {
@@ -107,10 +43,9 @@
     cell: u64,
     ready_at: Option<f64>,
     running: BTreeMap<(PartId, usize), Running>,
-    hold: Option<Hold>,
-    unloaded: VecDeque<(f64, f64)>,
-    loaded: VecDeque<(f64, f64)>,
-    health: Health,
+    hold: Hold,
+    loaded: VecDeque<Sample>,
+    health: OutlierDetector<QueryTypeId>,
     answers: usize,
     answered_at: f64,
     cold_sends: VecDeque<f64>,
@@ -134,14 +69,14 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     /// Who is in each cell, so that an event costs by the holders of its shards, not by the fleet.
     cells: BTreeMap<u64, BTreeSet<ReplicaId>>,
-    warm: VecDeque<(f64, f64)>, // what all open replicas could do of late, in warm ones
-    ways: BTreeMap<ZoneId, Health>,
+    warm: VecDeque<Sample>, // what all open replicas could do of late, in warm ones
+    ways: BTreeMap<ZoneId, OutlierDetector<()>>,
     zoning: Option<Zoning>,
     seen: BTreeMap<ZoneId, VecDeque<(f64, bool)>>, // the last outcomes of each zone, and whether bad
-    held: BTreeMap<ReplicaId, BTreeSet<(i64, SearchId, PartId)>>,
-    recent: VecDeque<(f64, f64)>, // when the last answers came, and their latencies
-    /// Unloaded samples of all trusted replicas: the average where one has too few of its own.
-    fleet: VecDeque<f64>,
+    held: HeldQueue<ReplicaId, (SearchId, PartId)>,
+    recent: VecDeque<Sample>, // when the last answers came, and their latencies
+    unloaded: UnloadedLatency<ReplicaId>,
+    budget: PartBudget,
     shortest: f64,   // latency target
     memory: f64,     // of queues: a third more than that target, in which one turns over
     late_after: f64, // these two are worked out from the samples when they change
@@ -179,8 +114,9 @@
             ways: BTreeMap::new(),
             zoning: None,
             seen: BTreeMap::new(),
-            fleet: VecDeque::new(),
-            held: BTreeMap::new(),
+            unloaded: UnloadedLatency::new(shortest / 10.0), // binds nothing
+            budget: PartBudget::default(),
+            held: HeldQueue::default(),
             recent: VecDeque::new(),
             arrivals: VecDeque::new(),
             taken: VecDeque::new(),
@@ -206,6 +142,7 @@
                 let of = line.replica.0.bytes().fold(0, |h, b| (h * 31 + u64::from(b)) % 997);
                 let cold_phase = self.set.me.map_or(lot, |me| (me + of) as f64 * GOLDEN);
                 *r = Replica { running, ready_at: line.ready_at, cold_phase, ..Replica::default() };
+                self.unloaded.forget(&line.replica);
             }
             (r.open, r.zone) = (line.open || planted("module-drain"), Some(line.zone));
             let cell = line.cell.0 % self.set.cells.max(1);
@@ -224,7 +161,8 @@
         if let Some(r) = self.replicas.get(id).filter(|r| !r.open && r.running.is_empty()) {
             self.cells.entry(r.cell).or_default().remove(id);
             self.replicas.remove(id);
-            self.held.remove(id);
+            self.held.forget(id);
+            self.unloaded.forget(id);
         }
     }
 
@@ -235,10 +173,9 @@
             let was_out = self.share(Some(*zone)) <= 0.0;
             let way = self.ways.entry(*zone).or_default();
             if *share <= 0.0 {
-                let out = Distrust { only: None, since: now, next_trial: now + 1.0, gap: 1.0, good: 0 };
-                way.distrust.get_or_insert(out); // with trials, as by its own judgement
+                way.eject(now, None); // with trials, as by its own judgement
             } else if was_out {
-                *way = Health::default();
+                *way = OutlierDetector::default();
             }
         }
         self.zoning = told;
@@ -326,32 +263,30 @@
     // ---- what is known of replicas ----
 
     fn learn(&mut self, now: f64, o: &Outcome, plan: &mut Plan) -> bool {
-        if self.warm.back().is_none_or(|w| now > w.0 + 0.25) {
+        if self.warm.back().is_none_or(|w| now > w.at + 0.25) {
             let able = self.replicas.values().map(|r| self.able(now, r)).sum();
-            push(&mut self.warm, (now, able), 9); // as long as answers count for a cold one's share
+            // As long as answers count for a cold one's share.
+            push(&mut self.warm, Sample { at: now, value: able }, 9);
         }
-        let (late, trusted) = (o.latency > self.late_after, !self.distrusted(&o.replica));
+        let (late, ejected) = (o.latency > self.late_after, self.ejected(&o.replica));
         let Some(r) = self.replicas.get_mut(&o.replica) else { return false };
         let Some(run) = r.running.remove(&(o.part, o.nth)) else { return false };
-        let left_out = r.running.len();
+        let in_flight = r.running.len();
         if o.ending == Ending::Answered {
             r.running.values_mut().filter(|x| x.sent_at < run.sent_at).for_each(|x| x.passed += 1);
             r.answers += 1;
             r.answered_at = now;
             if run.alone {
-                push(&mut r.unloaded, (now, o.latency), 32); // turns over in seconds, has a 0.97 quantile
-                if trusted {
-                    push(&mut self.fleet, o.latency, 256);
-                }
+                self.unloaded.record(now, &o.replica, o.latency, ejected);
             }
-            push(&mut self.recent, (now, o.latency), 128);
-            r.hold = r.hold.take().filter(|h| h.answers > 1).map(|h| Hold { answers: h.answers - 1, ..h });
+            push(&mut self.recent, Sample { at: now, value: o.latency }, 128);
+            r.hold.answered();
         }
         if matches!(o.ending, Ending::Answered | Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0 {
-            push(&mut r.loaded, (now, o.latency), 8);
+            push(&mut r.loaded, Sample { at: now, value: o.latency }, 8);
         }
         if matches!(o.ending, Ending::Full | Ending::TimedOut) {
-            r.hold = Some(Hold { above: left_out, answers: left_out.max(1) });
+            r.hold.begin(in_flight);
         }
         // One given up says something only if it is late. Returned: whether `call_off` did that.
         if o.ending == Ending::NeverSent || (o.ending == Ending::Cancelled && !late) {
@@ -371,8 +306,8 @@
         if let Some(zone) = r.zone.filter(|_| lost || o.ending == Ending::Answered) {
             push(self.seen.entry(zone).or_default(), (now, lost), 6);
         }
-        let mark = Mark { at: now, sent_at: run.sent_at, query_type: run.query_type, bad };
-        self.mark(&o.replica, mark, plan);
+        let call = Observation { at: now, sent_at: run.sent_at, class: run.query_type, failed: bad };
+        self.observe(&o.replica, call, plan);
         run.called_off
     }
 
@@ -381,69 +316,37 @@
     /// back. Covers any cause. Harm: bad luck costs a sound one a second or two. Danger: a way that is cut,
     /// long or lossy makes all of a zone bad, each known by too few outcomes. Those of replicas not bad count
     /// for their zone. Harm: trouble spread over all zones may condemn one for a while.
-    fn mark(&mut self, id: &ReplicaId, mark: Mark, plan: &mut Plan) {
+    fn observe(&mut self, id: &ReplicaId, call: Observation<QueryTypeId>, plan: &mut Plan) {
+        let what = |change| if change == Change::Ejected { "distrusted" } else { "trusted again" };
         let Some(r) = self.replicas.get_mut(id) else { return };
-        let alone = r.health.out(mark.query_type).is_some();
-        if let Some(what) = r.health.mark(mark, 8, 2) {
-            plan.notes.push(format!("replica {} {what}", id.0));
+        let alone = r.health.is_ejected_for(call.class);
+        if let Some(change) = r.health.observe(REPLICA_RULE, call) {
+            plan.notes.push(format!("replica {} {}", id.0, what(change)));
         }
-        if let Some(zone) = r.zone.filter(|_| !alone)
-            && let Some(what) =
-                self.ways.entry(zone).or_default().mark(Mark { query_type: QueryTypeId(0), ..mark }, 32, 8)
-        {
-            plan.notes.push(format!("way to zone {} {what}", zone.0));
+        let Some(zone) = r.zone.filter(|_| !alone) else { return };
+        let call = Observation { at: call.at, sent_at: call.sent_at, class: (), failed: call.failed };
+        if let Some(change) = self.ways.entry(zone).or_default().observe(ZONE_RULE, call) {
+            plan.notes.push(format!("way to zone {} {}", zone.0, what(change)));
         }
     }
 
     fn way_bad(&self, r: &Replica) -> bool {
         let way = r.zone.and_then(|z| self.ways.get(&z));
-        self.share(r.zone) <= 0.0 || way.is_some_and(|w| w.distrust.is_some())
-    }
-
-    fn distrusted(&self, id: &ReplicaId) -> bool {
-        self.replicas.get(id).is_none_or(|r| r.health.distrust.is_some() || self.way_bad(r))
+        self.share(r.zone) <= 0.0 || way.is_some_and(|w| w.is_ejected())
     }
 
-    /// Unloaded samples of a replica within 20 s. Exception to the design: with under eight, or while it is
-    /// distrusted, the average of all counts, as for one without any. A quantile says nothing of so few, and
-    /// swollen samples push the queuing deadlines of its searches below zero: their parts jump every queue.
-    fn unloaded(&self, now: f64, id: &ReplicaId) -> Option<Vec<f64>> {
-        let r = self.replicas.get(id).filter(|_| !self.distrusted(id))?;
-        let own: Vec<f64> = r.unloaded.iter().filter(|x| x.0 > now - 20.0).map(|x| x.1).collect();
-        (own.len() >= 8).then_some(own)
+    fn ejected(&self, id: &ReplicaId) -> bool {
+        self.replicas.get(id).is_none_or(|r| r.health.is_ejected() || self.way_bad(r))
     }
 
-    fn average(&self) -> Vec<f64> {
-        self.fleet.iter().copied().collect()
-    }
-
-    /// p = 0.7, from 0.5, 0.7 and 0.95: samples hold other co-ordinators' queues, so that at 0.95 a replica's
-    /// tail is the worst of them and sound replicas are skipped; at 0.5 hopeless parts still leave.
-    const P: f64 = 0.7;
-
-    /// Smallest t with the product of the replicas' unloaded distributions at P or more.
-    fn unloaded_search(&self, now: f64, replicas: &[ReplicaId]) -> f64 {
-        let mut sets: Vec<Vec<f64>> = replicas.iter().filter_map(|r| self.unloaded(now, r)).collect();
-        let like_all = (replicas.len() - sets.len()) as i32;
-        let mut all = self.average();
-        sets.iter_mut().chain([&mut all]).for_each(|s| s.sort_by(f64::total_cmp));
-        let mut ts: Vec<f64> = sets.iter().chain([&all]).flatten().copied().collect();
-        ts.sort_by(f64::total_cmp);
-        let by = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
-        let product = |t: f64| sets.iter().map(|s| by(s, t)).product::<f64>() * by(&all, t).powi(like_all);
-        ts.get(ts.partition_point(|t| product(*t) < Self::P)).copied().unwrap_or(self.shortest / 10.0)
+    /// The replica, if its own samples count: one that is ejected counts as average.
+    fn judged<'a>(&self, id: &'a ReplicaId) -> Option<&'a ReplicaId> {
+        Some(id).filter(|id| !self.ejected(id))
     }
 
     fn unloaded_tail(&self, now: f64, q: &Search, id: &ReplicaId) -> f64 {
         let parts = q.parts.iter().filter(|p| p.step == q.step).count();
-        let samples = self.unloaded(now, id).unwrap_or_else(|| self.average());
-        quantile(samples, Self::tail(parts)).unwrap_or(self.shortest / 10.0) // binds nothing
-    }
-
-    /// p^(1/k), as far as 32 samples can tell: beyond 1 - 1/16 it is the one worst of them, and one stray
-    /// answer has parts of wide searches skipped.
-    fn tail(parts: usize) -> f64 {
-        Self::P.powf(1.0 / parts.max(1) as f64).min(1.0 - 1.0 / 16.0)
+        self.budget.tail(now, &self.unloaded, self.judged(id), parts)
     }
 
     /// Out for over `late_after` counts against a replica: beyond the 0.95 quantile and 2.5 medians of all
@@ -453,12 +356,13 @@
     /// its unloaded tail left of the shortest target, but not before 2.5 medians.
     fn time_limits(&mut self) {
         let of = |samples: Vec<f64>, p| quantile(samples, p).unwrap_or(0.0);
-        let all: Vec<f64> = self.recent.iter().map(|x| x.1).collect();
+        let all = since(&self.recent, f64::NEG_INFINITY);
         if all.len() >= 20 {
             self.late_after = of(all.clone(), 0.95).max(2.5 * of(all, 0.5)).max(self.shortest / 8.0);
         }
-        let last_call = 0.9 * self.shortest - of(self.average(), Self::tail(usize::MAX));
-        self.copy_after = self.late_after.min(last_call).max(2.5 * of(self.average(), 0.5));
+        let last_call =
+            0.9 * self.shortest - of(self.unloaded.fleet(), self.budget.part_quantile(usize::MAX));
+        self.copy_after = self.late_after.min(last_call).max(2.5 * of(self.unloaded.fleet(), 0.5));
     }
 
     /// Chance that a part sent now is answered within `left`: its replica's unloaded samples, put off by the
@@ -468,16 +372,15 @@
         let Some(r) = self.replicas.get(id) else { return 0.0 };
         // Danger: where all holders are bad and this one has answered nothing of late, the work on the other
         // parts is lost. With no outcome for so long it gets another try.
-        let mut marks = r.health.marks.iter().filter(|m| m.at > now - self.memory);
-        let dead = marks.clone().count() >= 3 && marks.all(|m| m.bad);
-        if dead {
+        if r.health.all_failed(now - self.memory) {
             return 0.0;
         }
-        let samples = self.unloaded(now, id).unwrap_or_else(|| self.average());
+        let samples = self.unloaded.samples(now, self.judged(id));
         if samples.is_empty() {
             return 1.0;
         }
-        let fresh = r.loaded.iter().rev().take(4).filter(|x| x.0 > now - self.memory).map(|x| x.1).collect();
+        let fresh =
+            r.loaded.iter().rev().take(4).filter(|x| x.at > now - self.memory).map(|x| x.value).collect();
         let oldest = r.running.values().map(|x| now - x.sent_at).fold(0.0, f64::max);
         let seen = quantile(fresh, 0.5).unwrap_or(0.0).max(oldest);
         // Half as much again: the queue grows while the answers that tell of it are on their way.
@@ -489,8 +392,8 @@
     /// sub-requests hurt long before searches are late. Not the median: a slow way is no overload. Nor are
     /// less than a thirtieth of the target more, half of what parts take where that is a fifteenth of it.
     fn see_overload(&mut self, now: f64, plan: &mut Plan) {
-        let fresh: Vec<f64> = self.recent.iter().filter(|x| x.0 > now - self.memory).map(|x| x.1).collect();
-        let plain = quantile(self.average(), 0.25).unwrap_or(0.0);
+        let fresh = since(&self.recent, now - self.memory);
+        let plain = quantile(self.unloaded.fleet(), 0.25).unwrap_or(0.0);
         let over = quantile(fresh, 0.25).unwrap_or(0.0) > (1.5 * plain).max(plain + self.shortest / 30.0);
         if over != self.overloaded {
             self.overloaded = over;
@@ -515,11 +418,11 @@
             return warmth < 1.0;
         }
         // The mean, not the median: parts' work is skewed, and the rule sums it (the median broke seed 9217).
-        let work = mean(&self.fleet).unwrap_or(self.shortest / 5.0);
-        let answered = self.recent.iter().filter(|x| x.0 > now - 2.0).count() as f64 / 2.0;
+        let work = mean(&self.unloaded.fleet()).unwrap_or(self.shortest / 5.0);
+        let answered = since(&self.recent, now - 2.0).len() as f64 / 2.0;
         let even = 1.0 / work / self.set.siblings.max(1) as f64;
         let capacity = rule.from + (1.0 - rule.from) * warmth.max(0.0);
-        let warm = self.warm.iter().map(|w| w.1).fold(1.0, f64::max);
+        let warm = self.warm.iter().map(|w| w.value).fold(1.0, f64::max);
         let own = (answered / warm).max(even / 2.0);
         let given = r.cold_times.map_or(own, |times| own * times.min(1.0) + even * (times - 1.0).max(0.0));
         let share = rule.tip_multiple * capacity * rule.tip_time * given;
@@ -589,7 +492,7 @@
         // value, and not under overload.
         let until = if t.late_value > 0.5 && !self.overloaded { end } else { target };
         // Twice the unloaded tail of the second step: once alone its parts would be skipped on arrival.
-        let tail = quantile(self.average(), Self::tail(t.second_step)).unwrap_or(self.shortest / 10.0);
+        let tail = self.budget.tail(0.0, &self.unloaded, None, t.second_step);
         let reserve = if q.step == 1 && t.second_step > 0 { 2.0 * tail } else { 0.0 };
         (target - reserve, until)
     }
@@ -631,7 +534,8 @@
             push(&mut self.taken, (if q.step == 1 { q.arrived } else { now }, step.len()), 4096);
             let to = |p: &Pick| if let Pick::Go(r) | Pick::Hold(r) = p { Some(r.clone()) } else { None };
             let chosen: Vec<ReplicaId> = picks.iter().filter_map(|(_, p)| to(p)).collect();
-            q.queue_by = Some(target - self.unloaded_search(now, &chosen));
+            let judged: Vec<_> = chosen.iter().map(|id| self.judged(id)).collect();
+            q.queue_by = Some(self.budget.queuing_deadline(now, target, &self.unloaded, &judged));
             if q.step == 1 && self.shed_early(now, target, q, &t, &chosen) {
                 return self.give_up(now, q, plan);
             }
@@ -727,51 +631,38 @@
                 _ => return Pick::Never,
             }
         }
-        let mut at: Vec<ReplicaId> =
-            self.holders(part.shard).filter(|id| only.as_ref().is_none_or(|o| o == *id)).cloned().collect();
-        let keep = |at: &mut Vec<ReplicaId>, f: &dyn Fn(&ReplicaId) -> bool| {
-            if at.iter().any(f) {
-                at.retain(|id| f(id));
-            }
-        };
+        let holders = self.holders(part.shard).filter(|id| only.as_ref().is_none_or(|o| o == *id));
+        let mut at = Candidates::new(holders.cloned());
         let none = if at.is_empty() { Pick::Never } else { Pick::Later };
         let drawn = if self.zoning.is_some() { self.rng.rand_float() } else { 0.0 };
         let planned = |id: &ReplicaId| extra.get(id).copied().unwrap_or(0);
-        // First: a distrusted one beats none.
-        at.retain(|id| !self.cold_closed(now, &self.replicas[id], planned(id)));
-        keep(&mut at, &|id| !part.subs.iter().any(|s| s.replica == *id));
-        // Never all holders: each test applies only where some holder passes it.
-        keep(&mut at, &|id| !self.way_bad(&self.replicas[id]));
-        let sound = |r: &Replica| r.health.out(q.query_type).is_none() && !self.silent(now, r);
-        keep(&mut at, &|id| sound(&self.replicas[id]));
-        keep(&mut at, &|id| self.share(self.replicas[id].zone) > drawn);
-        // Danger: with a part every few seconds two bad outcomes take long to see. Where 10 s hold under four
-        // the last decides, until the next. Harm: bad luck costs a sound replica a while of sparse traffic.
-        keep(&mut at, &|id| {
-            let mut fresh = self.replicas[id].health.marks.iter().rev().take_while(|m| m.at > now - 10.0);
-            self.overloaded || fresh.clone().count() >= 4 || fresh.next().is_none_or(|m| !m.bad)
-        });
+        at.require(|id| !self.cold_closed(now, &self.replicas[id], planned(id)));
+        at.prefer(|id| !part.subs.iter().any(|s| s.replica == *id));
+        // Never all holders: a distrusted one beats none.
+        at.prefer(|id| !self.way_bad(&self.replicas[id]));
+        let sound = |r: &Replica| !r.health.is_ejected_for(q.query_type) && !self.silent(now, r);
+        at.prefer(|id| sound(&self.replicas[id]));
+        at.prefer(|id| self.share(self.replicas[id].zone) > drawn);
+        at.prefer(|id| self.overloaded || !self.replicas[id].health.failed_last(now));
         // Own calls out, with `more` parts about to leave now: parts sent at one time share calls.
         let calls = |id: &ReplicaId, more| {
             let out = self.replicas[id].running.values().map(|x| x.sent_at);
             groups(out.chain(std::iter::repeat_n(now, planned(id) + more)), self.set.per_call)
         };
-        let Some(least) = at.iter().map(|id| calls(id, 0)).min() else { return none };
+        let Some(least) = at.least(|id| calls(id, 0)) else { return none };
         // Ties go to the nearest zones, for as much as these bear; a part that shares a call there adds none.
         let near = self.zoning.iter().flat_map(|z| &z.near).find(|n| drawn < n.1);
         let is_near = |r: &Replica| near.zip(r.zone).is_some_and(|(near, zone)| near.0.contains(&zone));
-        keep(&mut at, &|id| is_near(&self.replicas[id]) && calls(id, 1) <= least + 1);
-        keep(&mut at, &|id| calls(id, 0) == least);
-        let id = at[self.rng.rand_range(0..at.len() as u64) as usize].clone();
+        at.prefer(|id| is_near(&self.replicas[id]) && calls(id, 1) <= least + 1);
+        let Some(id) = at.choose(|id| calls(id, 0), &mut self.rng) else { return none };
         // A copy goes only where nothing of ours is out: it must not lengthen a queue.
-        let least = calls(&id, 0);
-        if until - now < self.unloaded_tail(now, q, &id) || (out(part) && least > 0) {
+        let load = calls(&id, 0);
+        let hopeless = PartBudget::hopeless(until - now, self.unloaded_tail(now, q, &id));
+        if hopeless || (out(part) && load > 0) {
             return Pick::Never;
         }
-        let r = &self.replicas[&id];
-        let due = (self.due(q), q.id, part.id);
-        let ahead = self.held.get(&id).and_then(|h| h.first()).is_some_and(|h| *h < due);
-        if ahead || r.hold.as_ref().is_some_and(|h| least > h.above) { Pick::Hold(id) } else { Pick::Go(id) }
+        let behind = self.held.is_behind(&id, self.due(q), (q.id, part.id));
+        if behind || self.replicas[&id].hold.holds(load) { Pick::Hold(id) } else { Pick::Go(id) }
     }
 
     /// Has answered nothing since it took a part that is late by now.
@@ -785,7 +676,7 @@
     fn stuck(&self, now: f64, part: &Part) -> bool {
         let lost = |n: usize, r: &Replica| {
             let passed = r.running.get(&(part.id, n)).is_some_and(|x| x.passed >= 4);
-            passed || r.health.distrust.is_some() || self.way_bad(r) || self.silent(now, r)
+            passed || r.health.is_ejected() || self.way_bad(r) || self.silent(now, r)
         };
         let mut waits = part.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none());
         waits.all(|(n, s)| self.replicas.get(&s.replica).is_none_or(|r| lost(n, r)))
@@ -797,20 +688,19 @@
         of.filter_map(|c| self.cells.get(&c)).flatten().filter(|id| self.replicas[*id].open)
     }
 
-    /// Queuing deadline as an ordered key, in microseconds.
-    fn due(&self, q: &Search) -> i64 {
-        (q.queue_by.unwrap_or(q.arrived) * 1e6) as i64
+    /// Queuing deadline.
+    fn due(&self, q: &Search) -> f64 {
+        q.queue_by.unwrap_or(q.arrived)
     }
 
     fn act(&mut self, now: f64, until: f64, q: &mut Search, i: usize, pick: Pick, plan: &mut Plan) {
         self.unhold(q, i, plan);
-        let key = (self.due(q), q.id, q.parts[i].id);
         match pick {
             Pick::Go(_) if !q.parts[i].subs.is_empty() && !self.budget_left(now) => {}
             Pick::Go(id) => self.send(now, until, q, i, id, plan),
             // A held copy is pointless: its part is out already.
             Pick::Hold(id) if !out(&q.parts[i]) => {
-                self.held.entry(id.clone()).or_default().insert(key);
+                self.held.insert(&id, self.due(q), (q.id, q.parts[i].id));
                 q.parts[i].held = Some(id);
             }
             _ => {}
@@ -880,26 +770,26 @@
         let t = q.query_type;
         let ready = |id: &ReplicaId| {
             let r = &self.replicas[id];
-            let way = r.zone.and_then(|z| self.ways.get(&z));
+            let way = || r.zone.and_then(|z| self.ways.get(&z)).is_some_and(|w| w.trial_due(now, ()));
+            let due = if r.health.is_ejected_for(t) { r.health.trial_due(now, t) } else { way() };
             r.running.is_empty()
-                && r.health.out(t).or(way.and_then(|w| w.out(t))).is_some_and(|d| now >= d.next_trial)
+                && due
                 && !part.subs.iter().any(|s| s.replica == *id)
                 && !self.cold_closed(now, r, 0)
         };
         let Some(id) = self.holders(part.shard).find(|id| ready(id)).cloned() else { return };
         let Some(r) = self.replicas.get_mut(&id) else { return };
-        let way = r.zone.and_then(|z| self.ways.get_mut(&z));
-        let tried = if r.health.out(t).is_some() { Some(&mut r.health) } else { way };
-        if let Some(d) = tried.and_then(|h| h.distrust.as_mut()) {
-            d.next_trial = now + d.gap;
+        if r.health.is_ejected_for(t) {
+            r.health.trial_sent(now);
+        } else {
+            r.zone.and_then(|z| self.ways.get_mut(&z)).into_iter().for_each(|w| w.trial_sent(now));
         }
         self.send(now, until, q, i, id, plan);
     }
 
     fn unhold(&mut self, q: &mut Search, i: usize, plan: &mut Plan) {
-        let key = (self.due(q), q.id, q.parts[i].id);
         if let Some(id) = q.parts[i].held.take() {
-            self.held.get_mut(&id).map(|h| h.remove(&key));
+            self.held.remove(&id, self.due(q), (q.id, q.parts[i].id));
             self.next_held(&id, plan);
         }
     }
@@ -907,8 +797,8 @@
     /// Held parts leave earliest queuing deadline first: the first one is asked about as soon as it may go.
     fn next_held(&self, id: &ReplicaId, plan: &mut Plan) {
         let Some(r) = self.replicas.get(id) else { return };
-        if r.hold.as_ref().is_none_or(|h| r.running.len() <= h.above) {
-            plan.ask_again.extend(self.held.get(id).and_then(|h| h.first()).map(|h| h.1));
+        if !r.hold.holds(r.running.len()) {
+            plan.ask_again.extend(self.held.first(id).map(|(search, _)| search));
         }
     }
 
--- /dev/null
+++ b/src/decide/held_queue.rs
@@ -0,0 +1,46 @@
+//! The calls that are held back from their replicas, each replica's earliest queuing deadline first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A queue of held calls `C` for each replica `R`. Late ones keep their turn: an early deadline goes first.
+pub struct HeldQueue<R, C> {
+    calls: BTreeMap<R, BTreeSet<(i64, C)>>,
+}
+
+impl<R: Ord + Clone, C: Ord + Copy> Default for HeldQueue<R, C> {
+    fn default() -> Self {
+        HeldQueue { calls: BTreeMap::new() }
+    }
+}
+
+impl<R: Ord + Clone, C: Ord + Copy> HeldQueue<R, C> {
+    fn key(deadline: f64, call: C) -> (i64, C) {
+        ((deadline * 1e6) as i64, call) // microseconds have an order
+    }
+
+    /// Holds a call back until `first` names it.
+    pub fn insert(&mut self, replica: &R, deadline: f64, call: C) {
+        self.calls.entry(replica.clone()).or_default().insert(Self::key(deadline, call));
+    }
+
+    /// Takes a call out: it leaves, goes elsewhere or is given up.
+    pub fn remove(&mut self, replica: &R, deadline: f64, call: C) {
+        self.calls.get_mut(replica).map(|held| held.remove(&Self::key(deadline, call)));
+    }
+
+    /// The call to be asked about next, once the replica's hold allows one.
+    pub fn first(&self, replica: &R) -> Option<C> {
+        self.calls.get(replica).and_then(|held| held.first()).map(|first| first.1)
+    }
+
+    /// Whether another call goes before this one.
+    pub fn is_behind(&self, replica: &R, deadline: f64, call: C) -> bool {
+        let first = self.calls.get(replica).and_then(|held| held.first());
+        first.is_some_and(|first| *first < Self::key(deadline, call))
+    }
+
+    /// Forgets a replica that has gone.
+    pub fn forget(&mut self, replica: &R) {
+        self.calls.remove(replica);
+    }
+}
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::collections::BTreeSet;
 use woadreach::api::*;
-use woadreach::balance::Balancer;
+use woadreach::decide::balancer::Balancer;
 
 const MAYBE_RUN: [Ending; 4] = [Ending::Errored, Ending::TimedOut, Ending::Broken, Ending::Cancelled];
 
@@ -313,7 +313,7 @@
             &(if n < 3 { ended(&p, 0, Ending::Answered, 0.1) } else { ended(&p, 0, ending, latency) }),
         );
     }
-    let sends = |b: &mut woadreach::balance::Balancer, now: f64| -> usize {
+    let sends = |b: &mut woadreach::decide::balancer::Balancer, now: f64| -> usize {
         let mut at_a = 0;
         for n in 1..=10 {
             let mut q = search(n, 1, now, 3.0);
@@ -424,7 +424,7 @@
         b.after(0.0, None, &ended(&p, 0, if n < 3 { Ending::Answered } else { Ending::Errored }, 0.1));
     }
     let (_, last) = stuck_at(&mut b, "a", 0.0);
-    let finish = |b: &mut woadreach::balance::Balancer| {
+    let finish = |b: &mut woadreach::decide::balancer::Balancer| {
         b.after(0.1, None, &ended(&last, 0, Ending::Errored, 0.1));
     };
     if !out {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 use woadreach::api::*;
-use woadreach::balance::Balancer;
+use woadreach::decide::balancer::Balancer;
 
 pub fn query_type() -> QueryType {
     QueryType {
--- /dev/null
+++ b/tests/parts.rs
@@ -0,0 +1,201 @@
+//! Tables of cases for the parts of `decide` that know nothing of searches, as a second proxy uses them.
+
+use rstest::rstest;
+use woadreach::decide::candidates::Candidates;
+use woadreach::decide::held_queue::HeldQueue;
+use woadreach::decide::hold::Hold;
+use woadreach::decide::outlier_detector::{Change, EjectionRule, Observation, OutlierDetector};
+use woadreach::decide::part_budget::PartBudget;
+use woadreach::decide::unloaded_latency::UnloadedLatency;
+
+const RULE: EjectionRule = EjectionRule { window: 8, least: 2 };
+
+/// Samples of 0.1, 0.2, ... seconds of each replica named, taken at one time.
+fn latencies(replicas: &[(&'static str, usize)]) -> UnloadedLatency<&'static str> {
+    let mut all = UnloadedLatency::new(0.05);
+    for (replica, count) in replicas {
+        (1..=*count).for_each(|n| all.record(0.0, replica, n as f64 / 10.0, false));
+    }
+    all
+}
+
+#[rstest]
+#[case::nothing_known(&[], 0.0, Some("a"), 0.05)]
+#[case::own_samples(&[("a", 10)], 0.0, Some("a"), 0.5)]
+#[case::too_few_of_its_own(&[("a", 7), ("b", 10)], 0.0, Some("a"), 0.5)]
+#[case::unheard(&[("b", 10)], 0.0, Some("a"), 0.5)]
+#[case::counts_as_average(&[("a", 10), ("b", 30)], 0.0, None, 1.0)]
+#[case::own_too_old(&[("a", 8), ("b", 2)], 20.0, Some("a"), 0.3)]
+#[case::own_just_fresh_enough(&[("a", 8), ("b", 2)], 19.9, Some("a"), 0.4)]
+fn unloaded_quantile(
+    #[case] heard: &[(&'static str, usize)],
+    #[case] now: f64,
+    #[case] replica: Option<&'static str>,
+    #[case] median: f64,
+) {
+    assert_eq!(latencies(heard).quantile(now, replica.as_ref(), 0.5), median);
+}
+
+#[test]
+fn a_replica_keeps_its_latest_samples_and_an_ejected_one_leaves_the_fleet_alone() {
+    let mut all = UnloadedLatency::new(0.05);
+    (0..40).for_each(|n| all.record(0.0, &"a", f64::from(n), true));
+    assert_eq!(all.own(0.0, &"a"), Some((8..40).map(f64::from).collect()));
+    assert_eq!(all.fleet(), Vec::<f64>::new());
+    all.forget(&"a");
+    assert_eq!(all.own(0.0, &"a"), None);
+}
+
+/// By the definition: the smallest sample at which the product of the shares at or under it reaches p.
+#[rstest]
+#[case::one(&["a"], 0.7, 0.7)]
+#[case::two_alike(&["a", "b"], 0.48, 0.7)]
+#[case::two_alike_and_high(&["a", "b"], 0.7, 0.9)]
+#[case::slow_and_fast(&["a", "c"], 0.7, 1.4)]
+#[case::twice_the_same_as_average(&["x", "x"], 0.25, 1.1)]
+fn product_of_distributions(#[case] replicas: &[&'static str], #[case] p: f64, #[case] time: f64) {
+    let all = latencies(&[("a", 10), ("b", 10), ("c", 20)]);
+    let replicas: Vec<_> = replicas.iter().map(Some).collect();
+    let found = all.product_quantile(0.0, &replicas, p);
+    let share = |replica: &&str, t: f64| {
+        let samples = all.samples(0.0, Some(replica));
+        samples.iter().filter(|s| **s <= t).count() as f64 / samples.len() as f64
+    };
+    let product = |t: f64| replicas.iter().map(|r| share(r.unwrap(), t)).product::<f64>();
+    assert!(product(found) >= p && product(found - 0.05) < p, "{found}: {}", product(found));
+    assert!((found - time).abs() < 1e-9 || replicas[0] == Some(&"x"), "{found}");
+}
+
+#[rstest]
+#[case::one_call(1, 0.7)]
+#[case::two_side_by_side(2, 0.7_f64.sqrt())]
+#[case::no_finer_than_the_samples(40, 1.0 - 1.0 / 16.0)]
+#[case::none_counts_as_one(0, 0.7)]
+fn part_quantile_is_the_kth_root(#[case] k: usize, #[case] quantile: f64) {
+    assert!((PartBudget::default().part_quantile(k) - quantile).abs() < 1e-12);
+}
+
+#[test]
+fn queuing_deadline_leaves_the_unloaded_time_before_the_target() {
+    let (budget, all) = (PartBudget::default(), latencies(&[("a", 10)]));
+    assert!((budget.queuing_deadline(0.0, 5.0, &all, &[Some(&"a")]) - 4.3).abs() < 1e-9);
+    assert_eq!(budget.queuing_deadline(0.0, 5.0, &latencies(&[]), &[Some(&"a")]), 4.95);
+    let tail = budget.tail(0.0, &all, Some(&"a"), 1);
+    assert!(PartBudget::hopeless(tail - 0.01, tail) && !PartBudget::hopeless(tail, tail));
+}
+
+/// Held only while more are in flight than at the full answer, and until as many answers have come.
+#[rstest]
+#[case::none_in_flight(0, 0, 1)]
+#[case::two_in_flight(2, 2, 2)]
+fn hold_and_release(#[case] in_flight: usize, #[case] may: usize, #[case] answers: usize) {
+    let mut hold = Hold::default();
+    assert!(!hold.holds(100));
+    hold.begin(in_flight);
+    assert!(!hold.holds(may) && hold.holds(may + 1));
+    (1..answers).for_each(|_| hold.answered());
+    assert!(hold.holds(may + 1));
+    hold.answered();
+    assert!(!hold.holds(100));
+}
+
+#[test]
+fn earliest_deadline_leaves_first_late_ones_too() {
+    let mut held = HeldQueue::default();
+    for (deadline, call) in [(3.0, 1), (-1.0, 2), (2.0, 3)] {
+        held.insert(&"a", deadline, call);
+    }
+    assert!(held.is_behind(&"a", 0.0, 4) && !held.is_behind(&"a", -2.0, 4) && !held.is_behind(&"b", 9.0, 4));
+    let mut order = Vec::new();
+    for (call, deadline) in [(2, -1.0), (3, 2.0), (1, 3.0)] {
+        order.extend(held.first(&"a"));
+        held.remove(&"a", deadline, call);
+    }
+    assert_eq!((order, held.first(&"a")), (vec![2, 3, 1], None));
+    held.insert(&"a", 1.0, 1);
+    held.forget(&"a");
+    assert_eq!(held.first(&"a"), None);
+}
+
+#[test]
+fn fewest_in_flight_with_ties_at_random() {
+    let mut rng = oorandom::Rand64::new(1);
+    let mut counts = [0; 4];
+    for _ in 0..300 {
+        let mut candidates = Candidates::new(0..4);
+        candidates.prefer(|r| *r > 9); // none: all stay
+        candidates.require(|r| *r != 3);
+        counts[candidates.choose(|r| [1, 0, 0, 0][*r], &mut rng).unwrap()] += 1;
+    }
+    assert_eq!((counts[0], counts[3]), (0, 0));
+    assert!(counts[1] > 100 && counts[2] > 100, "{counts:?}");
+    let mut none = Candidates::new(0..0);
+    assert!(none.is_empty() && none.choose(|_| 0, &mut rng).is_none());
+}
+
+fn call(at: f64, class: u8, failed: bool) -> Observation<u8> {
+    Observation { at, sent_at: at, class, failed }
+}
+
+#[rstest]
+#[case::two_failures(&[true, true], true)]
+#[case::one_failure(&[true], false)]
+#[case::half(&[false, false, true, true], true)]
+#[case::under_half(&[false, false, false, true, true], false)]
+fn ejected_by_half_of_the_calls(#[case] calls: &[bool], #[case] ejected: bool) {
+    let mut detector = OutlierDetector::default();
+    let change = calls.iter().fold(None, |_, failed| detector.observe(RULE, call(0.0, 0, *failed)));
+    assert_eq!((detector.is_ejected(), change), (ejected, ejected.then_some(Change::Ejected)));
+}
+
+#[test]
+fn old_failures_do_not_count() {
+    let mut detector = OutlierDetector::default();
+    detector.observe(RULE, call(0.0, 0, true));
+    assert_eq!(detector.observe(RULE, call(10.0, 0, true)), None);
+}
+
+#[test]
+fn four_successful_trials_restore_and_failed_ones_make_them_rarer() {
+    let mut detector = OutlierDetector::default();
+    detector.eject(0.0, None);
+    assert!(!detector.trial_due(0.9, 0) && detector.trial_due(1.0, 0));
+    detector.trial_sent(1.0);
+    assert!(!detector.trial_due(1.9, 0) && detector.trial_due(2.0, 0));
+    for at in [2.0, 4.0, 8.0, 12.0] {
+        detector.observe(RULE, call(at, 0, true));
+        detector.trial_sent(at);
+    }
+    assert!(!detector.trial_due(15.9, 0) && detector.trial_due(16.0, 0));
+    for at in [16.0, 17.0, 18.0] {
+        assert_eq!(detector.observe(RULE, call(at, 0, false)), None);
+        assert!(detector.trial_due(at, 0));
+    }
+    assert_eq!(detector.observe(RULE, call(19.0, 0, false)), Some(Change::Restored));
+    assert!(!detector.is_ejected());
+}
+
+/// Where the other classes fare well, only the failing one is ejected; later all, if another fares as badly.
+#[test]
+fn one_class_alone() {
+    let mut detector = OutlierDetector::default();
+    (0..3).for_each(|_| assert_eq!(detector.observe(RULE, call(0.0, 0, false)), None));
+    (0..2).for_each(|_| assert_eq!(detector.observe(RULE, call(0.0, 1, true)), None));
+    assert_eq!(detector.observe(RULE, call(0.0, 1, true)), Some(Change::Ejected));
+    assert!(detector.is_ejected_for(1) && !detector.is_ejected_for(0));
+    (0..3).for_each(|_| assert_eq!(detector.observe(RULE, call(0.5, 0, true)), None));
+    assert!(detector.is_ejected_for(0));
+}
+
+#[test]
+fn health_of_sparse_and_of_dead_ones() {
+    let mut detector = OutlierDetector::default();
+    detector.observe(RULE, call(1.0, 0, true));
+    assert!(detector.failed_last(10.9) && !detector.failed_last(11.0));
+    detector.observe(RULE, call(2.0, 0, true));
+    assert!(!detector.all_failed(0.0));
+    detector.observe(RULE, call(3.0, 0, true));
+    assert!(detector.all_failed(0.0) && !detector.all_failed(1.0));
+    detector.observe(RULE, call(4.0, 0, false));
+    assert!(!detector.all_failed(0.0) && !detector.failed_last(4.0));
+}
