Discovery: peer sampling, a world on simulated time, failed fetches turn to another machine

A fetch of a configuration that failed went to the same dark machine again: the sources were sorted anew and the count of attempts picked it from the new order. Sources now remember their failed fetches. Found by the world's test, which fails without it. Ruled out: the poll's own backoff (told versions had come).

--- a/crates/woadreach-discovery/src/control_watch.rs
+++ b/crates/woadreach-discovery/src/control_watch.rs
@@ -13,6 +13,7 @@
 use woadreach_storage::view::StorageView;
 
 use crate::messages::{ConfigurationResponse, PollResponse, Request, decode, encode};
+use crate::sampler::Sampler;
 use crate::snapshot::ControlSnapshot;
 use crate::watcher::{WatchAction, WatchChange, Watcher};
 
@@ -37,11 +38,29 @@
     snapshot: ControlSnapshot,
     publisher: watch::Sender<Arc<ControlSnapshot>>,
     settings_read_at: Instant,
+    sampler: Option<Arc<Sampler>>,
 }
 
 impl ControlWatch {
     /// Starts polling in a task of its own, which ends when nobody holds the receiver any more.
     pub fn spawn(settings: &NodeSettings, rpc: Client) -> watch::Receiver<Arc<ControlSnapshot>> {
+        Self::start(settings, rpc, None)
+    }
+
+    /// As [`spawn`](Self::spawn), and finds core machines also through other processes.
+    pub fn spawn_with_sampler(
+        settings: &NodeSettings,
+        rpc: Client,
+        sampler: Arc<Sampler>,
+    ) -> watch::Receiver<Arc<ControlSnapshot>> {
+        Self::start(settings, rpc, Some(sampler))
+    }
+
+    fn start(
+        settings: &NodeSettings,
+        rpc: Client,
+        sampler: Option<Arc<Sampler>>,
+    ) -> watch::Receiver<Arc<ControlSnapshot>> {
         let snapshot = ControlSnapshot::default();
         let (publisher, receiver) = watch::channel(Arc::new(snapshot.clone()));
         let seeds = settings.seed_internal_addresses();
@@ -53,6 +72,7 @@
             snapshot,
             publisher,
             settings_read_at: Instant::now(),
+            sampler,
         };
         tokio::spawn(watch.run());
         receiver
@@ -70,7 +90,7 @@
                 () = sleep_until(next_wake) => {}
                 () = self.publisher.closed() => return,
             }
-            self.reread_seeds();
+            self.look_for_core_machines();
         }
     }
 
@@ -149,14 +169,30 @@
         }
     }
 
-    /// The settings may name other seeds by now: read them again while no core machine answers.
-    fn reread_seeds(&mut self) {
-        if !self.watcher.is_lost(self.now()) || self.settings_read_at.elapsed() < SETTINGS_INTERVAL {
-            return;
+    /// While no core machine answers: asks the settings and other processes for their addresses.
+    fn look_for_core_machines(&mut self) {
+        let is_lost = self.watcher.is_lost(self.now());
+        if let Some(sampler) = &self.sampler {
+            sampler.set_lost(is_lost);
+            if is_lost {
+                self.watcher.set_hints(sampler.core_machines().borrow().clone());
+            }
         }
-        self.settings_read_at = Instant::now();
+        if is_lost && self.settings_read_at.elapsed() >= SETTINGS_INTERVAL {
+            self.settings_read_at = Instant::now();
+            self.reread_seeds();
+        }
+    }
+
+    fn reread_seeds(&mut self) {
         match NodeSettings::load_from_environment() {
-            Ok(settings) => self.watcher.set_seeds(settings.seed_internal_addresses()),
+            Ok(settings) => {
+                let seeds = settings.seed_internal_addresses();
+                if let Some(sampler) = &self.sampler {
+                    sampler.set_seeds(seeds.clone());
+                }
+                self.watcher.set_seeds(seeds);
+            }
             Err(error) => tracing::warn!(%error, "settings cannot be read again"),
         }
     }
--- a/crates/woadreach-discovery/src/replica_table.rs
+++ b/crates/woadreach-discovery/src/replica_table.rs
@@ -16,6 +16,8 @@
 
 /// How long trusted machines must not list a replica before it is dropped.
 pub const UNLISTED_LIMIT: Duration = Duration::from_secs(8);
+/// Least time between two looks for replicas that are not listed.
+pub const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// A machine whose last answer is older is not asked about its list.
 pub const LISTING_LIFE: Duration = Duration::from_secs(3);
 
@@ -39,6 +41,7 @@
     known: BTreeMap<String, Known>,
     listings: BTreeMap<SocketAddr, Listing>,
     unlisted_since: BTreeMap<String, Duration>,
+    next_sweep: Duration,
     present: Arc<BTreeMap<String, ReplicaRecord>>,
 }
 
@@ -98,37 +101,50 @@
     /// Drops old tombstones, and replicas that no trusted machine has listed for long. Returns whether the replicas
     /// that are there have changed.
     pub fn sweep(&mut self, now: Duration) -> bool {
+        if now < self.next_sweep {
+            return false;
+        }
+        self.next_sweep = now + SWEEP_INTERVAL;
         self.known.retain(|_, known| {
             known.status.record().is_some() || now.saturating_sub(known.changed_at) <= TOMBSTONE_LIFE
         });
+        self.update_unlisted(now);
+        let dropped: Vec<String> = self
+            .unlisted_since
+            .iter()
+            .filter(|(_, since)| now.saturating_sub(**since) > UNLISTED_LIMIT)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &dropped {
+            self.known.remove(id);
+            self.unlisted_since.remove(id);
+        }
+        if !dropped.is_empty() {
+            self.rebuild();
+        }
+        !dropped.is_empty()
+    }
+
+    /// Looks for replicas that no trusted machine lists. Without any such machine nothing is known of that.
+    fn update_unlisted(&mut self, now: Duration) {
         let trusted: Vec<&Listing> = self
             .listings
             .values()
             .filter(|listing| listing.trusted && listing.complete)
             .filter(|listing| now.saturating_sub(listing.answered_at) <= LISTING_LIFE)
             .collect();
-        if trusted.is_empty() {
+        // What is listed is known, so a list of as many replicas as are known has them all: the usual case.
+        let is_whole = |listing: &&Listing| listing.present.len() == self.present.len();
+        if trusted.is_empty() || trusted.iter().any(is_whole) && self.unlisted_since.is_empty() {
             self.unlisted_since.clear();
-            return false;
+            return;
         }
         let is_listed = |id: &String| trusted.iter().any(|listing| listing.present.contains(id));
         let unlisted: BTreeSet<&String> = self.present.keys().filter(|id| !is_listed(id)).collect();
         self.unlisted_since.retain(|id, _| unlisted.contains(id));
-        let mut dropped = Vec::new();
         for id in unlisted {
-            let since = *self.unlisted_since.entry(id.clone()).or_insert(now);
-            if now.saturating_sub(since) > UNLISTED_LIMIT {
-                dropped.push(id.clone());
-            }
+            self.unlisted_since.entry(id.clone()).or_insert(now);
         }
-        for id in &dropped {
-            self.known.remove(id);
-            self.unlisted_since.remove(id);
-        }
-        if !dropped.is_empty() {
-            self.rebuild();
-        }
-        !dropped.is_empty()
     }
 
     fn rebuild(&mut self) {
--- /dev/null
+++ b/crates/woadreach-discovery/src/sampler.rs
@@ -0,0 +1,122 @@
+//! Driver of peer sampling.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
+use woadreach_settings::NodeSettings;
+
+use crate::messages::{decode, encode};
+use crate::sampling::{NodeEntry, NodeRole, PartialView, Shuffle};
+
+/// How long a partner has to answer.
+const SHUFFLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a connection to a partner may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Peer sampling of this process.
+pub struct Sampler {
+    started: Instant,
+    view: Mutex<PartialView>,
+    /// Connections of its own: partners change, so they are closed after each exchange.
+    rpc: Client,
+    core_machines: watch::Sender<Vec<SocketAddr>>,
+}
+
+impl Sampler {
+    /// Of the process that `settings` describe. [`run`](Self::run) has to be spawned, and
+    /// [`handlers`](Self::handlers) to be served.
+    pub fn new(settings: &NodeSettings, role: NodeRole, random_seed: u64) -> Arc<Self> {
+        let own = NodeEntry {
+            node: settings.node.clone(),
+            role,
+            address: settings.internal_address().into(),
+            control: settings.listen.control.map(Into::into),
+        };
+        let seeds = settings.seed_internal_addresses();
+        Arc::new(Self {
+            started: Instant::now(),
+            view: Mutex::new(PartialView::new(Duration::ZERO, own, seeds, random_seed)),
+            rpc: Client::new(ClientOptions { connect_timeout: CONNECT_TIMEOUT }),
+            core_machines: watch::channel(Vec::new()).0,
+        })
+    }
+
+    /// Adds the handler of shuffles to the process's services.
+    pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
+        let sampler = Arc::clone(self);
+        router.route(ServiceId::SAMPLING, move |_peer, body| {
+            let answer = sampler.answer(&body);
+            async move { answer }
+        })
+    }
+
+    /// Internal addresses of the core machines that other processes have named.
+    pub fn core_machines(&self) -> watch::Receiver<Vec<SocketAddr>> {
+        self.core_machines.subscribe()
+    }
+
+    /// All processes known, for the logs and the operator.
+    pub fn entries(&self) -> Vec<NodeEntry> {
+        self.view.lock().entries(self.started.elapsed())
+    }
+
+    /// Whether this process hears no core machine: then it shuffles more often.
+    pub fn set_lost(&self, is_lost: bool) {
+        self.view.lock().set_lost(self.started.elapsed(), is_lost);
+    }
+
+    /// The settings name these seeds now.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.view.lock().set_seeds(seeds);
+    }
+
+    /// Shuffles until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let next_shuffle = self.started + self.view.lock().next_shuffle();
+            tokio::time::sleep_until(next_shuffle).await;
+            let started = self.view.lock().start_shuffle(self.started.elapsed());
+            if let Some((partner, shuffle)) = started {
+                let answer = self.exchange(partner, &shuffle).await;
+                self.view.lock().complete_shuffle(self.started.elapsed(), answer);
+                self.publish();
+            }
+        }
+    }
+
+    async fn exchange(&self, partner: SocketAddr, shuffle: &Shuffle) -> Option<Shuffle> {
+        let call = self.rpc.call(partner, ServiceId::SAMPLING, encode(shuffle), SHUFFLE_TIMEOUT);
+        let answer = call.await;
+        self.rpc.close(partner);
+        decode(&answer.ok()?).ok()
+    }
+
+    fn answer(&self, body: &Bytes) -> Vec<u8> {
+        match decode::<Shuffle>(body) {
+            Ok(shuffle) => {
+                let answer = self.view.lock().answer(self.started.elapsed(), shuffle);
+                self.publish();
+                encode(&answer)
+            }
+            Err(error) => {
+                tracing::warn!(%error, "shuffle refused");
+                Vec::new()
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let core_machines = self.view.lock().core_machines(self.started.elapsed());
+        self.core_machines.send_if_modified(|published| {
+            let modified = *published != core_machines;
+            *published = core_machines;
+            modified
+        });
+    }
+}
--- /dev/null
+++ b/crates/woadreach-discovery/src/sampling.rs
@@ -0,0 +1,257 @@
+//! Peer sampling with shuffled partial views: how the processes of the tier know of each other.
+//!
+//! Each process holds a few entries of others, and now and then exchanges some of them with the one whose entry is the
+//! oldest (S. Voulgaris, D. Gavidia, M. van Steen: CYCLON, 2005). A process that no longer answers drops out of the
+//! views, one that has started anew is found by those that still hold its entry. Some places are kept for core
+//! machines, so that every process knows a few of them whatever the size of the tier.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oorandom::Rand32;
+use speedy::{Readable, Writable};
+
+use crate::messages::Endpoint;
+
+/// Entries that a process holds.
+pub const VIEW_ENTRIES: usize = 8;
+/// Entries exchanged at a time, with the sender's own.
+pub const SHUFFLE_ENTRIES: usize = 4;
+/// Places kept for core machines.
+pub const CORE_ENTRIES: usize = 3;
+/// A process that holds fewer entries knows too little.
+pub const ENOUGH_ENTRIES: usize = 4;
+/// Time between shuffles while the process knows too little or has lost the core.
+pub const SHUFFLE_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between shuffles otherwise.
+pub const CALM_SHUFFLE_INTERVAL: Duration = Duration::from_millis(5000);
+/// An entry that was issued longer ago is dropped.
+pub const MAX_AGE: Duration = Duration::from_secs(120);
+/// Longest name of a node in bytes.
+pub const MAX_NODE_BYTES: usize = 128;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub enum NodeRole {
+    /// Data plane.
+    Proxy,
+    /// Control plane.
+    Core,
+    /// Kept turns and budgets.
+    Storage,
+}
+
+/// A process of the tier, as it names itself.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct NodeEntry {
+    /// Name of its machine; empty for a seed that has not been heard yet.
+    pub node: String,
+    /// What it does.
+    pub role: NodeRole,
+    /// Its internal address.
+    pub address: Endpoint,
+    /// Where replicas and the operator reach it, if they do.
+    pub control: Option<Endpoint>,
+}
+
+/// An entry and the time since the process issued it.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct AgedEntry {
+    /// The process.
+    pub entry: NodeEntry,
+    /// Milliseconds since it issued the entry.
+    pub age_ms: u32,
+}
+
+/// Entries that one process gives to another; asks for as many, or answers.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct Shuffle {
+    /// The entries; the sender's own comes first.
+    pub entries: Vec<AgedEntry>,
+}
+
+#[derive(Clone)]
+struct Held {
+    entry: NodeEntry,
+    /// Age when it was received.
+    age: Duration,
+    received_at: Duration,
+}
+
+impl Held {
+    fn age(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.received_at)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.entry.address.into()
+    }
+
+    fn is_core(&self) -> bool {
+        self.entry.role == NodeRole::Core
+    }
+}
+
+/// The partial view of one process.
+pub struct PartialView {
+    own: NodeEntry,
+    seeds: Vec<SocketAddr>,
+    held: Vec<Held>,
+    random: Rand32,
+    next_shuffle: Duration,
+    /// The exchange under way: its partner, and what was sent.
+    exchange: Option<(SocketAddr, Vec<SocketAddr>)>,
+    is_lost: bool,
+}
+
+impl PartialView {
+    /// Of the process `own`, which starts at `now` and knows the internal addresses of `seeds`.
+    pub fn new(now: Duration, own: NodeEntry, seeds: Vec<SocketAddr>, random_seed: u64) -> Self {
+        let mut random = Rand32::new(random_seed);
+        let next_shuffle = now + SHUFFLE_INTERVAL.mul_f32(random.rand_float());
+        let mut view =
+            Self { own, seeds, held: Vec::new(), random, next_shuffle, exchange: None, is_lost: false };
+        view.add_seeds(now);
+        view
+    }
+
+    /// The settings name these seeds now.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Whether the process hears no core machine: then it shuffles more often.
+    pub fn set_lost(&mut self, now: Duration, is_lost: bool) {
+        if is_lost && !self.is_lost {
+            self.next_shuffle = self.next_shuffle.min(now + SHUFFLE_INTERVAL);
+        }
+        self.is_lost = is_lost;
+    }
+
+    /// The processes held, youngest entry first.
+    pub fn entries(&self, now: Duration) -> Vec<NodeEntry> {
+        let mut held: Vec<&Held> = self.held.iter().collect();
+        held.sort_by_key(|held| held.age(now));
+        held.into_iter().map(|held| held.entry.clone()).collect()
+    }
+
+    /// Internal addresses of the core machines held, youngest entry first.
+    pub fn core_machines(&self, now: Duration) -> Vec<SocketAddr> {
+        let entries = self.entries(now).into_iter();
+        entries.filter(|entry| entry.role == NodeRole::Core).map(|entry| entry.address.into()).collect()
+    }
+
+    /// When the next shuffle is due.
+    pub fn next_shuffle(&self) -> Duration {
+        self.next_shuffle
+    }
+
+    /// Starts a shuffle if one is due: whom to ask, and with what.
+    pub fn start_shuffle(&mut self, now: Duration) -> Option<(SocketAddr, Shuffle)> {
+        if now < self.next_shuffle {
+            return None;
+        }
+        let is_calm = !self.is_lost && self.held.len() >= ENOUGH_ENTRIES;
+        let interval = if is_calm { CALM_SHUFFLE_INTERVAL } else { SHUFFLE_INTERVAL };
+        // Spread over time: processes that started together would shuffle together.
+        self.next_shuffle = now + interval.mul_f32(0.75 + 0.5 * self.random.rand_float());
+        self.drop_old(now);
+        if self.held.is_empty() {
+            self.add_seeds(now);
+        }
+        let partner = self.held.iter().max_by_key(|held| held.age(now))?.address();
+        let chosen = self.choose(partner, SHUFFLE_ENTRIES - 1);
+        let sent = chosen.iter().map(Held::address).collect();
+        self.exchange = Some((partner, sent));
+        Some((partner, self.shuffle_of(now, &chosen)))
+    }
+
+    /// Answers the shuffle of another process with as many entries.
+    pub fn answer(&mut self, now: Duration, shuffle: Shuffle) -> Shuffle {
+        let asker = shuffle.entries.first().map_or(self.own.address, |first| first.entry.address);
+        let chosen = self.choose(asker.into(), SHUFFLE_ENTRIES - 1);
+        let sent: Vec<SocketAddr> = chosen.iter().map(Held::address).collect();
+        let answer = self.shuffle_of(now, &chosen);
+        self.take_in(now, shuffle, &sent);
+        answer
+    }
+
+    /// The partner of the shuffle under way has answered, or not: then its entry is dropped.
+    pub fn complete_shuffle(&mut self, now: Duration, answer: Option<Shuffle>) {
+        let Some((partner, sent)) = self.exchange.take() else { return };
+        self.held.retain(|held| held.address() != partner);
+        if let Some(answer) = answer {
+            self.take_in(now, answer, &sent);
+        }
+    }
+
+    fn add_seeds(&mut self, now: Duration) {
+        for seed in self.seeds.clone() {
+            let address = Endpoint::from(seed);
+            let entry = NodeEntry { node: String::new(), role: NodeRole::Core, address, control: None };
+            self.hold(Held { entry, age: Duration::ZERO, received_at: now });
+        }
+    }
+
+    fn drop_old(&mut self, now: Duration) {
+        self.held.retain(|held| held.age(now) <= MAX_AGE);
+    }
+
+    /// Up to `count` random entries other than that of `partner`, among them one of a core machine if there is one.
+    fn choose(&mut self, partner: SocketAddr, count: usize) -> Vec<Held> {
+        let mut candidates: Vec<Held> =
+            self.held.iter().filter(|held| held.address() != partner).cloned().collect();
+        for index in (1..candidates.len()).rev() {
+            let other = self.random.rand_range(0..index as u32 + 1) as usize;
+            candidates.swap(index, other);
+        }
+        if let Some(core) = candidates.iter().position(Held::is_core) {
+            candidates.swap(0, core);
+        }
+        candidates.truncate(count);
+        candidates
+    }
+
+    fn shuffle_of(&self, now: Duration, chosen: &[Held]) -> Shuffle {
+        let mut entries = vec![AgedEntry { entry: self.own.clone(), age_ms: 0 }];
+        entries.extend(chosen.iter().map(|held| AgedEntry {
+            entry: held.entry.clone(),
+            age_ms: u32::try_from(held.age(now).as_millis()).unwrap_or(u32::MAX),
+        }));
+        Shuffle { entries }
+    }
+
+    fn take_in(&mut self, now: Duration, shuffle: Shuffle, sent: &[SocketAddr]) {
+        for aged in shuffle.entries.into_iter().take(SHUFFLE_ENTRIES) {
+            let age = Duration::from_millis(u64::from(aged.age_ms));
+            if aged.entry.node.len() <= MAX_NODE_BYTES && age <= MAX_AGE {
+                self.hold(Held { entry: aged.entry, age, received_at: now });
+            }
+        }
+        while self.held.len() > VIEW_ENTRIES {
+            let surplus = self.surplus_entry(now, sent);
+            self.held.remove(surplus);
+        }
+    }
+
+    /// Adds an entry, or renews that of the same address if this one is younger.
+    fn hold(&mut self, new: Held) {
+        if new.entry.address == self.own.address {
+            return;
+        }
+        let now = new.received_at;
+        match self.held.iter_mut().find(|held| held.entry.address == new.entry.address) {
+            Some(held) if held.entry.node.is_empty() || new.age(now) < held.age(now) => *held = new,
+            Some(_) => {}
+            None => self.held.push(new),
+        }
+    }
+
+    /// Which entry to drop: one that the partner has now, else the oldest; core machines only beyond their places.
+    fn surplus_entry(&self, now: Duration, sent: &[SocketAddr]) -> usize {
+        let keep_core = self.held.iter().filter(|held| held.is_core()).count() <= CORE_ENTRIES;
+        let candidates = self.held.iter().enumerate().filter(|(_, held)| !(keep_core && held.is_core()));
+        let order = |held: &Held| (sent.contains(&held.address()), held.age(now));
+        candidates.max_by_key(|(_, held)| order(held)).map_or(0, |(index, _)| index)
+    }
+}
--- a/crates/woadreach-discovery/src/watcher.rs
+++ b/crates/woadreach-discovery/src/watcher.rs
@@ -30,8 +30,10 @@
 pub const BACKOFF_MAX: Duration = Duration::from_millis(800);
 /// Without an answer for this long, all known addresses are asked.
 pub const LOST_AFTER: Duration = Duration::from_millis(2000);
-/// How long a configuration may take to come.
-pub const FETCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a configuration may take to come at the first try; each further try gives it as much more.
+pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for a configuration to come.
+pub const FETCH_TIMEOUT_MAX: Duration = Duration::from_millis(3000);
 /// How long the first complete answer waits for those of the other machines.
 pub const WARM_UP: Duration = Duration::from_millis(400);
 
@@ -87,6 +89,7 @@
     failures: u32,
     standing: Standing,
     configuration_told: u64,
+    failed_fetches: u32,
     answered: bool,
 }
 
@@ -97,6 +100,7 @@
             failures: 0,
             standing: Standing::default(),
             configuration_told: 0,
+            failed_fetches: 0,
             answered: false,
         }
     }
@@ -109,7 +113,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FetchState {
     Idle { next_at: Duration, attempts: u32 },
-    Fetching { attempts: u32 },
+    Fetching { machine: SocketAddr, attempts: u32 },
 }
 
 /// The client side's decisions.
@@ -289,20 +293,23 @@
     /// A configuration has come; `generation` is none if it could not be fetched or read. Returns whether it is newer
     /// than the one taken last: then it is to be put in force.
     pub fn configuration_fetched(&mut self, now: Duration, generation: Option<u64>) -> bool {
-        let attempts = match self.fetch {
-            FetchState::Fetching { attempts } | FetchState::Idle { attempts, .. } => attempts,
-        };
-        let is_newer = generation.is_some_and(|generation| generation > self.configuration_generation);
-        if let Some(generation) = generation.filter(|_| is_newer) {
-            self.configuration_generation = generation;
+        let FetchState::Fetching { machine, attempts } = self.fetch else { return false };
+        let newer = generation.filter(|generation| *generation > self.configuration_generation);
+        match newer {
+            Some(generation) => {
+                self.configuration_generation = generation;
+                self.fetch = FetchState::Idle { next_at: now, attempts: 0 };
+                self.machines.values_mut().for_each(|machine| machine.failed_fetches = 0);
+            }
+            None => {
+                self.fetch = FetchState::Idle { next_at: now + BACKOFF_MIN, attempts: attempts + 1 };
+                if let Some(source) = self.machines.get_mut(&machine) {
+                    source.failed_fetches += 1;
+                }
+            }
         }
-        self.fetch = if is_newer {
-            FetchState::Idle { next_at: now, attempts: 0 }
-        } else {
-            FetchState::Idle { next_at: now + BACKOFF_MIN, attempts: attempts + 1 }
-        };
         self.update_warmed(now);
-        is_newer
+        newer.is_some()
     }
 
     fn newest_told(&self) -> u64 {
@@ -315,15 +322,14 @@
             return None;
         }
         let known = self.configuration_generation;
-        let mut sources: Vec<(&SocketAddr, &Machine)> =
-            self.machines.iter().filter(|(_, machine)| machine.configuration_told > known).collect();
-        sources.sort_by_key(|(address, machine)| (machine.failures, rank(&self.name, **address)));
-        if sources.is_empty() {
-            return None;
-        }
-        let (machine, _) = sources[attempts as usize % sources.len()];
-        self.fetch = FetchState::Fetching { attempts };
-        Some(WatchAction::FetchConfiguration { machine: *machine, timeout: FETCH_TIMEOUT })
+        let sources = self.machines.iter().filter(|(_, machine)| machine.configuration_told > known);
+        let order = |(address, machine): &(&SocketAddr, &Machine)| {
+            (machine.failed_fetches, machine.failures, rank(&self.name, **address))
+        };
+        let machine = *sources.min_by_key(order)?.0;
+        self.fetch = FetchState::Fetching { machine, attempts };
+        let timeout = FETCH_TIMEOUT.saturating_mul(attempts + 1).min(FETCH_TIMEOUT_MAX);
+        Some(WatchAction::FetchConfiguration { machine, timeout })
     }
 
     fn take_view(&mut self, view: CoreView) -> bool {
@@ -348,7 +354,7 @@
             known.extend(&self.hints);
         }
         let mut ranked: Vec<SocketAddr> = known.into_iter().collect();
-        ranked.sort_by_key(|address| rank(&self.name, *address));
+        ranked.sort_by_cached_key(|address| rank(&self.name, *address));
         let mut healthy = 0;
         let mut wanted = Vec::new();
         for address in ranked {
--- a/crates/woadreach-discovery/tests/common/mod.rs
+++ b/crates/woadreach-discovery/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Parts shared by the tests of discovery.
 #![allow(dead_code)]
 
+pub mod world;
+
 use std::net::SocketAddr;
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/woadreach-discovery/tests/distribution.rs
@@ -0,0 +1,319 @@
+//! Core machines, observers and replicas on simulated time: what reaches the observers, and when.
+
+mod common;
+
+use std::time::Duration;
+
+use common::world::{HEARTBEAT, LINK_DELAY, Node, Power, World, core_address};
+use woadreach_discovery::ViewSummary;
+
+/// From the acknowledgement of a departure on, in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(20);
+/// After this a silent replica is gone.
+const EXPIRY: Duration = Duration::from_millis(4200 + 500);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A tier that has run for a while.
+fn calm(seed: u64, cores: usize, edges: usize, replicas: usize) -> World {
+    let mut world = World::new(seed, cores, edges, replicas);
+    world.run(seconds(8));
+    for edge in 0..edges {
+        assert!(world.edges[edge].watcher.is_warmed());
+        assert_eq!(world.edges[edge].watcher.table().present().len(), replicas);
+        assert_eq!(world.edges[edge].configuration, 1);
+    }
+    world
+}
+
+#[test]
+fn a_departure_is_in_force_everywhere_soon_after_it_is_acknowledged() {
+    for seed in 0..50 {
+        let mut world = calm(seed, 3, 6, 12);
+        world.drain(0, seed as usize % 3);
+        world.run_for(millis(20));
+        let drained_at = world.replicas[0].drained_at.expect("acknowledged");
+        world.run(drained_at + IN_FORCE);
+        assert_eq!(world.edges_using(0), 0, "seed {seed}");
+        world.leave(0, (seed as usize + 1) % 3);
+        world.run_for(millis(40));
+        assert!(world.replicas[0].left_at.is_some());
+        assert!(world.edges.iter().all(|edge| !edge.watcher.table().present().contains_key("r0")));
+        world.run_for(seconds(20));
+        assert!(world.edges.iter().all(|edge| edge.watcher.table().present().len() == 11), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_acknowledged_departure_outlives_the_machine_that_acknowledged_it() {
+    for seed in 0..50 {
+        for power in [Power::Down, Power::Dark, Power::Frozen] {
+            let mut world = calm(seed, 3, 6, 12);
+            let core = seed as usize % 3;
+            // None of the observers' polls to that machine works.
+            for edge in 0..6 {
+                world.cuts.insert((Node::Core(core), Node::Edge(edge)));
+            }
+            world.drain(0, core);
+            while world.replicas[0].drained_at.is_none() {
+                world.run_for(millis(1));
+            }
+            world.set_power(core, power);
+            world.run_for(IN_FORCE);
+            assert_eq!(world.edges_using(0), 0, "seed {seed}, {power:?}");
+        }
+    }
+}
+
+#[test]
+fn a_departure_is_acknowledged_within_a_second_whatever_the_peers_do() {
+    for power in [Power::Down, Power::Dark, Power::Frozen] {
+        let mut world = calm(3, 3, 6, 12);
+        world.set_power(1, power);
+        world.set_power(2, power);
+        let told = world.now;
+        world.drain(0, 0);
+        world.run_for(millis(400));
+        let drained_at = world.replicas[0].drained_at.expect("acknowledged");
+        assert!(drained_at - told < millis(350), "{power:?}");
+        assert_eq!(world.edges_using(0), 0);
+    }
+}
+
+#[test]
+fn a_departure_told_to_one_side_of_a_cut_reaches_every_observer() {
+    for seed in 0..20 {
+        let mut world = calm(seed, 3, 6, 12);
+        world.cut_cores(0, 1);
+        world.cut_cores(0, 2);
+        world.drain(0, 0);
+        world.drain(1, 1);
+        world.run_for(millis(400));
+        assert!(world.replicas[..2].iter().all(|replica| replica.drained_at.is_some()));
+        assert_eq!(world.edges_using(0) + world.edges_using(1), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_silent_replica_is_gone_after_its_heartbeats_stay_away_and_comes_back_with_them() {
+    let mut world = calm(1, 3, 6, 12);
+    world.replicas[4].alive = false;
+    world.run_for(millis(3500));
+    assert_eq!(world.edges_using(4), 6, "not yet");
+    world.run_for(EXPIRY - millis(3500) + HEARTBEAT);
+    assert_eq!(world.edges_using(4), 0);
+    assert_eq!(world.edges[0].watcher.table().present().len(), 11, "and no other");
+}
+
+#[test]
+fn replicas_live_through_a_restart_of_all_core_machines() {
+    for seed in 0..30 {
+        let mut world = calm(seed, 3, 6, 12);
+        (0..3).for_each(|core| world.set_power(core, Power::Down));
+        world.run_for(millis(700));
+        (0..3).for_each(|core| world.restart_core(core));
+        let until = world.now + seconds(15);
+        world.run_checked(until, |world| {
+            for edge in &world.edges {
+                assert_eq!(edge.watcher.table().present().len(), 12, "seed {seed} at {:?}", world.now);
+            }
+        });
+        assert!(world.cores.iter().all(|core| core.state.registry().present() == 12));
+        assert!(world.cores.iter().all(|core| !core.state.is_warming()));
+    }
+}
+
+#[test]
+fn a_replica_that_ended_while_all_core_machines_were_down_is_dropped_in_the_end() {
+    let mut world = calm(2, 3, 6, 12);
+    (0..3).for_each(|core| world.set_power(core, Power::Down));
+    world.replicas[5].alive = false;
+    world.run_for(millis(700));
+    (0..3).for_each(|core| world.restart_core(core));
+    world.run_for(seconds(16));
+    assert_eq!(world.edges_using(5), 0);
+    assert_eq!(world.edges[0].watcher.table().present().len(), 11);
+}
+
+#[test]
+fn an_observer_that_starts_while_the_core_warms_waits_for_a_whole_list() {
+    for seed in 0..30 {
+        let mut world = calm(seed, 3, 6, 12);
+        (0..3).for_each(|core| world.set_power(core, Power::Down));
+        world.run_for(millis(500));
+        (0..3).for_each(|core| world.restart_core(core));
+        world.restart_edge(0, (0..3).map(core_address).collect());
+        let until = world.now + seconds(10);
+        world.run_checked(until, |world| {
+            let watcher = &world.edges[0].watcher;
+            let whole = watcher.table().present().len() == 12 && world.edges[0].configuration == 1;
+            assert!(!watcher.is_warmed() || whole, "seed {seed} at {:?}", world.now);
+        });
+        assert!(world.edges[0].watcher.is_warmed(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_core_machine_that_stood_still_takes_no_replica_as_gone() {
+    for seed in 0..20 {
+        for frozen in [1, 3] {
+            let mut world = calm(seed, 3, 6, 12);
+            (0..frozen).for_each(|core| world.set_power(core, Power::Frozen));
+            world.run_for(seconds(9));
+            (0..frozen).for_each(|core| world.thaw_core(core));
+            let until = world.now + seconds(10);
+            world.run_checked(until, |world| {
+                for edge in &world.edges {
+                    assert_eq!(edge.watcher.table().present().len(), 12, "seed {seed}, {frozen} frozen");
+                }
+            });
+            assert!(world.cores.iter().all(|core| core.state.registry().counters().expired == 0));
+        }
+    }
+}
+
+#[test]
+fn a_departure_that_a_frozen_core_machine_missed_is_not_undone_when_it_wakes() {
+    let mut world = calm(4, 3, 6, 12);
+    world.set_power(2, Power::Frozen);
+    world.drain(0, 0);
+    world.run_for(millis(500));
+    world.leave(0, 1);
+    world.run_for(seconds(6));
+    world.thaw_core(2);
+    let until = world.now + seconds(8);
+    world.run_checked(until, |world| assert_eq!(world.edges_using(0), 0));
+    assert_eq!(world.cores[2].state.registry().present(), 11);
+}
+
+#[test]
+fn core_machines_cut_off_from_all_replicas_take_none_as_gone() {
+    let mut world = calm(5, 3, 6, 12);
+    world.cut_from_replicas = (0..3).collect();
+    world.run_for(seconds(20));
+    assert_eq!(world.edges[0].watcher.table().present().len(), 12);
+    world.cut_from_replicas.clear();
+    world.run_for(seconds(5));
+    assert_eq!(world.edges[0].watcher.table().present().len(), 12);
+}
+
+#[test]
+fn replicas_heard_by_one_side_of_a_cut_only_are_kept() {
+    // Cut off from the others, out of quorum, and the only one that the replicas reach.
+    let mut world = calm(6, 3, 6, 12);
+    world.cut_cores(0, 1);
+    world.cut_cores(0, 2);
+    let members: Vec<_> = (0..3).map(core_address).collect();
+    world.set_view(0, ViewSummary { epoch: 1, in_quorum: false, members });
+    world.cut_from_replicas = [1, 2].into();
+    world.run_for(seconds(8));
+    assert_eq!(world.edges[0].watcher.table().present().len(), 12);
+}
+
+#[test]
+fn an_address_that_is_used_again_belongs_to_the_new_replica() {
+    let mut world = calm(7, 3, 6, 12);
+    world.replicas[3].alive = false;
+    world.run_for(seconds(2));
+    let reuser = world.add_replica("reuser", 3);
+    world.replicas[reuser].heartbeat.service = "other".into();
+    world.run_for(HEARTBEAT + millis(800));
+    assert_eq!(world.edges_using(3), 0);
+    assert_eq!(world.edges_using(reuser), 6);
+    assert_eq!(world.edges[0].watcher.table().present()["reuser"].service, "other");
+}
+
+#[test]
+fn a_configuration_is_in_force_soon_and_never_goes_back() {
+    for seed in 0..20 {
+        let mut world = calm(seed, 3, 6, 4);
+        world.commit_configuration(9);
+        world.run_for(IN_FORCE);
+        assert!(world.edges.iter().all(|edge| edge.configuration == 9), "seed {seed}");
+        // One machine falls behind: it tells its old version, and nobody takes it.
+        world.cores[1].committed.commit_configuration(9);
+        world.restart_core(1);
+        world.commit_configuration(12);
+        world.set_power(0, Power::Dark);
+        world.run_for(seconds(3));
+        let generations: Vec<u64> = world.edges.iter().map(|edge| edge.configuration).collect();
+        assert_eq!(generations, [12; 6], "seed {seed}");
+    }
+}
+
+#[test]
+fn observers_follow_the_core_to_other_machines() {
+    let mut world = World::new(8, 6, 6, 12);
+    let members = |range: std::ops::Range<usize>| range.map(core_address).collect::<Vec<_>>();
+    for core in 0..6 {
+        world.set_view(core, ViewSummary { epoch: 1, in_quorum: true, members: members(0..3) });
+    }
+    world.run(seconds(8));
+    for (epoch, first) in [(2, 1), (3, 2), (4, 3)] {
+        for core in 0..6 {
+            let view = ViewSummary { epoch, in_quorum: true, members: members(first..first + 3) };
+            world.set_view(core, view);
+        }
+        world.run_for(seconds(1));
+        world.set_power(first - 1, Power::Dark);
+        world.run_for(seconds(2));
+    }
+    world.commit_configuration(5);
+    world.run_for(millis(50));
+    assert!(world.edges.iter().all(|edge| edge.configuration == 5));
+    assert!(world.edges.iter().all(|edge| edge.watcher.members() == members(3..6)));
+}
+
+#[test]
+fn an_observer_with_stale_seeds_finds_the_core_by_hints() {
+    let mut world = calm(9, 4, 2, 12);
+    world.set_power(3, Power::Dark);
+    world.restart_edge(0, vec![core_address(3)]);
+    world.run_for(seconds(4));
+    assert!(!world.edges[0].watcher.is_warmed());
+    world.edges[0].watcher.set_hints(vec![core_address(1)]);
+    world.run_for(seconds(3));
+    assert!(world.edges[0].watcher.is_warmed());
+    assert_eq!(world.edges[0].watcher.members().len(), 4);
+}
+
+#[test]
+fn a_machine_that_comes_back_is_polled_again_within_its_backoff() {
+    let mut world = calm(10, 3, 6, 12);
+    world.set_power(0, Power::Dark);
+    world.run_for(seconds(10));
+    world.restart_core(0);
+    // A poll to the dark machine is broken 1.7 s after its start, and the next starts 0.8 s later at most.
+    world.run_for(millis(2600));
+    world.cuts.extend((0..6).flat_map(|edge| [1, 2].map(|core| (Node::Core(core), Node::Edge(edge)))));
+    world.drain(0, 0);
+    world.run_for(IN_FORCE);
+    assert_eq!(world.edges_using(0), 0);
+}
+
+#[test]
+fn control_of_a_large_tier_stays_within_its_bytes_and_messages() {
+    let mut world = World::new(11, 19, 620, 300);
+    world.run(seconds(10));
+    assert!(world.edges.iter().all(|edge| edge.watcher.is_warmed()));
+    world.edges.iter_mut().for_each(|edge| (edge.bytes, edge.messages) = (0, 0));
+    world.run_for(seconds(10));
+    let worst_bytes = world.edges.iter().map(|edge| edge.bytes).max().unwrap() / 10;
+    let worst_messages = world.edges.iter().map(|edge| edge.messages).max().unwrap() / 10;
+    assert!(worst_bytes < 1_000, "{worst_bytes} bytes a second");
+    assert!(worst_messages <= 7, "{worst_messages} messages a second");
+    world.drain(0, 0);
+    world.run_for(millis(20));
+    assert!(world.replicas[0].drained_at.is_some());
+    world.run_for(IN_FORCE);
+    assert_eq!(world.edges_using(0), 0);
+    world.commit_configuration(2);
+    world.run_for(10 * LINK_DELAY);
+    assert!(world.edges.iter().all(|edge| edge.configuration == 2));
+}
