--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -14,6 +14,7 @@
 
 use crate::committed::CommittedState;
 use crate::core_state::{CoreIdentity, CoreState};
+use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
     BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
     encode,
@@ -115,10 +116,7 @@
     async fn after_change(&self, id: &str, ack: Ack) {
         match ack {
             Ack::Unchanged => {}
-            Ack::Changed => {
-                self.publish();
-                self.flush.notify_one();
-            }
+            Ack::Changed => self.flush.notify_one(),
             Ack::Leaving => {
                 self.publish();
                 self.tell_peers(id).await;
@@ -128,12 +126,8 @@
 
     /// Wakes the polls if the registry has news, and the puller if a peer knows more.
     fn publish(&self) {
-        let state = self.state.lock();
-        let revision = state.registry().version().revision;
-        if state.has_incomplete_peers() {
-            self.pull.notify_one();
-        }
-        drop(state);
+        let revision = self.state.lock().registry().version().revision;
+        self.wake_puller();
         self.revision.send_if_modified(|published| {
             let modified = *published != revision;
             *published = revision;
@@ -141,6 +135,12 @@
         });
     }
 
+    fn wake_puller(&self) {
+        if self.state.lock().has_incomplete_peers() {
+            self.pull.notify_one();
+        }
+    }
+
     async fn tell_peers(&self, id: &str) {
         let (batch, peers) = {
             let state = self.state.lock();
@@ -164,7 +164,10 @@
                     self.state.lock().tick(self.now(), &self.committed.view());
                     self.publish();
                 }
-                () = self.flush.notified() => {}
+                () = self.flush.notified() => {
+                    tokio::time::sleep(CHANGE_DELAY).await;
+                    self.publish();
+                }
             }
             self.send_batch();
         }
@@ -230,8 +233,12 @@
                 })
             }
             Ok(Request::Batch(batch) | Request::Urgent(batch)) => {
-                self.state.lock().receive(self.now(), batch);
-                self.publish();
+                let urgency = self.state.lock().receive(self.now(), batch);
+                match urgency {
+                    Urgency::Unchanged => self.wake_puller(),
+                    Urgency::Soon => self.flush.notify_one(),
+                    Urgency::Now => self.publish(),
+                }
                 encode(&BatchResponse { incarnation: self.incarnation })
             }
             Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(known)),
--- a/crates/woadreach-discovery/src/core_state.rs
+++ b/crates/woadreach-discovery/src/core_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::committed::{CommittedState, ViewSummary};
-use crate::exchange::{Inbox, Outbox};
+use crate::exchange::{Inbox, Outbox, Urgency};
 use crate::messages::{Batch, PollRequest, PollResponse, RegistryResponse};
 use crate::registry::{Ack, HeartbeatError, Registry, RegistryVersion};
 use crate::replica::Heartbeat;
@@ -136,8 +136,8 @@
         self.registry.forget_tombstones(now);
     }
 
-    /// Takes a batch of another core machine.
-    pub fn receive(&mut self, now: Duration, batch: Batch) {
+    /// Takes a batch of another core machine. Returns how soon watchers are to be told.
+    pub fn receive(&mut self, now: Duration, batch: Batch) -> Urgency {
         let sender = SocketAddr::from(batch.sender);
         if batch.serial > 0 {
             self.observation.heard_peer(now, sender);
@@ -147,6 +147,7 @@
         if result.incomplete {
             self.incomplete.insert(sender);
         }
+        result.urgency
     }
 
     /// Whether some peer is to be asked for its registry.
--- a/crates/woadreach-discovery/src/exchange.rs
+++ b/crates/woadreach-discovery/src/exchange.rs
@@ -9,9 +9,13 @@
 
 use crate::messages::{Batch, StatusEntry};
 use crate::registry::{RefreshResult, Registry, RegistryVersion};
+use crate::replica::ReplicaState;
+use crate::status::ReplicaStatus;
 
 /// Signs of life without news wait this long for others to share their batch.
 pub const BATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Changes other than departures wait this long for others.
+pub const CHANGE_DELAY: Duration = Duration::from_millis(25);
 /// A batch is sent this often also without content, so that peers know that they are heard.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -91,11 +95,27 @@
     ids.filter_map(|id| registry.status(id).map(|status| StatusEntry::new(id.clone(), status))).collect()
 }
 
+fn is_leaving(status: &ReplicaStatus) -> bool {
+    status.record().is_none_or(|record| record.state == ReplicaState::Draining)
+}
+
+/// How soon watchers and other core machines are to be told of a change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// Nothing has changed.
+    #[default]
+    Unchanged,
+    /// Soon, together with other changes.
+    Soon,
+    /// At once: a replica leaves.
+    Now,
+}
+
 /// What a received batch did.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BatchResult {
-    /// The registry has news for its watchers.
-    pub changed: bool,
+    /// How soon the registry's watchers are to be told.
+    pub urgency: Urgency,
     /// The sender knows something that did not come: ask it for its registry.
     pub incomplete: bool,
 }
@@ -128,7 +148,10 @@
         }
         for entry in batch.statuses {
             let (id, status) = entry.into_status();
-            result.changed |= registry.merge(now, &id, status);
+            let urgency = if is_leaving(&status) { Urgency::Now } else { Urgency::Soon };
+            if registry.merge(now, &id, status) {
+                result.urgency = result.urgency.max(urgency);
+            }
         }
         for refresh in &batch.refreshes {
             result.incomplete |= registry.refresh(now, refresh) == RefreshResult::Unknown;
--- a/crates/woadreach-discovery/tests/common/world.rs
+++ b/crates/woadreach-discovery/tests/common/world.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use woadreach_discovery::core_state::{CoreIdentity, CoreState};
+use woadreach_discovery::exchange::{CHANGE_DELAY, Urgency};
 use woadreach_discovery::messages::{
     Batch, ConfigurationResponse, PollRequest, PollResponse, RegistryResponse, Request, VersionedBytes,
     decode, encode,
@@ -57,6 +58,7 @@
     warm_peer: bool,
     pull_not_before: Duration,
     stalled: VecDeque<Event>,
+    is_flush_due: bool,
     /// Revision and warming, and changes of the committed state, for which the polls have been looked through.
     answered_for: Option<(RegistryVersion, bool, u64)>,
 }
@@ -219,6 +221,7 @@
                 warm_peer: false,
                 pull_not_before: Duration::ZERO,
                 stalled: VecDeque::new(),
+                is_flush_due: false,
                 answered_for: None,
             });
             world.boot_core(core);
@@ -291,6 +294,7 @@
         node.pulling.clear();
         node.stalled.clear();
         node.answered_for = None;
+        node.is_flush_due = false;
         self.boot_core(core);
     }
 
@@ -430,7 +434,11 @@
         }
         match event {
             Event::CoreTick { core, life } => self.core_tick(core, life),
-            Event::CoreFlush { core, life } if self.cores[core].life == life => self.send_batch(core),
+            Event::CoreFlush { core, life } if self.cores[core].life == life => {
+                self.cores[core].is_flush_due = false;
+                self.send_batch(core);
+                self.after_change(core);
+            }
             Event::Pull { core, life } if self.cores[core].life == life => self.pull(core),
             Event::PullFailed { core, life, peer } if self.cores[core].life == life => {
                 self.pull_done(core, peer, None);
@@ -490,6 +498,17 @@
 
     fn after_change(&mut self, core: usize) {
         self.answer_polls(core);
+        self.pull_if_incomplete(core);
+    }
+
+    fn flush_soon(&mut self, core: usize) {
+        if !std::mem::replace(&mut self.cores[core].is_flush_due, true) {
+            let life = self.cores[core].life;
+            self.push(self.now + CHANGE_DELAY, Event::CoreFlush { core, life });
+        }
+    }
+
+    fn pull_if_incomplete(&mut self, core: usize) {
         let node = &self.cores[core];
         if node.state.has_incomplete_peers() && node.pulling.is_empty() {
             let (at, life) = (node.pull_not_before.max(self.now), node.life);
@@ -641,8 +660,11 @@
             Ok(Request::Batch(batch) | Request::Urgent(batch)) => batch,
             other => panic!("a batch is expected: {other:?}"),
         };
-        self.cores[core].state.receive(self.now, batch);
-        self.after_change(core);
+        match self.cores[core].state.receive(self.now, batch) {
+            Urgency::Unchanged => self.pull_if_incomplete(core),
+            Urgency::Soon => self.flush_soon(core),
+            Urgency::Now => self.after_change(core),
+        }
     }
 
     fn edge_act(&mut self, edge: usize) {
@@ -780,8 +802,7 @@
             }
             Ok(Ack::Changed) => {
                 self.push(now_after(self.now), Event::Acknowledged { replica, call, taken: true });
-                self.push(self.now, Event::CoreFlush { core, life });
-                self.after_change(core);
+                self.flush_soon(core);
             }
             Err(_) => {
                 self.push(now_after(self.now), Event::Acknowledged { replica, call, taken: false });
--- a/crates/woadreach-discovery/tests/distribution.rs
+++ b/crates/woadreach-discovery/tests/distribution.rs
@@ -241,7 +241,7 @@
         world.restart_core(1);
         world.commit_configuration(12);
         world.set_power(0, Power::Dark);
-        world.run_for(seconds(3));
+        world.run_for(millis(1900));
         let generations: Vec<u64> = world.edges.iter().map(|edge| edge.configuration).collect();
         assert_eq!(generations, [12; 6], "seed {seed}");
     }
