--- a/crates/woadreach-admission/src/admission.rs
+++ b/crates/woadreach-admission/src/admission.rs
@@ -1,87 +1,105 @@
-//! The decisions: every input in one place, each kind of decision in a module of its own.
+//! The inputs of the module, each in one function.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::action::{Action, FailReason};
+use woadreach::decide::held_queue::HeldQueue;
+
+use crate::action::Action;
 use crate::call::{Call, CallId};
+use crate::fleet::{Fleet, ReplicaKey};
+use crate::in_hand::{AttemptState, CallInHand};
 use crate::outcome::{Outcome, ServerLoad};
+use crate::pace::Programs;
+use crate::routes::Routes;
+use crate::service::Service;
 use crate::spec::{ReplicaSpec, ServiceSpec};
-
-/// Advice when a call is refused for want of a replica, in seconds.
-const RETRY_WITHOUT_REPLICA: f64 = 0.25;
-
-/// One send of a call.
-struct Attempt {
-    replica: Arc<str>,
-    outcome: Option<Outcome>,
-}
-
-/// A call that has not ended.
-struct InHand {
-    call: Call,
-    service: Arc<str>,
-    attempts: Vec<Attempt>,
-}
-
-struct Replica {
-    spec: ReplicaSpec,
-    /// Own attempts that are out at this replica.
-    outstanding: BTreeSet<(CallId, u32)>,
-    misdirected: bool,
-}
+use crate::timers::Timers;
 
 /// Decides for one process; see the crate's page.
 pub struct Admission {
-    random: oorandom::Rand64,
-    services: BTreeMap<Arc<str>, ServiceSpec>,
-    replicas: BTreeMap<Arc<str>, Replica>,
-    calls: BTreeMap<CallId, InHand>,
+    pub(crate) random: oorandom::Rand64,
+    pub(crate) zone: String,
+    pub(crate) edges: usize,
+    pub(crate) services: BTreeMap<Arc<str>, Service>,
+    pub(crate) fleet: Fleet,
+    pub(crate) routes: Routes,
+    pub(crate) programs: Programs,
+    pub(crate) calls: BTreeMap<CallId, CallInHand>,
+    pub(crate) held: HeldQueue<ReplicaKey, CallId>,
+    /// Calls that no replica may take for now.
+    pub(crate) waiting: BTreeSet<CallId>,
+    pub(crate) timers: Timers,
+    /// Calls whose place changed with the list of replicas: looked at on the next wake.
+    pub(crate) displaced: BTreeSet<CallId>,
 }
 
 impl Admission {
     /// `zone` is this process's own.
-    pub fn new(seed: u64, _zone: String) -> Self {
+    pub fn new(seed: u64, zone: String) -> Self {
         Admission {
             random: oorandom::Rand64::new(u128::from(seed)),
+            zone,
+            edges: 1,
             services: BTreeMap::new(),
-            replicas: BTreeMap::new(),
+            fleet: Fleet::default(),
+            routes: Routes::default(),
+            programs: Programs::default(),
             calls: BTreeMap::new(),
+            held: HeldQueue::default(),
+            waiting: BTreeSet::new(),
+            timers: Timers::default(),
+            displaced: BTreeSet::new(),
         }
     }
 
     /// All services of the configuration in force, and among how many edges their connections are shared.
-    pub fn configure(&mut self, _now: f64, services: &[ServiceSpec], _edges: usize) {
-        self.services = services.iter().map(|service| (service.name.clone(), service.clone())).collect();
-    }
-
-    /// All replicas there are; one that is not named has left.
-    pub fn replicas(&mut self, _now: f64, listed: &[ReplicaSpec]) {
-        let named: BTreeSet<&str> = listed.iter().map(|spec| &*spec.id).collect();
-        self.replicas.retain(|id, _| named.contains(&**id));
-        for spec in listed {
-            let known = self.replicas.get_mut(&spec.id);
-            match known {
-                Some(replica) if replica.spec == *spec => {}
-                Some(replica) => {
-                    replica.spec = spec.clone();
-                    replica.misdirected = false;
-                }
+    pub fn configure(&mut self, _now: f64, services: &[ServiceSpec], edges: usize) {
+        self.edges = edges;
+        let named: BTreeSet<&str> = services.iter().map(|spec| &*spec.name).collect();
+        self.services.retain(|name, _| named.contains(&**name));
+        for spec in services {
+            match self.services.get_mut(&spec.name) {
+                Some(service) => service.configure(spec, edges),
                 None => {
-                    let replica =
-                        Replica { spec: spec.clone(), outstanding: BTreeSet::new(), misdirected: false };
-                    self.replicas.insert(spec.id.clone(), replica);
+                    self.services.insert(spec.name.clone(), Service::new(spec, edges));
                 }
             }
         }
+        self.displaced.extend(self.waiting.iter());
+    }
+
+    /// All replicas there are; one that is not named has left. What this changes for calls in hand is decided
+    /// on the next wake.
+    pub fn replicas(&mut self, now: f64, listed: &[ReplicaSpec]) {
+        for left in self.fleet.update(now, listed) {
+            self.routes.forget(left);
+        }
+        self.displaced.extend(self.waiting.iter());
+        for (id, call) in &self.calls {
+            if call.waits_at().is_some_and(|replica| !self.fleet.get(replica).is_some_and(|r| r.is_usable()))
+            {
+                self.displaced.insert(*id);
+            }
+        }
     }
 
     /// A client's try has been read whole.
     pub fn arrive(&mut self, now: f64, call: Call) -> Vec<Action> {
         let id = call.id;
         let service = self.choose_service(&call);
-        self.calls.insert(id, InHand { call, service, attempts: Vec::new() });
-        self.try_to_send(now, id)
+        let route = self.routes.key(&call.route, call.target_latency);
+        self.programs.arrived(now, &call);
+        if let Some(service) = self.services.get_mut(&service) {
+            service.arrived(now, call.priority);
+        }
+        self.calls.insert(id, CallInHand::new(call, route, service));
+        let mut actions = Vec::new();
+        match self.refused_on_arrival(now, id) {
+            Some(retry_after) => self.refuse(now, id, retry_after, &mut actions),
+            None => self.decide(now, id, &mut actions),
+        }
+        actions
     }
 
     /// An attempt ended.
@@ -91,51 +109,70 @@
         id: CallId,
         attempt: u32,
         outcome: Outcome,
-        _load: Option<ServerLoad>,
+        load: Option<ServerLoad>,
     ) -> Vec<Action> {
-        let Some(in_hand) = self.calls.get_mut(&id) else { return Vec::new() };
-        let Some(sent) = in_hand.attempts.get_mut(attempt as usize) else { return Vec::new() };
-        if sent.outcome.is_some() {
-            return Vec::new();
-        }
-        sent.outcome = Some(outcome);
-        if let Some(replica) = self.replicas.get_mut(&sent.replica) {
-            replica.outstanding.remove(&(id, attempt));
-            replica.misdirected |= outcome == Outcome::Misdirected;
+        let mut actions = Vec::new();
+        let Some(call) = self.calls.get_mut(&id) else { return actions };
+        let Some(sent) = call.attempts.get_mut(attempt as usize) else { return actions };
+        if sent.state != AttemptState::Out {
+            return actions;
         }
+        sent.state = AttemptState::Ended(outcome);
+        let replica = sent.replica;
+        self.observe_end(now, id, attempt, outcome, load);
         if outcome == Outcome::Answered {
-            self.calls.remove(&id);
-            return Vec::new();
+            let freed = self.abort_all(id, &mut actions);
+            self.end(now, id, true);
+            freed.into_iter().for_each(|replica| self.release_held(now, replica, &mut actions));
+        } else {
+            self.decide_after_failure(now, id, outcome, &mut actions);
         }
-        self.try_to_send(now, id)
+        self.release_held(now, replica, &mut actions);
+        actions
     }
 
     /// The first event of a stream, or the head of any other answer, came.
-    pub fn first_event(&mut self, _now: f64, _id: CallId, _attempt: u32, _load: Option<ServerLoad>) {}
+    pub fn first_event(&mut self, now: f64, id: CallId, attempt: u32, load: Option<ServerLoad>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(sent) = call.attempts.get_mut(attempt as usize) else { return };
+        if sent.state == AttemptState::Out && !sent.begun {
+            sent.begun = true;
+            self.timers.set(&mut call.timer, id, None);
+            self.observe_begin(now, id, attempt, load);
+        }
+    }
 
     /// The client has gone: nothing is owed any more, and no outcome is expected for what is out.
-    pub fn cancelled(&mut self, _now: f64, id: CallId) -> Vec<Action> {
-        let Some(in_hand) = self.calls.remove(&id) else { return Vec::new() };
+    pub fn cancelled(&mut self, now: f64, id: CallId) -> Vec<Action> {
         let mut actions = Vec::new();
-        for (number, attempt) in (0..).zip(&in_hand.attempts) {
-            if attempt.outcome.is_none() {
-                self.release(&attempt.replica, id, number);
-                actions.push(Action::Abort { call: id, attempt: number });
-            }
+        if !self.calls.contains_key(&id) {
+            return actions;
+        }
+        self.observe_given_up(now, id);
+        let released = self.abort_all(id, &mut actions);
+        self.end(now, id, false);
+        for replica in released {
+            self.release_held(now, replica, &mut actions);
         }
         actions
     }
 
     /// The time that `next_wake` named has come.
-    pub fn wake(&mut self, _now: f64) -> Vec<Action> {
-        Vec::new()
+    pub fn wake(&mut self, now: f64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let displaced = std::mem::take(&mut self.displaced);
+        for id in displaced.into_iter().chain(self.timers.due(now)) {
+            self.decide(now, id, &mut actions);
+        }
+        actions
     }
 
     /// When something is to be decided without further input.
-    pub fn next_wake(&self, _now: f64) -> Option<f64> {
-        None
+    pub fn next_wake(&self, now: f64) -> Option<f64> {
+        if self.displaced.is_empty() { self.timers.next() } else { Some(now) }
     }
 
+    /// Draws one of the call's services by weight.
     fn choose_service(&mut self, call: &Call) -> Arc<str> {
         let total: u64 = call.clusters.iter().map(|(_, weight)| u64::from(*weight)).sum();
         let mut drawn = if total > 0 { self.random.rand_range(0..total) } else { 0 };
@@ -147,70 +184,4 @@
         }
         call.clusters.first().map(|(service, _)| service.clone()).unwrap_or_else(|| Arc::from(""))
     }
-
-    fn release(&mut self, replica: &Arc<str>, id: CallId, attempt: u32) {
-        if let Some(replica) = self.replicas.get_mut(replica) {
-            replica.outstanding.remove(&(id, attempt));
-        }
-    }
-
-    fn try_to_send(&mut self, now: f64, id: CallId) -> Vec<Action> {
-        let Some(in_hand) = self.calls.get(&id) else { return Vec::new() };
-        let has_not_run = in_hand.attempts.iter().all(|a| a.outcome.is_none_or(Outcome::has_not_run));
-        let may_send = has_not_run || in_hand.call.kind.may_run_again();
-        let sent = in_hand.attempts.len() as u32;
-        let time_left = in_hand.call.give_up_at - now;
-        let chosen = if may_send && sent < in_hand.call.max_replicas.max(1) && time_left > 0.0 {
-            self.choose_replica(id)
-        } else {
-            None
-        };
-        match chosen {
-            Some(replica) => vec![self.send(id, replica, time_left)],
-            None => vec![self.end(id, has_not_run)],
-        }
-    }
-
-    fn choose_replica(&mut self, id: CallId) -> Option<Arc<str>> {
-        let in_hand = self.calls.get(&id)?;
-        let fits = |replica: &&Replica| {
-            let tried = in_hand.attempts.iter().any(|attempt| attempt.replica == replica.spec.id);
-            replica.spec.service == in_hand.service && replica.spec.ready && !replica.misdirected && !tried
-        };
-        let least = self.replicas.values().filter(fits).map(|replica| replica.outstanding.len()).min()?;
-        let tied: Vec<Arc<str>> = self
-            .replicas
-            .values()
-            .filter(fits)
-            .filter(|replica| replica.outstanding.len() == least)
-            .map(|replica| replica.spec.id.clone())
-            .collect();
-        let drawn = self.random.rand_range(0..tied.len() as u64) as usize;
-        Some(tied[drawn].clone())
-    }
-
-    fn send(&mut self, id: CallId, replica: Arc<str>, timeout: f64) -> Action {
-        let mut attempt = 0;
-        if let Some(in_hand) = self.calls.get_mut(&id) {
-            attempt = in_hand.attempts.len() as u32;
-            in_hand.attempts.push(Attempt { replica: replica.clone(), outcome: None });
-        }
-        if let Some(at) = self.replicas.get_mut(&replica) {
-            at.outstanding.insert((id, attempt));
-        }
-        Action::Send { call: id, attempt, replica, timeout, priority: None }
-    }
-
-    fn end(&mut self, id: CallId, has_not_run: bool) -> Action {
-        let last = self.calls.remove(&id).and_then(|in_hand| in_hand.attempts.last().and_then(|a| a.outcome));
-        if has_not_run {
-            return Action::Refuse { call: id, retry_after: RETRY_WITHOUT_REPLICA };
-        }
-        let reason = match last {
-            Some(Outcome::TimedOut) => FailReason::TimedOut,
-            Some(Outcome::ReplicaError) => FailReason::ReplicaError,
-            _ => FailReason::MayHaveRun,
-        };
-        Action::Fail { call: id, reason }
-    }
 }
--- /dev/null
+++ b/crates/woadreach-admission/src/fleet.rs
@@ -0,0 +1,81 @@
+//! All replicas that have announced themselves, by service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::replica::Replica;
+use crate::spec::ReplicaSpec;
+
+/// A replica's number in this process; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ReplicaKey(u32);
+
+/// The replicas and their numbers.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    replicas: BTreeMap<ReplicaKey, Replica>,
+    by_id: BTreeMap<Arc<str>, ReplicaKey>,
+    by_service: BTreeMap<Arc<str>, BTreeSet<ReplicaKey>>,
+    named: u32,
+}
+
+impl Fleet {
+    /// Takes in the whole list; gives back the replicas that have left.
+    pub fn update(&mut self, now: f64, listed: &[ReplicaSpec]) -> Vec<ReplicaKey> {
+        for spec in listed {
+            match self.by_id.get(&spec.id).and_then(|key| self.replicas.get_mut(key)) {
+                Some(replica) if replica.spec.service == spec.service => replica.update(now, spec),
+                Some(_) => {
+                    self.remove(&spec.id);
+                    self.insert(now, spec);
+                }
+                None => self.insert(now, spec),
+            }
+        }
+        let named: BTreeSet<&str> = listed.iter().map(|spec| &*spec.id).collect();
+        let left: Vec<Arc<str>> = self.by_id.keys().filter(|id| !named.contains(&***id)).cloned().collect();
+        left.iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    pub fn get(&self, key: ReplicaKey) -> Option<&Replica> {
+        self.replicas.get(&key)
+    }
+
+    pub fn get_mut(&mut self, key: ReplicaKey) -> Option<&mut Replica> {
+        self.replicas.get_mut(&key)
+    }
+
+    /// Another replica answered at the address of this one: it is not used until its record changes.
+    pub fn misdirected(&mut self, id: &str) {
+        if let Some(replica) = self.by_id.get(id).and_then(|key| self.replicas.get_mut(key)) {
+            replica.misdirected = true;
+        }
+    }
+
+    /// The replicas of a service that may be given new calls.
+    pub fn usable(&self, service: &str) -> impl Iterator<Item = (ReplicaKey, &Replica)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| Some((*key, self.replicas.get(key)?))).filter(|(_, r)| r.is_usable())
+    }
+
+    fn insert(&mut self, now: f64, spec: &ReplicaSpec) {
+        self.named += 1;
+        let key = ReplicaKey(self.named);
+        self.by_id.insert(spec.id.clone(), key);
+        self.by_service.entry(spec.service.clone()).or_default().insert(key);
+        self.replicas.insert(key, Replica::new(now, spec.clone()));
+    }
+
+    fn remove(&mut self, id: &str) -> Option<ReplicaKey> {
+        let key = self.by_id.remove(id)?;
+        if let Some(replica) = self.replicas.remove(&key)
+            && let Some(of_service) = self.by_service.get_mut(&replica.spec.service)
+        {
+            of_service.remove(&key);
+            if of_service.is_empty() {
+                self.by_service.remove(&replica.spec.service);
+            }
+        }
+        Some(key)
+    }
+}
--- a/crates/woadreach-admission/src/outcome.rs
+++ b/crates/woadreach-admission/src/outcome.rs
@@ -7,7 +7,8 @@
     Answered,
     /// The replica's own 5xx: it has run the call.
     ReplicaError,
-    /// The replica promises that it did not run the call (`Not-Executed`); when it asked to come back, in seconds.
+    /// The replica promises that it did not run the call (`Not-Executed`); when it asked to come back, in
+    /// seconds.
     NotExecuted { retry_after: Option<f64> },
     /// 421: another replica has this address. The call has not run.
     Misdirected,
--- /dev/null
+++ b/crates/woadreach-admission/src/placement.rs
@@ -0,0 +1,190 @@
+//! The choice of a replica for one attempt of a call.
+//!
+//! The rule: fewest own calls in flight, ties at random. The exceptions, in order: replicas that must not
+//! be used; those that failed of late, are silent, full by their own word or still cold, as long as others
+//! remain; for engines, calls are weighed by the prompt tokens that would have to be read (a replica that
+//! holds the head of the prompt wins unless it has so many more calls that their reading takes longer);
+//! among equals, the own zone.
+
+use std::sync::Arc;
+
+use woadreach::decide::candidates::Candidates;
+
+use crate::fleet::{Fleet, ReplicaKey};
+use crate::in_hand::CallInHand;
+use crate::replica::Replica;
+use crate::routes::{RouteKey, Routes};
+
+/// Prompt tokens that count as one in the comparison: finer differences are not worth a longer queue.
+const TOKENS_PER_UNIT: usize = 256;
+/// Replicas that a call may be tried at in all, whatever the route allows: those that it never reached
+/// count too.
+const MOST_ATTEMPTS: usize = 8;
+
+/// Where an attempt may go.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Choice {
+    Send(ReplicaKey),
+    /// As a trial of an ejected replica.
+    SendTrial(ReplicaKey),
+    /// Its replica is held, or earlier calls wait there.
+    Hold(ReplicaKey),
+    /// Replicas exist, but none may take it now.
+    Later,
+    /// No replica that may run it.
+    Never,
+}
+
+/// What the choice reads.
+pub(crate) struct Placement<'a> {
+    pub now: f64,
+    pub fleet: &'a Fleet,
+    pub routes: &'a Routes,
+    /// Own zone.
+    pub zone: &'a str,
+    /// Own share of the connections that a replica accepts.
+    pub connections: usize,
+    /// Mean of the prompt tokens that a call of the service has to have read; 0 if it is no engine.
+    pub mean_read: usize,
+}
+
+impl Placement<'_> {
+    /// Chooses for the next attempt of `call`; `is_behind` tells whether earlier held calls wait at a
+    /// replica.
+    pub fn choose(
+        &self,
+        call: &CallInHand,
+        is_behind: impl Fn(ReplicaKey) -> bool,
+        random: &mut oorandom::Rand64,
+    ) -> Choice {
+        let mut candidates = self.allowed(call);
+        if candidates.is_empty() {
+            return Choice::Never;
+        }
+        candidates.require(|key| self.with(*key, |replica| replica.in_flight.len() < self.connections));
+        if candidates.is_empty() {
+            return Choice::Later;
+        }
+        if let Some(trial) = self.trial(call, &candidates) {
+            return Choice::SendTrial(trial);
+        }
+        self.prefer_sound(call, &mut candidates);
+        let is_held = |key: &ReplicaKey| {
+            is_behind(*key) || self.with(*key, |replica| replica.hold.holds(replica.in_flight.len()))
+        };
+        candidates.prefer(|key| !is_held(key));
+        match self.cheapest(call, &mut candidates, random) {
+            Some(key) if is_held(&key) => Choice::Hold(key),
+            Some(key) => Choice::Send(key),
+            None => Choice::Later,
+        }
+    }
+
+    /// Chooses for a second copy beside an attempt that is out: only an untried, sound replica that is no
+    /// busier than any other.
+    pub fn choose_copy(&self, call: &CallInHand, random: &mut oorandom::Rand64) -> Option<ReplicaKey> {
+        let mut candidates = self.allowed(call);
+        candidates.require(|key| !call.was_tried_at(*key));
+        candidates.require(|key| {
+            self.with(*key, |replica| {
+                replica.in_flight.len() < self.connections
+                    && !replica.health.is_ejected_for(call.route)
+                    && !replica.is_saturated(self.now)
+                    && !replica.hold.holds(replica.in_flight.len())
+                    && !self.is_silent(replica)
+            })
+        });
+        self.cheapest(call, &mut candidates, random)
+    }
+
+    /// Replicas that the rules allow: usable ones of the service, within the most that a try may be sent to.
+    fn allowed(&self, call: &CallInHand) -> Candidates<ReplicaKey> {
+        let reached = call.replicas_reached();
+        let spent = reached.len() >= call.call.max_replicas.max(1) as usize;
+        let mut candidates = Candidates::new(self.fleet.usable(&call.service).map(|(key, _)| key));
+        candidates.require(|key| call.attempts.len() < MOST_ATTEMPTS && (!spent || reached.contains(key)));
+        candidates.require(|key| call.may_return_to(*key));
+        candidates.prefer(|key| !call.was_tried_at(*key));
+        candidates
+    }
+
+    /// An ejected replica that is due a trial, if this call can be risked: it may run again elsewhere, or a
+    /// failure as the last one there costs a call nothing, or the last one was long ago.
+    fn trial(&self, call: &CallInHand, candidates: &Candidates<ReplicaKey>) -> Option<ReplicaKey> {
+        let others_exist = candidates.least(|key| usize::from(self.is_ejected(*key, call.route))) == Some(0);
+        if !call.attempts.is_empty() || !others_exist {
+            return None;
+        }
+        let may_move = call.call.kind.may_run_again() && call.call.max_replicas > 1;
+        let due = |replica: &Replica| {
+            let may_risk = may_move || replica.trial_is_harmless(self.now);
+            may_risk && replica.health.trial_due(self.now, call.route)
+        };
+        self.fleet.usable(&call.service).find(|(_, replica)| due(replica)).map(|(key, _)| key)
+    }
+
+    /// Drops what failed of late, is silent, full or cold, as long as others remain.
+    fn prefer_sound(&self, call: &CallInHand, candidates: &mut Candidates<ReplicaKey>) {
+        // Where most are ejected for being slow the load is the cause, and fewer replicas would make it
+        // worse.
+        let load_is_the_cause = self.most_are_ejected(call);
+        candidates.prefer(|key| {
+            let spared = load_is_the_cause && self.with(*key, Replica::is_merely_slow);
+            spared || !self.is_ejected(*key, call.route)
+        });
+        candidates.prefer(|key| self.with(*key, |replica| !self.is_silent(replica)));
+        candidates.prefer(|key| self.with(*key, |replica| !replica.failed_just_now(self.now)));
+        candidates.prefer(|key| self.with(*key, |replica| !replica.is_saturated(self.now)));
+        candidates.prefer(|key| self.with(*key, |replica| replica.is_warm_enough(self.now)));
+        candidates.prefer(|key| !call.was_tried_at(*key));
+    }
+
+    fn cheapest(
+        &self,
+        call: &CallInHand,
+        candidates: &mut Candidates<ReplicaKey>,
+        random: &mut oorandom::Rand64,
+    ) -> Option<ReplicaKey> {
+        let least = candidates.least(|key| self.cost(*key, call))?;
+        candidates.prefer(|key| self.cost(*key, call) == least);
+        candidates.prefer(|key| self.with(*key, |replica| &*replica.spec.zone == self.zone));
+        candidates.choose(|_| 0, random)
+    }
+
+    /// Own calls in flight; for engines in units of the prompt tokens that they and this call need read
+    /// there.
+    fn cost(&self, key: ReplicaKey, call: &CallInHand) -> usize {
+        let Some(replica) = self.fleet.get(key) else { return usize::MAX };
+        let in_flight = replica.in_flight.len();
+        if self.mean_read == 0 {
+            return in_flight;
+        }
+        let to_read = call.call.tokens_in.saturating_sub(replica.cache.cached_tokens(&call.call.prefix));
+        (in_flight * self.mean_read + to_read as usize) / TOKENS_PER_UNIT
+    }
+
+    fn is_ejected(&self, key: ReplicaKey, route: RouteKey) -> bool {
+        self.with(key, |replica| replica.health.is_ejected_for(route))
+    }
+
+    fn most_are_ejected(&self, call: &CallInHand) -> bool {
+        let usable = || self.fleet.usable(&call.service);
+        let ejected = usable().filter(|(_, replica)| replica.health.is_ejected_for(call.route)).count();
+        ejected * 2 > usable().count()
+    }
+
+    fn is_silent(&self, replica: &Replica) -> bool {
+        replica.is_silent(self.now, |route| self.routes.late_after(route))
+    }
+
+    fn with(&self, key: ReplicaKey, test: impl Fn(&Replica) -> bool) -> bool {
+        self.fleet.get(key).is_some_and(test)
+    }
+}
+
+/// Whether all replicas of a service that may be used are full, by their own word or by a hold.
+pub(crate) fn is_overloaded(now: f64, fleet: &Fleet, service: &Arc<str>) -> bool {
+    let mut usable = fleet.usable(service).peekable();
+    let full = |replica: &Replica| replica.is_saturated(now) || replica.hold.holds(replica.in_flight.len());
+    usable.peek().is_some() && usable.all(|(_, replica)| full(replica))
+}
--- /dev/null
+++ b/crates/woadreach-admission/src/routes.rs
@@ -0,0 +1,128 @@
+//! Latencies by route: what an answer takes on an idle replica, and from when one is late.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use woadreach::decide::part_budget::PartBudget;
+use woadreach::decide::unloaded_latency::UnloadedLatency;
+use woadreach::samples::{push, quantile};
+
+use crate::fleet::ReplicaKey;
+
+/// A route's number in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RouteKey(u32);
+
+/// Latest latencies that tell from when one is late.
+const RECENT: usize = 64;
+/// How often the threshold is worked out anew, in answers.
+const RENEWED_EVERY: usize = 8;
+/// With fewer samples the threshold is the route's target.
+const LEAST: usize = 16;
+/// Late: beyond the 0.95 quantile of the recent ones, and so many times their median.
+const LATE_QUANTILE: f64 = 0.95;
+const LATE_MEDIANS: f64 = 2.5;
+/// And at least this share of the target: a moment in which this process stood still makes no replica bad.
+const LATE_SHARE_OF_TARGET: f64 = 0.125;
+/// Before any sample an unloaded answer is taken to need this share of the target.
+const START_SHARE_OF_TARGET: f64 = 0.1;
+
+/// Latencies of one route. For streams they run to the first event.
+pub(crate) struct Route {
+    pub unloaded: UnloadedLatency<ReplicaKey>,
+    target: f64,
+    recent: VecDeque<f64>,
+    answers: usize,
+    late_after: f64,
+    typical: f64,
+}
+
+impl Route {
+    fn new(target: f64) -> Self {
+        Route {
+            unloaded: UnloadedLatency::new(target * START_SHARE_OF_TARGET),
+            target,
+            recent: VecDeque::new(),
+            answers: 0,
+            late_after: target,
+            typical: target * START_SHARE_OF_TARGET,
+        }
+    }
+
+    /// Takes in the latency of an attempt that began (streams) or was answered.
+    pub fn record(&mut self, latency: f64) {
+        push(&mut self.recent, latency, RECENT);
+        self.answers += 1;
+        if self.recent.len() >= LEAST && self.answers.is_multiple_of(RENEWED_EVERY) {
+            self.renew();
+        }
+    }
+
+    /// Seconds from which an attempt counts as late.
+    pub fn late_after(&self) -> f64 {
+        self.late_after
+    }
+
+    /// Median of the recent latencies, loaded or not.
+    pub fn typical(&self) -> f64 {
+        self.typical
+    }
+
+    fn renew(&mut self) {
+        let recent: Vec<f64> = self.recent.iter().copied().collect();
+        let high = quantile(recent.clone(), LATE_QUANTILE).unwrap_or(self.target);
+        self.typical = quantile(recent, 0.5).unwrap_or(self.typical);
+        let floor = (self.typical * LATE_MEDIANS).max(self.target * LATE_SHARE_OF_TARGET);
+        self.late_after = high.max(floor);
+    }
+}
+
+/// All routes that calls came by.
+#[derive(Default)]
+pub(crate) struct Routes {
+    keys: BTreeMap<Arc<str>, RouteKey>,
+    routes: BTreeMap<RouteKey, Route>,
+    pub budget: PartBudget,
+}
+
+impl Routes {
+    /// The number of a route, made at its first call.
+    pub fn key(&mut self, name: &Arc<str>, target: f64) -> RouteKey {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let key = RouteKey(self.keys.len() as u32);
+        self.keys.insert(name.clone(), key);
+        self.routes.insert(key, Route::new(target));
+        key
+    }
+
+    pub fn get(&self, key: RouteKey) -> Option<&Route> {
+        self.routes.get(&key)
+    }
+
+    pub fn get_mut(&mut self, key: RouteKey) -> Option<&mut Route> {
+        self.routes.get_mut(&key)
+    }
+
+    /// Seconds from which an attempt of this route counts as late.
+    pub fn late_after(&self, key: RouteKey) -> f64 {
+        self.routes.get(&key).map_or(f64::INFINITY, Route::late_after)
+    }
+
+    /// The unloaded tail of a replica for one of `k` calls side by side.
+    pub fn tail(&self, now: f64, key: RouteKey, replica: Option<ReplicaKey>, k: usize) -> f64 {
+        let Some(route) = self.routes.get(&key) else { return 0.0 };
+        self.budget.tail(now, &route.unloaded, replica.as_ref(), k)
+    }
+
+    /// What a call of this route takes on an idle replica, on average over the fleet.
+    pub fn unloaded_median(&self, now: f64, key: RouteKey) -> f64 {
+        self.routes.get(&key).map_or(0.0, |route| route.unloaded.quantile(now, None, 0.5))
+    }
+
+    /// Forgets what a replica that has left was like.
+    pub fn forget(&mut self, replica: ReplicaKey) {
+        self.routes.values_mut().for_each(|route| route.unloaded.forget(&replica));
+    }
+}
--- /dev/null
+++ b/crates/woadreach-admission/src/step.rs
@@ -0,0 +1,51 @@
+//! The queuing deadline that the calls of one step of a program share.
+
+use std::collections::BTreeMap;
+
+use crate::call::CallId;
+use crate::fleet::ReplicaKey;
+use crate::in_hand::{AttemptState, CallInHand};
+use crate::pace::Programs;
+use crate::routes::{RouteKey, Routes};
+
+/// What the deadline is worked out from.
+pub(crate) struct Step<'a> {
+    pub now: f64,
+    pub calls: &'a BTreeMap<CallId, CallInHand>,
+    pub programs: &'a Programs,
+    pub routes: &'a Routes,
+}
+
+impl Step<'_> {
+    /// When the calls of the step must have begun, at the latest, for all to be answered within the step's
+    /// aim: its arrival + aim - the p-quantile of the product of its replicas' unloaded histograms. `call`
+    /// would go to `replica`; others of the step that have none yet count as average.
+    ///
+    /// Calls of different routes have histograms of their own: the k' of one route get p^(k'/k) of the whole.
+    pub fn queuing_deadline(&self, call: &CallInHand, replica: ReplicaKey) -> f64 {
+        let mut replicas: BTreeMap<RouteKey, Vec<Option<ReplicaKey>>> = BTreeMap::new();
+        let ids = self.programs.step_calls(&call.call);
+        let size = ids.len();
+        for id in ids {
+            let Some(other) = self.calls.get(&id) else { continue };
+            let at = if id == call.call.id { Some(replica) } else { replica_of(other) };
+            replicas.entry(other.route).or_default().push(at);
+        }
+        let each = self.routes.budget.part_quantile(size);
+        let quantiles = replicas.iter().map(|(route, at)| self.quantile(*route, at, each));
+        let unloaded = quantiles.fold(0.0, f64::max);
+        self.programs.step_started(&call.call) + self.programs.aim(&call.call, unloaded) - unloaded
+    }
+
+    fn quantile(&self, route: RouteKey, replicas: &[Option<ReplicaKey>], each: f64) -> f64 {
+        let Some(latencies) = self.routes.get(route).map(|route| &route.unloaded) else { return 0.0 };
+        let replicas: Vec<Option<&ReplicaKey>> = replicas.iter().map(Option::as_ref).collect();
+        latencies.product_quantile(self.now, &replicas, each.powi(replicas.len() as i32))
+    }
+}
+
+/// Where a call is out or held.
+fn replica_of(call: &CallInHand) -> Option<ReplicaKey> {
+    let out = call.attempts.iter().rev().find(|attempt| attempt.state == AttemptState::Out);
+    out.map(|attempt| attempt.replica).or(call.waits_at())
+}
--- /dev/null
+++ b/crates/woadreach-admission/tests/common/mod.rs
@@ -0,0 +1,312 @@
+//! A driver for tests: keeps what a real driver would know, and checks every action against the rules.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use woadreach_admission::{
+    Action, Admission, Call, CallId, CallKind, EngineSpec, FailReason, Outcome, ReplicaSpec, ServerLoad,
+    ServiceSpec,
+};
+
+pub const SERVICE: &str = "service";
+pub const ZONE: &str = "zone-a";
+
+pub fn service() -> ServiceSpec {
+    ServiceSpec { name: Arc::from(SERVICE), capacity_hint: None, max_conns: 0, engine: None }
+}
+
+pub fn engine_service() -> ServiceSpec {
+    let engine = EngineSpec { capacity: 32, kv_tokens: 200_000, stride: 3 };
+    ServiceSpec { engine: Some(engine), ..service() }
+}
+
+pub fn replica(id: &str) -> ReplicaSpec {
+    ReplicaSpec {
+        id: Arc::from(id),
+        service: Arc::from(SERVICE),
+        zone: Arc::from(ZONE),
+        capacity: 6,
+        ready: true,
+        cold_remaining: 0.0,
+        generation: Arc::from("v1"),
+    }
+}
+
+pub fn replicas(ids: &[&str]) -> Vec<ReplicaSpec> {
+    ids.iter().map(|id| replica(id)).collect()
+}
+
+/// A safe call that arrives at `now` and may be sent to two replicas.
+pub fn call(now: f64, id: u64) -> Call {
+    Call {
+        id: CallId(id),
+        route: Arc::from("route"),
+        kind: CallKind::Safe,
+        clusters: vec![(Arc::from(SERVICE), 1)],
+        arrived: now,
+        give_up_at: now + 5.0,
+        target_latency: 0.25,
+        finish_at: None,
+        program: None,
+        session: None,
+        prefix: Vec::new(),
+        tokens_in: 0,
+        tokens_out: 0,
+        priority: 1,
+        max_replicas: 2,
+    }
+}
+
+pub fn unsafe_call(now: f64, id: u64) -> Call {
+    Call { kind: CallKind::Unsafe, ..call(now, id) }
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Answered,
+    Refused,
+    Failed(FailReason),
+    Cancelled,
+}
+
+/// A call as the driver sees it.
+pub struct Seen {
+    pub call: Call,
+    /// Replica and outcome of each attempt; `None` while it is out, and for aborted ones.
+    pub attempts: Vec<(Arc<str>, Option<Outcome>)>,
+    pub aborted: BTreeSet<u32>,
+    pub end: Option<End>,
+}
+
+impl Seen {
+    fn is_out(&self, attempt: usize) -> bool {
+        self.end.is_none() && self.attempts[attempt].1.is_none() && !self.aborted.contains(&(attempt as u32))
+    }
+
+    /// Proven by what the replicas said, independently of the module's own account.
+    fn has_not_run(&self) -> bool {
+        self.attempts.iter().all(|(_, outcome)| match outcome {
+            Some(Outcome::NotExecuted { .. } | Outcome::Misdirected | Outcome::Unreachable) => true,
+            Some(Outcome::NeverSent | Outcome::Broken { sent: false, .. }) => true,
+            Some(Outcome::Answered | Outcome::ReplicaError | Outcome::TimedOut) | None => false,
+            Some(Outcome::Broken { sent: true, .. }) => false,
+        })
+    }
+
+    fn may_run_again(&self) -> bool {
+        matches!(self.call.kind, CallKind::Safe | CallKind::Streaming { resumable: true })
+    }
+
+    /// Replicas that bytes of the call reached.
+    fn reached(&self) -> BTreeSet<Arc<str>> {
+        let reached = |outcome: &Option<Outcome>| {
+            !matches!(
+                outcome,
+                Some(
+                    Outcome::Misdirected
+                        | Outcome::Unreachable
+                        | Outcome::NeverSent
+                        | Outcome::Broken { sent: false, .. }
+                )
+            )
+        };
+        self.attempts.iter().filter(|(_, outcome)| reached(outcome)).map(|(id, _)| id.clone()).collect()
+    }
+}
+
+/// The module with a driver around it.
+pub struct Driver {
+    pub now: f64,
+    pub admission: Admission,
+    pub seen: BTreeMap<CallId, Seen>,
+    pub listed: BTreeMap<Arc<str>, ReplicaSpec>,
+    pub trace: Vec<Action>,
+    misdirected: BTreeSet<Arc<str>>,
+}
+
+impl Driver {
+    pub fn new(seed: u64, service: ServiceSpec, replicas: &[ReplicaSpec]) -> Self {
+        let mut driver = Driver {
+            now: 100.0,
+            admission: Admission::new(seed, ZONE.to_string()),
+            seen: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            trace: Vec::new(),
+            misdirected: BTreeSet::new(),
+        };
+        driver.admission.configure(driver.now, &[service], 1);
+        driver.list(replicas);
+        driver
+    }
+
+    pub fn list(&mut self, replicas: &[ReplicaSpec]) {
+        for spec in replicas {
+            let changed = self.listed.get(&spec.id).is_some_and(|known| known != spec);
+            if changed || !self.listed.contains_key(&spec.id) {
+                self.misdirected.remove(&spec.id);
+            }
+        }
+        self.listed = replicas.iter().map(|spec| (spec.id.clone(), spec.clone())).collect();
+        let listed = &self.listed;
+        self.misdirected.retain(|id| listed.contains_key(id));
+        self.admission.replicas(self.now, replicas);
+        self.run_due();
+    }
+
+    pub fn arrive(&mut self, call: Call) -> Vec<Action> {
+        let id = call.id;
+        let seen = Seen { call: call.clone(), attempts: Vec::new(), aborted: BTreeSet::new(), end: None };
+        assert!(self.seen.insert(id, seen).is_none(), "{id:?} is used twice");
+        let actions = self.admission.arrive(self.now, call);
+        self.check_all(&actions);
+        actions
+    }
+
+    /// Lets time pass, with every wake on its way.
+    pub fn advance(&mut self, seconds: f64) -> Vec<Action> {
+        let until = self.now + seconds;
+        let mut all = Vec::new();
+        while let Some(at) = self.admission.next_wake(self.now).filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            all.extend(self.run_due());
+        }
+        self.now = until;
+        all
+    }
+
+    pub fn first_event(&mut self, id: u64, attempt: u32, load: Option<ServerLoad>) {
+        self.admission.first_event(self.now, CallId(id), attempt, load);
+        self.check_progress();
+    }
+
+    pub fn outcome(&mut self, id: u64, attempt: u32, outcome: Outcome) -> Vec<Action> {
+        self.outcome_with_load(id, attempt, outcome, None)
+    }
+
+    pub fn outcome_with_load(
+        &mut self,
+        id: u64,
+        attempt: u32,
+        outcome: Outcome,
+        load: Option<ServerLoad>,
+    ) -> Vec<Action> {
+        let seen = self.seen.get_mut(&CallId(id)).expect("a call that arrived");
+        if seen.is_out(attempt as usize) {
+            seen.attempts[attempt as usize].1 = Some(outcome);
+            if outcome == Outcome::Misdirected {
+                self.misdirected.insert(seen.attempts[attempt as usize].0.clone());
+            }
+            if outcome == Outcome::Answered {
+                seen.end = Some(End::Answered);
+            }
+        }
+        let actions = self.admission.outcome(self.now, CallId(id), attempt, outcome, load);
+        self.check_all(&actions);
+        actions
+    }
+
+    pub fn cancel(&mut self, id: u64) -> Vec<Action> {
+        if let Some(seen) = self.seen.get_mut(&CallId(id)) {
+            seen.end = seen.end.or(Some(End::Cancelled));
+        }
+        let actions = self.admission.cancelled(self.now, CallId(id));
+        self.check_all(&actions);
+        actions
+    }
+
+    /// Attempts that are out, as (call, attempt).
+    pub fn out(&self) -> Vec<(u64, u32)> {
+        let each = |(id, seen): (&CallId, &Seen)| {
+            let out: Vec<_> = (0..seen.attempts.len()).filter(|n| seen.is_out(*n)).collect();
+            out.into_iter().map(move |n| (id.0, n as u32)).collect::<Vec<_>>()
+        };
+        self.seen.iter().flat_map(each).collect()
+    }
+
+    pub fn end(&self, id: u64) -> Option<End> {
+        self.seen[&CallId(id)].end
+    }
+
+    /// The replicas that a call was sent to, in order.
+    pub fn sent_to(&self, id: u64) -> Vec<String> {
+        self.seen[&CallId(id)].attempts.iter().map(|(replica, _)| replica.to_string()).collect()
+    }
+
+    /// Runs every wake that is due now.
+    pub fn run_due(&mut self) -> Vec<Action> {
+        let mut all = Vec::new();
+        for _ in 0..1_000 {
+            if self.admission.next_wake(self.now).is_none_or(|at| at > self.now) {
+                self.check_progress();
+                return all;
+            }
+            let actions = self.admission.wake(self.now);
+            self.check_all(&actions);
+            all.extend(actions);
+        }
+        panic!("next_wake stays due at {}", self.now);
+    }
+
+    fn check_all(&mut self, actions: &[Action]) {
+        actions.iter().for_each(|action| self.check(action));
+        self.trace.extend(actions.iter().cloned());
+        self.check_progress();
+    }
+
+    /// Each call in hand has an attempt out, or a time at which it will be looked at.
+    fn check_progress(&self) {
+        let woken = self.admission.next_wake(self.now).is_some();
+        for (id, seen) in self.seen.iter().filter(|(_, seen)| seen.end.is_none()) {
+            let out = (0..seen.attempts.len()).any(|n| seen.is_out(n));
+            assert!(out || woken, "{id:?} is forgotten");
+        }
+    }
+
+    fn check(&mut self, action: &Action) {
+        match action {
+            Action::Send { call, attempt, replica, timeout, .. } => {
+                self.check_send(*call, *attempt, replica, *timeout);
+            }
+            Action::Refuse { call, retry_after } => {
+                let seen = self.in_hand(*call);
+                assert!(seen.has_not_run(), "{call:?} is refused though it may have run");
+                assert!(*retry_after > 0.0 && retry_after.is_finite());
+                seen.end = Some(End::Refused);
+            }
+            Action::Fail { call, reason } => {
+                let seen = self.in_hand(*call);
+                assert!(!seen.has_not_run(), "{call:?} fails though it is proven not to have run");
+                seen.end = Some(End::Failed(*reason));
+            }
+            Action::Abort { call, attempt } => {
+                let seen = self.seen.get_mut(call).expect("a call that arrived");
+                let is_new = seen.aborted.insert(*attempt);
+                assert!(is_new && seen.attempts[*attempt as usize].1.is_none(), "{call:?} is aborted twice");
+            }
+        }
+    }
+
+    fn in_hand(&mut self, id: CallId) -> &mut Seen {
+        let seen = self.seen.get_mut(&id).expect("a call that arrived");
+        assert_eq!(seen.end, None, "{id:?} ends twice or goes on after its end");
+        seen
+    }
+
+    fn check_send(&mut self, id: CallId, attempt: u32, replica: &Arc<str>, timeout: f64) {
+        let now = self.now;
+        let spec = self.listed.get(replica).expect("a replica that is listed");
+        assert!(spec.ready, "{id:?} is sent to {replica}, which drains");
+        assert!(!self.misdirected.contains(replica), "{replica} is not at its address");
+        let seen = self.in_hand(id);
+        assert_eq!(attempt as usize, seen.attempts.len());
+        assert!(seen.may_run_again() || seen.has_not_run(), "{id:?} may run twice");
+        assert!(timeout > 0.0 && now + timeout <= seen.call.give_up_at + 1e-9);
+        let out = (0..seen.attempts.len()).filter(|n| seen.is_out(*n)).count();
+        assert!(out == 0 || (seen.call.kind == CallKind::Safe && out == 1), "{id:?} has {out} out");
+        seen.attempts.push((replica.clone(), None));
+        assert!(seen.reached().len() <= seen.call.max_replicas.max(1) as usize, "{id:?} goes too far");
+    }
+}
--- /dev/null
+++ b/crates/woadreach-admission/tests/placement.rs
@@ -0,0 +1,206 @@
+//! Which replica an attempt goes to.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{Driver, call, engine_service, replica, replicas, service, unsafe_call};
+use woadreach_admission::{Action, Call, Outcome, PrefixPart, ReplicaSpec, ServerLoad, ServiceSpec};
+
+fn in_zone(id: &str, zone: &str) -> ReplicaSpec {
+    ReplicaSpec { zone: Arc::from(zone), ..replica(id) }
+}
+
+/// A turn whose prompt begins with a shared part and goes on with one of its session.
+fn turn(now: f64, id: u64, session: u64, tokens: u32) -> Call {
+    let prefix = vec![PrefixPart { id: 1, tokens: 2_560 }, PrefixPart { id: 100 + session, tokens }];
+    Call { prefix, tokens_in: 2_560 + tokens, ..unsafe_call(now, id) }
+}
+
+fn sent_to(actions: &[Action]) -> Vec<String> {
+    let replica = |action: &Action| match action {
+        Action::Send { replica, .. } => Some(replica.to_string()),
+        _ => None,
+    };
+    actions.iter().filter_map(replica).collect()
+}
+
+#[test]
+fn the_fewest_own_calls_decide() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b", "c"]));
+    for id in 1..=9 {
+        driver.arrive(unsafe_call(driver.now, id));
+    }
+    for name in ["a", "b", "c"] {
+        let there = (1..=9).filter(|id| driver.sent_to(*id) == [name]).count();
+        assert_eq!(there, 3, "{name}");
+    }
+}
+
+#[test]
+fn ties_are_broken_at_random() {
+    let first = |seed| Driver::new(seed, service(), &replicas(&["a", "b", "c"])).arrive(call(100.0, 1));
+    let mut seen: Vec<_> = (0..50).flat_map(|seed| sent_to(&first(seed))).collect();
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen, ["a", "b", "c"]);
+}
+
+#[test]
+fn among_equals_the_own_zone_wins() {
+    let list = [in_zone("far", "zone-b"), in_zone("near", common::ZONE), in_zone("farther", "zone-c")];
+    let mut driver = Driver::new(1, service(), &list);
+    assert_eq!(sent_to(&driver.arrive(unsafe_call(driver.now, 1))), ["near"]);
+    assert_ne!(sent_to(&driver.arrive(unsafe_call(driver.now, 2))), ["near"], "it has one call more");
+}
+
+#[test]
+fn draining_replicas_get_nothing() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    driver.list(&[ReplicaSpec { ready: false, ..replica("a") }, replica("b")]);
+    for id in 1..=5 {
+        assert_eq!(sent_to(&driver.arrive(unsafe_call(driver.now, id))), ["b"]);
+    }
+}
+
+#[test]
+fn a_misdirected_replica_is_not_used_until_its_record_changes() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a"]));
+    driver.arrive(unsafe_call(driver.now, 1));
+    let refused = driver.outcome(1, 0, Outcome::Misdirected);
+    assert!(matches!(refused[..], [Action::Refuse { .. }]));
+    driver.arrive(unsafe_call(driver.now, 2));
+    assert!(driver.sent_to(2).is_empty());
+    driver.list(&[ReplicaSpec { generation: Arc::from("v2"), ..replica("a") }]);
+    driver.run_due();
+    assert_eq!(driver.sent_to(2), ["a"]);
+}
+
+#[test]
+fn a_session_goes_where_its_prompt_is_kept() {
+    let mut driver = Driver::new(3, engine_service(), &replicas(&["a", "b", "c", "d"]));
+    driver.arrive(turn(driver.now, 1, 5, 1_000));
+    let first = driver.sent_to(1);
+    driver.outcome(1, 0, Outcome::Answered);
+    for id in 2..=8 {
+        driver.arrive(turn(driver.now, id, 5, 1_000 + 100 * id as u32));
+        assert_eq!(driver.sent_to(id), first, "turn {id}");
+        driver.outcome(id, 0, Outcome::Answered);
+    }
+}
+
+#[test]
+fn a_hot_prompt_spreads_when_its_replica_is_clearly_busier() {
+    let mut driver = Driver::new(3, engine_service(), &replicas(&["a", "b", "c", "d"]));
+    for id in 1..=40 {
+        driver.arrive(turn(driver.now, id, id, 1_000));
+    }
+    for name in ["a", "b", "c", "d"] {
+        let there = (1..=40).filter(|id| driver.sent_to(*id) == [name]).count();
+        assert!((7..=13).contains(&there), "{name} has {there}");
+    }
+}
+
+#[test]
+fn a_replica_of_a_new_generation_has_lost_its_cache() {
+    let mut driver = Driver::new(3, engine_service(), &replicas(&["a", "b"]));
+    driver.arrive(turn(driver.now, 1, 5, 4_000));
+    let kept = driver.sent_to(1)[0].clone();
+    driver.outcome(1, 0, Outcome::Answered);
+    driver.arrive(turn(driver.now, 2, 6, 1_000));
+    let changed = ReplicaSpec { generation: Arc::from("v2"), ..replica(&kept) };
+    let other = if kept == "a" { "b" } else { "a" };
+    driver.list(&[changed, replica(other)]);
+    driver.arrive(turn(driver.now, 3, 5, 4_000));
+    assert_eq!(driver.sent_to(3), [other], "where the other call is not in flight");
+}
+
+#[test]
+fn a_replica_that_says_it_is_full_is_passed_over() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    driver.arrive(unsafe_call(driver.now, 1));
+    let full = driver.sent_to(1)[0].clone();
+    let load = ServerLoad { running: 6, waiting: 4, slots: 6 };
+    driver.outcome_with_load(1, 0, Outcome::Answered, Some(load));
+    for id in 2..=4 {
+        driver.arrive(unsafe_call(driver.now, id));
+        assert_ne!(driver.sent_to(id)[0], full, "while the word is fresh");
+    }
+    driver.advance(1.5);
+    driver.arrive(unsafe_call(driver.now, 5));
+    assert_eq!(driver.sent_to(5)[0], full, "it has the fewest own calls again");
+}
+
+#[test]
+fn own_calls_at_a_replica_stay_within_the_share_of_its_connections() {
+    let limited = ServiceSpec { max_conns: 6, ..service() };
+    let mut driver = Driver::new(1, limited.clone(), &replicas(&["a", "b"]));
+    driver.admission.configure(driver.now, &[limited], 3);
+    for id in 1..=4 {
+        assert_eq!(driver.arrive(unsafe_call(driver.now, id)).len(), 1);
+    }
+    assert!(driver.arrive(unsafe_call(driver.now, 5)).is_empty(), "2 calls at each of 2 replicas");
+    let freed = driver.sent_to(1)[0].clone();
+    assert_eq!(sent_to(&driver.outcome(1, 0, Outcome::Answered)), [freed]);
+}
+
+#[test]
+fn a_cold_replica_gets_calls_as_it_answers() {
+    let cold = ReplicaSpec { cold_remaining: 10.0, ..replica("cold") };
+    let mut driver = Driver::new(1, service(), &[replica("warm"), cold]);
+    for id in 1..=8 {
+        driver.arrive(unsafe_call(driver.now, id));
+    }
+    let cold_calls = (1..=8).filter(|id| driver.sent_to(*id) == ["cold"]).count();
+    assert_eq!(cold_calls, 1);
+}
+
+/// Asks with safe calls, 20 a second, of which `bad` fails those that it gets; gives back how often it was
+/// first.
+fn ask_with_bad(driver: &mut Driver, ids: std::ops::Range<u64>, fails: bool) -> usize {
+    let mut first_at_bad = 0;
+    for id in ids {
+        driver.arrive(call(driver.now, id));
+        let at_bad = driver.sent_to(id) == ["bad"];
+        first_at_bad += usize::from(at_bad);
+        let outcome = if at_bad && fails { Outcome::ReplicaError } else { Outcome::Answered };
+        driver.outcome(id, 0, outcome);
+        if driver.end(id).is_none() {
+            driver.outcome(id, 1, Outcome::Answered);
+        }
+        driver.advance(0.05);
+    }
+    first_at_bad
+}
+
+#[test]
+fn a_failing_replica_is_left_out_and_comes_back_by_trials() {
+    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
+    let while_bad = ask_with_bad(&mut driver, 1..401, true);
+    assert!((4..=16).contains(&while_bad), "trials every few seconds in 20 s: {while_bad}");
+    let while_good = ask_with_bad(&mut driver, 401..801, false);
+    assert!(while_good > 100, "back after the first good trials: {while_good}");
+}
+
+#[test]
+fn a_call_that_may_not_run_again_is_no_trial_soon_after_a_failure() {
+    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
+    ask_with_bad(&mut driver, 1..101, true);
+    for id in 101..=150 {
+        driver.arrive(unsafe_call(driver.now, id));
+        assert_eq!(driver.sent_to(id), ["good"]);
+        driver.outcome(id, 0, Outcome::Answered);
+        driver.advance(0.01);
+    }
+}
+
+#[test]
+fn failing_replicas_are_used_where_there_is_no_other() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    for id in 1..=30 {
+        driver.arrive(unsafe_call(driver.now, id));
+        assert_eq!(driver.sent_to(id).len(), 1, "call {id}");
+        driver.outcome(id, 0, Outcome::ReplicaError);
+        driver.advance(0.05);
+    }
+}
--- /dev/null
+++ b/crates/woadreach-admission/tests/unit/call_state.rs
@@ -0,0 +1,45 @@
+//! Every change of state against the table of the module.
+
+use super::*;
+use crate::fleet::Fleet;
+use crate::spec::ReplicaSpec;
+use std::sync::Arc;
+
+fn some_replica() -> ReplicaKey {
+    let spec = ReplicaSpec {
+        id: Arc::from("a"),
+        service: Arc::from("s"),
+        zone: Arc::from("z"),
+        capacity: 1,
+        ready: true,
+        cold_remaining: 0.0,
+        generation: Arc::from("v1"),
+    };
+    let mut fleet = Fleet::default();
+    fleet.update(0.0, &[spec]);
+    fleet.usable("s").next().unwrap().0
+}
+
+#[test]
+fn the_table_is_kept() {
+    let (replica, deadline) = (some_replica(), 1.0);
+    let held = CallState::Held { replica, deadline };
+    let held_back = CallEvent::HeldBack { replica, deadline };
+    let states = [CallState::Deciding, held, CallState::Waiting, CallState::Running];
+    let events = [CallEvent::Sent, held_back, CallEvent::PutOff, CallEvent::Released, CallEvent::NothingOut];
+    let table = [
+        (CallState::Deciding, CallEvent::Sent, CallState::Running),
+        (CallState::Deciding, held_back, held),
+        (CallState::Deciding, CallEvent::PutOff, CallState::Waiting),
+        (held, CallEvent::Released, CallState::Deciding),
+        (CallState::Waiting, CallEvent::Released, CallState::Deciding),
+        (CallState::Running, CallEvent::Sent, CallState::Running),
+        (CallState::Running, CallEvent::NothingOut, CallState::Deciding),
+    ];
+    for state in states {
+        for event in events {
+            let named = table.iter().find(|(from, on, _)| *from == state && *on == event);
+            assert_eq!(state.after(event).ok(), named.map(|(_, _, to)| *to), "{state:?} {event:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-admission/tests/unit/pace.rs
@@ -0,0 +1,103 @@
+//! Cases of the aim that a step gets out of its program's time.
+
+use super::*;
+use crate::call::CallKind;
+
+const UNLOADED: f64 = 0.1;
+
+fn call(now: f64, id: u64, program: u64, finish_at: f64) -> Call {
+    Call {
+        id: CallId(id),
+        route: Arc::from("turns"),
+        kind: CallKind::Unsafe,
+        clusters: Vec::new(),
+        arrived: now,
+        give_up_at: now + 5.0,
+        target_latency: 0.25,
+        finish_at: Some(finish_at),
+        program: Some(program),
+        session: None,
+        prefix: Vec::new(),
+        tokens_in: 0,
+        tokens_out: 0,
+        priority: 1,
+        max_replicas: 1,
+    }
+}
+
+fn is_near(a: f64, b: f64) -> bool {
+    (a - b).abs() < 1e-9
+}
+
+#[test]
+fn without_a_program_or_an_end_the_target_is_the_aim() {
+    let programs = Programs::default();
+    let alone = Call { program: None, finish_at: None, ..call(0.0, 1, 1, 0.0) };
+    assert!(is_near(programs.aim(&alone, UNLOADED), 0.25));
+}
+
+#[test]
+fn spare_time_is_spread_in_proportion_to_the_work() {
+    let mut programs = Programs::default();
+    let first = call(0.0, 1, 1, 4.0);
+    programs.arrived(0.0, &first);
+    assert!(is_near(programs.aim(&first, UNLOADED), 0.2), "half of the time is work: twice its own");
+    assert!(is_near(programs.spare(0.0, &first).unwrap(), 2.0));
+}
+
+#[test]
+fn a_program_that_lost_time_hurries() {
+    let mut programs = Programs::default();
+    let aim_after = |programs: &mut Programs, program: u64, answered_at: f64| {
+        let first = call(0.0, program, program, 4.0);
+        programs.arrived(0.0, &first);
+        programs.ended(answered_at, &first, true, UNLOADED);
+        let second = call(1.0, 10 + program, program, 4.0);
+        programs.arrived(1.0, &second);
+        programs.aim(&second, UNLOADED)
+    };
+    let on_time = aim_after(&mut programs, 1, UNLOADED);
+    let lost = aim_after(&mut programs, 2, 0.6);
+    assert!(lost < on_time, "{lost} < {on_time}");
+}
+
+#[test]
+fn a_late_program_has_no_time_for_a_step() {
+    let mut programs = Programs::default();
+    let late = call(5.0, 1, 1, 4.0);
+    programs.arrived(5.0, &late);
+    assert!(is_near(programs.aim(&late, UNLOADED), 0.0));
+}
+
+#[test]
+fn the_share_of_work_is_learned_from_programs_that_ended() {
+    let mut programs = Programs::default();
+    let mut id = 0;
+    for program in 0..200 {
+        let start = program as f64 * 10.0;
+        for (at, taken) in [(0.0, UNLOADED), (0.9, UNLOADED)] {
+            id += 1;
+            let step = call(start + at, id, program, start + 4.0);
+            programs.arrived(start + at, &step);
+            programs.ended(start + at + taken, &step, true, UNLOADED);
+        }
+    }
+    let first = call(5_000.0, 10_000, 10_000, 5_004.0);
+    programs.arrived(5_000.0, &first);
+    let aim = programs.aim(&first, UNLOADED);
+    assert!((0.38..0.42).contains(&aim), "a quarter of the time is work: {aim}");
+}
+
+#[test]
+fn calls_in_hand_are_one_step() {
+    let mut programs = Programs::default();
+    let calls: Vec<Call> = (1..=3).map(|id| call(0.1 * id as f64, id, 1, 4.0)).collect();
+    calls.iter().for_each(|call| programs.arrived(call.arrived, call));
+    assert_eq!(programs.step_size(&calls[2]), 3);
+    assert!(is_near(programs.step_started(&calls[2]), 0.1));
+    calls.iter().for_each(|call| programs.ended(1.0, call, true, UNLOADED));
+    let next = call(2.0, 4, 1, 4.0);
+    programs.arrived(2.0, &next);
+    assert_eq!(programs.step_size(&next), 1);
+    assert!(is_near(programs.step_started(&next), 2.0));
+}
--- /dev/null
+++ b/crates/woadreach-admission/tests/unit/prefix_cache.rs
@@ -0,0 +1,41 @@
+//! Cases of the account of cached prompt parts.
+
+use super::*;
+
+fn part(id: u64, tokens: u32) -> PrefixPart {
+    PrefixPart { id, tokens }
+}
+
+#[test]
+fn only_an_unbroken_head_counts() {
+    let mut cache = PrefixCache::default();
+    cache.record(&[part(1, 100), part(2, 50), part(3, 25)], 1_000);
+    let cases: [(&[PrefixPart], u32); 5] = [
+        (&[part(1, 100), part(2, 50), part(3, 25)], 175),
+        (&[part(1, 100), part(9, 50), part(3, 25)], 100),
+        (&[part(9, 100), part(2, 50)], 0),
+        (&[part(1, 100), part(2, 80), part(3, 25)], 150),
+        (&[], 0),
+    ];
+    for (prefix, cached) in cases {
+        assert_eq!(cache.cached_tokens(prefix), cached, "{prefix:?}");
+    }
+}
+
+#[test]
+fn the_parts_unused_longest_give_way() {
+    let mut cache = PrefixCache::default();
+    cache.record(&[part(1, 100)], 250);
+    cache.record(&[part(2, 100)], 250);
+    cache.record(&[part(1, 100)], 250);
+    cache.record(&[part(3, 100)], 250);
+    let kept: Vec<u32> = (1..=3).map(|id| cache.cached_tokens(&[part(id, 100)])).collect();
+    assert_eq!(kept, [100, 0, 100]);
+}
+
+#[test]
+fn the_tail_of_a_prompt_gives_way_before_its_head() {
+    let mut cache = PrefixCache::default();
+    cache.record(&[part(1, 100), part(2, 100)], 150);
+    assert_eq!(cache.cached_tokens(&[part(1, 100), part(2, 100)]), 100);
+}
