--- a/crates/woadreach-admission/src/decisions.rs
+++ b/crates/woadreach-admission/src/decisions.rs
@@ -6,12 +6,12 @@
 
 use crate::action::{Action, FailReason};
 use crate::admission::Admission;
-use crate::call::{CallId, CallKind};
+use crate::call::CallId;
 use crate::call_state::{CallEvent, CallState};
 use crate::fleet::ReplicaKey;
 use crate::in_hand::{Attempt, AttemptState};
 use crate::outcome::Outcome;
-use crate::placement::{Choice, Placement, is_overloaded};
+use crate::placement::{Choice, Placement};
 use crate::replica::InFlight;
 use crate::step::Step;
 use crate::timers::has_come;
@@ -20,11 +20,6 @@
 const UNOFFERED_SHARE: f64 = 0.25;
 /// First pause (seconds) before a call goes back to a replica that did not run it; doubled with each attempt.
 const FIRST_BACKOFF: f64 = 0.03;
-/// How soon (seconds) a late attempt is looked at again, at the least.
-const LOOK_AGAIN: f64 = 0.05;
-/// A call that so many sent later overtook at its replica has lost its answer.
-const OVERTAKEN: u32 = 2;
-
 impl Admission {
     /// Decides anew about a call, whatever its state.
     pub(crate) fn decide(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
@@ -177,7 +172,7 @@
     }
 
     /// The skip: a call whose time left is under its replica's unloaded tail stays unsent.
-    fn is_hopeless(&self, now: f64, id: CallId, replica: ReplicaKey) -> bool {
+    pub(crate) fn is_hopeless(&self, now: f64, id: CallId, replica: ReplicaKey) -> bool {
         self.calls.get(&id).is_none_or(|call| {
             let k = self.programs.step_size(&call.call);
             let tail = self.routes.tail(now, call.route, Some(replica), k);
@@ -199,7 +194,7 @@
         self.send(now, id, replica, actions);
     }
 
-    fn send(&mut self, now: f64, id: CallId, replica: ReplicaKey, actions: &mut Vec<Action>) {
+    pub(crate) fn send(&mut self, now: f64, id: CallId, replica: ReplicaKey, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(at) = self.fleet.get_mut(replica) else { return };
         let repeats = call.was_offered();
@@ -283,70 +278,4 @@
         call.apply(CallEvent::HeldBack { replica, deadline });
         self.timers.set(&mut call.timer, id, Some(most));
     }
-
-    /// A late attempt of a call that may run again: a safe one gets a second copy, a resumable stream that
-    /// shows nothing is taken from a replica that has lost it.
-    fn consider_copy(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let begun = call.attempts.iter().any(|a| a.begun && a.state == AttemptState::Out);
-        let within_bounds = call.replicas_reached().len() < call.call.max_replicas as usize;
-        let copied = call.attempts.iter().filter(|a| a.state == AttemptState::Out).count() > 1;
-        if begun || copied || !within_bounds || !call.call.kind.may_run_again() {
-            let Some(call) = self.calls.get_mut(&id) else { return };
-            self.timers.set(&mut call.timer, id, None);
-            return;
-        }
-        let wanted = match call.call.kind {
-            CallKind::Safe => !is_overloaded(now, &self.fleet, &call.service),
-            _ => self.has_lost_it(now, id),
-        };
-        let streaming = call.call.kind.is_streaming();
-        if let Some(replica) = self.copy_target(now, id).filter(|_| wanted) {
-            let freed = if streaming { self.abort_lost(now, id, actions) } else { Vec::new() };
-            self.send(now, id, replica, actions);
-            freed.into_iter().for_each(|freed| self.release_held(now, freed, actions));
-            return;
-        }
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let again = now + (self.routes.late_after(call.route) / 2.0).max(LOOK_AGAIN);
-        self.timers.set(&mut call.timer, id, Some(again).filter(|at| *at < call.call.give_up_at));
-    }
-
-    fn abort_lost(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) -> Vec<ReplicaKey> {
-        self.observe_given_up(now, id);
-        let freed = self.abort_all(id, actions);
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.apply(CallEvent::NothingOut);
-        }
-        freed
-    }
-
-    fn copy_target(&mut self, now: f64, id: CallId) -> Option<ReplicaKey> {
-        let call = self.calls.get(&id)?;
-        let service = self.services.get(&call.service)?;
-        if !service.budget.allows() {
-            return None;
-        }
-        let placement = Placement {
-            now,
-            fleet: &self.fleet,
-            routes: &self.routes,
-            zone: &self.zone,
-            connections: service.connections,
-            mean_read: service.mean_read(),
-        };
-        let replica = placement.choose_copy(call, &mut self.random)?;
-        (!self.is_hopeless(now, id, replica)).then_some(replica)
-    }
-
-    /// Whether every replica where the call is out has left, shows no sign of work, or answered others since.
-    fn has_lost_it(&self, now: f64, id: CallId) -> bool {
-        let Some(call) = self.calls.get(&id) else { return false };
-        let lost = |(number, attempt): (u32, &Attempt)| {
-            let Some(replica) = self.fleet.get(attempt.replica) else { return true };
-            let overtaken = replica.in_flight.get(&(id, number)).is_none_or(|s| s.overtaken >= OVERTAKEN);
-            overtaken || replica.is_silent(now, |route| self.routes.late_after(route))
-        };
-        (0..).zip(&call.attempts).filter(|(_, attempt)| attempt.state == AttemptState::Out).all(lost)
-    }
 }
--- a/crates/woadreach-admission/src/lib.rs
+++ b/crates/woadreach-admission/src/lib.rs
@@ -27,6 +27,7 @@
 mod replica;
 mod retry_budget;
 mod routes;
+mod second_copies;
 mod service;
 mod shedding;
 mod spec;
