Admission: slow replicas are seen; cases of failing, silent and slow replicas

Cause: with the 0.95 quantile of all recent answers as the threshold, a slow replica that gives more than one answer in twenty lifts it over its own. Four medians and the 0.8 quantile instead. Where most are slow the load is the cause and none is left out. A copy of a safe call needs no test for overload of its own, as the choice of its replica already passes over full ones.

--- a/crates/woadreach-admission/src/routes.rs
+++ b/crates/woadreach-admission/src/routes.rs
@@ -19,9 +19,11 @@
 const RENEWED_EVERY: usize = 8;
 /// With fewer samples the threshold is the route's target.
 const LEAST: usize = 16;
-/// Late: beyond the 0.95 quantile of the recent ones, and so many times their median.
-const LATE_QUANTILE: f64 = 0.95;
-const LATE_MEDIANS: f64 = 2.5;
+/// Late: beyond this quantile of the recent ones, which a sixth of the replicas can't lift by being slow,
+/// and so many times their median. Of work with an exponential spread 6 in 100 are, and half of eight in a
+/// row hardly ever.
+const LATE_QUANTILE: f64 = 0.8;
+const LATE_MEDIANS: f64 = 4.0;
 /// And at least this share of the target: a moment in which this process stood still makes no replica bad.
 const LATE_SHARE_OF_TARGET: f64 = 0.125;
 /// Before any sample an unloaded answer is taken to need this share of the target.
--- a/crates/woadreach-admission/src/second_copies.rs
+++ b/crates/woadreach-admission/src/second_copies.rs
@@ -2,11 +2,11 @@
 
 use crate::action::Action;
 use crate::admission::Admission;
-use crate::call::{CallId, CallKind};
+use crate::call::CallId;
 use crate::call_state::CallEvent;
 use crate::fleet::ReplicaKey;
 use crate::in_hand::{Attempt, AttemptState};
-use crate::placement::{Placement, is_overloaded};
+use crate::placement::Placement;
 
 /// How soon (seconds) a late attempt is looked at again, at the least.
 const LOOK_AGAIN: f64 = 0.05;
@@ -26,11 +26,8 @@
             self.timers.set(&mut call.timer, id, None);
             return;
         }
-        let wanted = match call.call.kind {
-            CallKind::Safe => !is_overloaded(now, &self.fleet, &call.service),
-            _ => self.has_lost_it(now, id),
-        };
         let streaming = call.call.kind.is_streaming();
+        let wanted = !streaming || self.has_lost_it(now, id);
         if let Some(replica) = self.copy_target(now, id).filter(|_| wanted) {
             let freed = if streaming { self.abort_lost(now, id, actions) } else { Vec::new() };
             self.send(now, id, replica, actions);
--- /dev/null
+++ b/crates/woadreach-admission/tests/failures.rs
@@ -0,0 +1,180 @@
+//! Replicas that fail, are slow or silent: when they are left out, and when they come back.
+
+mod common;
+
+use common::{Driver, call, replicas, service, unsafe_call};
+use woadreach_admission::{Action, Call, CallKind, Outcome};
+
+/// Asks with safe calls, 20 a second, of which `bad` fails those that it gets; gives back how often it was
+/// first.
+fn ask_with_bad(driver: &mut Driver, ids: std::ops::Range<u64>, fails: bool) -> usize {
+    let mut first_at_bad = 0;
+    for id in ids {
+        driver.arrive(call(driver.now, id));
+        let at_bad = driver.sent_to(id) == ["bad"];
+        first_at_bad += usize::from(at_bad);
+        let outcome = if at_bad && fails { Outcome::ReplicaError } else { Outcome::Answered };
+        driver.outcome(id, 0, outcome);
+        if driver.end(id).is_none() {
+            driver.outcome(id, 1, Outcome::Answered);
+        }
+        driver.advance(0.05);
+    }
+    first_at_bad
+}
+
+#[test]
+fn a_failing_replica_is_left_out_and_comes_back_by_trials() {
+    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
+    let while_bad = ask_with_bad(&mut driver, 1..401, true);
+    assert!((4..=16).contains(&while_bad), "trials every few seconds in 20 s: {while_bad}");
+    let while_good = ask_with_bad(&mut driver, 401..801, false);
+    assert!(while_good > 100, "back after the first good trials: {while_good}");
+}
+
+#[test]
+fn a_call_that_may_not_run_again_is_no_trial_soon_after_a_failure() {
+    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
+    ask_with_bad(&mut driver, 1..101, true);
+    for id in 101..=150 {
+        driver.arrive(unsafe_call(driver.now, id));
+        assert_eq!(driver.sent_to(id), ["good"]);
+        driver.outcome(id, 0, Outcome::Answered);
+        driver.advance(0.01);
+    }
+}
+
+#[test]
+fn failing_replicas_are_used_where_there_is_no_other() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    for id in 1..=30 {
+        driver.arrive(unsafe_call(driver.now, id));
+        assert_eq!(driver.sent_to(id).len(), 1, "call {id}");
+        driver.outcome(id, 0, Outcome::ReplicaError);
+        driver.advance(0.05);
+    }
+}
+
+#[test]
+fn an_unreachable_replica_is_left_out_at_once() {
+    for seed in 0..20 {
+        let mut driver = Driver::new(seed, service(), &replicas(&["a", "b"]));
+        for id in 1..=10 {
+            driver.arrive(unsafe_call(driver.now, id));
+            driver.outcome(id, 0, Outcome::Answered);
+        }
+        driver.arrive(unsafe_call(driver.now, 11));
+        let down = driver.sent_to(11)[0].clone();
+        driver.outcome(11, 0, Outcome::Unreachable);
+        driver.outcome(11, 1, Outcome::Answered);
+        for id in 12..=20 {
+            driver.arrive(unsafe_call(driver.now, id));
+            assert_ne!(driver.sent_to(id)[0], down);
+            driver.outcome(id, 0, Outcome::Answered);
+        }
+        driver.advance(1.1);
+        driver.arrive(unsafe_call(driver.now, 21));
+        assert_eq!(driver.sent_to(21)[0], down, "a trial, which costs a call nothing if it fails again");
+    }
+}
+
+#[test]
+fn a_silent_replica_gets_no_more() {
+    for seed in 0..20 {
+        let mut driver = Driver::new(seed, service(), &replicas(&["a", "b"]));
+        driver.arrive(unsafe_call(driver.now, 1));
+        let silent = driver.sent_to(1)[0].clone();
+        driver.advance(0.3);
+        // The other one has more calls out than the silent one, and answers.
+        for id in 2..=4 {
+            driver.arrive(unsafe_call(driver.now, id));
+            assert_ne!(driver.sent_to(id)[0], silent);
+        }
+    }
+}
+
+/// Two of three become ten times as slow: one alone would be pushed over by the calls of all.
+#[test]
+fn slowness_of_most_replicas_leaves_none_out() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b", "c"]));
+    let round = |driver: &mut Driver, from: u64, slow: f64| {
+        let ids: Vec<u64> = (from..from + 6).collect();
+        for id in &ids {
+            driver.arrive(unsafe_call(driver.now, *id));
+        }
+        let (of_c, others): (Vec<u64>, Vec<u64>) = ids.iter().partition(|id| driver.sent_to(**id) == ["c"]);
+        for (ids, latency) in [(&of_c, 0.1), (&others, slow)] {
+            driver.advance(latency);
+            for id in ids {
+                driver.outcome(*id, 0, Outcome::Answered);
+            }
+        }
+        of_c.len()
+    };
+    for n in 0..20 {
+        round(&mut driver, 1 + 6 * n, 0.0);
+    }
+    let at_c: Vec<usize> = (20..40).map(|n| round(&mut driver, 1 + 6 * n, 1.0)).collect();
+    assert_eq!(at_c, [2; 20]);
+}
+
+#[test]
+fn a_resumable_stream_that_later_ones_overtook_is_sent_elsewhere() {
+    let stream = |now, id| Call { kind: CallKind::Streaming { resumable: true }, ..call(now, id) };
+    let mut driver = Driver::new(1, service(), &replicas(&["a"]));
+    driver.arrive(stream(driver.now, 1));
+    driver.list(&replicas(&["a", "b"]));
+    driver.advance(0.01);
+    driver.arrive(stream(driver.now, 2));
+    for id in 3..=6 {
+        driver.arrive(stream(driver.now, id));
+    }
+    driver.advance(0.1);
+    let overtaking: Vec<u64> = (3..=6).filter(|id| driver.sent_to(*id) == ["a"]).collect();
+    assert_eq!(overtaking.len(), 2);
+    for id in overtaking {
+        driver.first_event(id, 0, None);
+    }
+    driver.first_event(2, 0, None);
+    let moved = driver.advance(0.3);
+    let of_first = |action: &&Action| matches!(action, Action::Send { call, .. } if call.0 == 1);
+    assert_eq!(moved.iter().filter(of_first).count(), 1, "{moved:?}");
+    assert_eq!(driver.sent_to(1), ["a", "b"]);
+}
+
+#[test]
+fn a_stream_that_its_replica_may_still_begin_stays() {
+    let stream = |now, id| Call { kind: CallKind::Streaming { resumable: true }, ..call(now, id) };
+    let mut driver = Driver::new(1, service(), &replicas(&["a"]));
+    driver.arrive(stream(driver.now, 1));
+    driver.advance(0.01);
+    driver.arrive(stream(driver.now, 2));
+    driver.list(&replicas(&["a", "b"]));
+    driver.advance(0.1);
+    driver.first_event(2, 0, None);
+    driver.advance(2.0);
+    assert_eq!(driver.sent_to(1), ["a"], "one that overtook it is no proof");
+}
+
+/// One of six becomes eight times as slow, which is no more of the answers than the threshold stands.
+#[test]
+fn a_slow_replica_is_left_out() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b", "c", "d", "e", "slow"]));
+    let mut at_slow = Vec::new();
+    for round in 0..100 {
+        let ids: Vec<u64> = (1 + 6 * round..7 + 6 * round).collect();
+        for id in &ids {
+            driver.arrive(unsafe_call(driver.now, *id));
+        }
+        let (slow, sound): (Vec<u64>, Vec<u64>) = ids.iter().partition(|id| driver.sent_to(**id) == ["slow"]);
+        at_slow.push(slow.len());
+        for (ids, latency) in [(sound, 0.1), (slow, if round < 20 { 0.0 } else { 0.7 })] {
+            driver.advance(latency);
+            for id in ids {
+                driver.outcome(id, 0, Outcome::Answered);
+            }
+        }
+    }
+    let late: usize = at_slow[60..].iter().sum();
+    assert!(late <= 8, "a trial every few seconds: {at_slow:?}");
+}
--- a/crates/woadreach-admission/tests/placement.rs
+++ b/crates/woadreach-admission/tests/placement.rs
@@ -49,9 +49,11 @@
 #[test]
 fn among_equals_the_own_zone_wins() {
     let list = [in_zone("far", "zone-b"), in_zone("near", common::ZONE), in_zone("farther", "zone-c")];
-    let mut driver = Driver::new(1, service(), &list);
-    assert_eq!(sent_to(&driver.arrive(unsafe_call(driver.now, 1))), ["near"]);
-    assert_ne!(sent_to(&driver.arrive(unsafe_call(driver.now, 2))), ["near"], "it has one call more");
+    for seed in 0..20 {
+        let mut driver = Driver::new(seed, service(), &list);
+        assert_eq!(sent_to(&driver.arrive(unsafe_call(driver.now, 1))), ["near"]);
+        assert_ne!(sent_to(&driver.arrive(unsafe_call(driver.now, 2))), ["near"], "it has one call more");
+    }
 }
 
 #[test]
@@ -154,53 +156,3 @@
     let cold_calls = (1..=8).filter(|id| driver.sent_to(*id) == ["cold"]).count();
     assert_eq!(cold_calls, 1);
 }
-
-/// Asks with safe calls, 20 a second, of which `bad` fails those that it gets; gives back how often it was
-/// first.
-fn ask_with_bad(driver: &mut Driver, ids: std::ops::Range<u64>, fails: bool) -> usize {
-    let mut first_at_bad = 0;
-    for id in ids {
-        driver.arrive(call(driver.now, id));
-        let at_bad = driver.sent_to(id) == ["bad"];
-        first_at_bad += usize::from(at_bad);
-        let outcome = if at_bad && fails { Outcome::ReplicaError } else { Outcome::Answered };
-        driver.outcome(id, 0, outcome);
-        if driver.end(id).is_none() {
-            driver.outcome(id, 1, Outcome::Answered);
-        }
-        driver.advance(0.05);
-    }
-    first_at_bad
-}
-
-#[test]
-fn a_failing_replica_is_left_out_and_comes_back_by_trials() {
-    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
-    let while_bad = ask_with_bad(&mut driver, 1..401, true);
-    assert!((4..=16).contains(&while_bad), "trials every few seconds in 20 s: {while_bad}");
-    let while_good = ask_with_bad(&mut driver, 401..801, false);
-    assert!(while_good > 100, "back after the first good trials: {while_good}");
-}
-
-#[test]
-fn a_call_that_may_not_run_again_is_no_trial_soon_after_a_failure() {
-    let mut driver = Driver::new(1, service(), &replicas(&["good", "bad"]));
-    ask_with_bad(&mut driver, 1..101, true);
-    for id in 101..=150 {
-        driver.arrive(unsafe_call(driver.now, id));
-        assert_eq!(driver.sent_to(id), ["good"]);
-        driver.outcome(id, 0, Outcome::Answered);
-        driver.advance(0.01);
-    }
-}
-
-#[test]
-fn failing_replicas_are_used_where_there_is_no_other() {
-    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
-    for id in 1..=30 {
-        driver.arrive(unsafe_call(driver.now, id));
-        assert_eq!(driver.sent_to(id).len(), 1, "call {id}");
-        driver.outcome(id, 0, Outcome::ReplicaError);
-        driver.advance(0.05);
-    }
-}
