--- /dev/null
+++ b/crates/woadreach-control/src/committed.rs
@@ -0,0 +1,45 @@
+//! Committed state of the core, as discovery tells it to the data plane.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+use woadreach_discovery::{CommittedState, ViewSummary};
+
+use crate::member_driver::MemberDriver;
+
+/// What this core machine's member has published.
+pub struct PublishedState {
+    driver: Arc<MemberDriver>,
+}
+
+impl PublishedState {
+    pub fn new(driver: Arc<MemberDriver>) -> PublishedState {
+        PublishedState { driver }
+    }
+}
+
+impl CommittedState for PublishedState {
+    fn view(&self) -> ViewSummary {
+        let status = self.driver.status();
+        let members = status.members.into_iter().map(SocketAddr::V4).collect();
+        ViewSummary { epoch: status.epoch, in_quorum: status.in_quorum, members }
+    }
+
+    fn configuration(&self) -> Option<(u64, Bytes)> {
+        let state = self.driver.published();
+        let stored = state.configuration.as_ref()?;
+        Some((stored.generation, stored.body.0.clone()))
+    }
+
+    fn storage_view(&self) -> Option<(u64, Bytes)> {
+        let state = self.driver.published();
+        let stored = state.storage_view.as_ref()?;
+        Some((stored.epoch, stored.bytes.0.clone()))
+    }
+
+    fn changed(&self) -> watch::Receiver<u64> {
+        self.driver.changes()
+    }
+}
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -12,17 +12,20 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use woadreach_chain::{Input, MemberOptions};
+use woadreach_discovery::CoreDiscovery;
 use woadreach_journal::{Journal, JournalError, JournalOptions, Recovered};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
 use woadreach_settings::NodeSettings;
 
+use crate::committed::PublishedState;
 use crate::durable_log::{RecoveredMember, encode_snapshot, recover};
 use crate::error::{
     JournalSnafu, ListenSnafu, MissingFieldSnafu, RoleError, SignalSnafu, UnreadableSnafu, UnusableFieldSnafu,
 };
 use crate::member_driver::{MemberDriver, new_durable};
 use crate::order::OrderService;
-use crate::{http_server, operator};
+use crate::storage_planner::StoragePlanner;
+use crate::{http_server, instances, operator};
 
 /// Share of the disk that the journal may take, in hundredths.
 const DISK_SHARE: u64 = 80;
@@ -57,13 +60,22 @@
     let (journal, recovered) = open_member(&settings, &options).await?;
     let rpc = Client::new(ClientOptions::default());
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc.clone(), settings.internal_address()));
+    let tolerated = settings.fault_tolerance.machines;
+    let own_address = settings.internal_address();
+    let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc.clone(), own_address, tolerated));
+    let committed = Arc::new(PublishedState::new(Arc::clone(&driver)));
+    let discovery = CoreDiscovery::new(&settings, random_number() | 1, rpc.clone(), committed);
+    let seeds = settings.seed_internal_addresses();
+    let planner = StoragePlanner::new(Arc::clone(&driver), rpc, seeds, tolerated);
 
-    tokio::spawn(woadreach_rpc::serve(internal, internal_services(&driver, &orders)));
+    let services = discovery.handlers(planner.handlers(internal_services(&driver, &orders)));
+    tokio::spawn(woadreach_rpc::serve(internal, services));
+    tokio::spawn(Arc::clone(&discovery).run());
+    tokio::spawn(planner.run());
     let (stop, stopped) = watch::channel(false);
     let server = http_server::serve(
         control,
-        operator::router(Arc::clone(&orders)),
+        operator::router(Arc::clone(&orders)).merge(instances::router(discovery)),
         most_connections(&settings),
         stopped,
         DRAIN_TIMEOUT,
--- a/crates/woadreach-control/src/error.rs
+++ b/crates/woadreach-control/src/error.rs
@@ -8,6 +8,8 @@
 use woadreach_journal::JournalError;
 use woadreach_settings::SettingsError;
 
+use crate::storage_role::StorageRoleError;
+
 /// Why a role could not start or go on.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -34,8 +36,8 @@
     #[snafu(display("signals: {source}"))]
     Signal { source: io::Error },
     /// The storage role failed.
-    #[snafu(display("{message}"))]
-    Storage { message: String },
+    #[snafu(display("storage: {source}"))]
+    Storage { source: StorageRoleError },
 }
 
 impl RoleError {
@@ -45,6 +47,7 @@
             RoleError::Settings { .. } | RoleError::MissingField { .. } | RoleError::UnusableField { .. } => {
                 2
             }
+            RoleError::Storage { source: StorageRoleError::NoDataDir { .. } } => 2,
             _ => 1,
         }
     }
--- a/crates/woadreach-control/src/lib.rs
+++ b/crates/woadreach-control/src/lib.rs
@@ -6,6 +6,7 @@
 //! heartbeats ([`instances`]). The `storage` role is [`storage_role`].
 
 pub mod command_line;
+pub mod committed;
 pub mod core_role;
 pub mod durable_log;
 pub mod error;
@@ -15,4 +16,5 @@
 pub mod member_driver;
 pub mod operator;
 pub mod order;
+pub mod storage_planner;
 pub mod storage_role;
--- a/crates/woadreach-control/src/main.rs
+++ b/crates/woadreach-control/src/main.rs
@@ -4,7 +4,7 @@
 
 use woadreach_control::command_line::{Arguments, Role, parse};
 use woadreach_control::error::RoleError;
-use woadreach_control::{core_role, logging};
+use woadreach_control::{core_role, logging, storage_role};
 use woadreach_settings::NodeSettings;
 
 fn main() -> ExitCode {
@@ -30,6 +30,8 @@
         .map_err(|source| RoleError::Signal { source })?;
     match arguments.role {
         Role::Core => runtime.block_on(core_role::run(settings)),
-        Role::Storage => Ok(()),
+        Role::Storage => {
+            runtime.block_on(storage_role::run(settings)).map_err(|source| RoleError::Storage { source })
+        }
     }
 }
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -8,8 +8,10 @@
 use snafu::Snafu;
 use speedy::{Endianness, Readable, Writable};
 use tokio::time::{Instant, timeout_at};
-use woadreach_chain::{Blob, Command, PutConfiguration, Rejection, Reply, Request};
+use woadreach_chain::{Blob, Command, PutConfiguration, PutStorageView, Rejection, Reply, Request};
 use woadreach_rpc::{CallError, Client, ServiceId};
+use woadreach_storage::StorageView;
+use woadreach_storage::view::{RetireError, retire};
 
 use crate::member_driver::MemberDriver;
 
@@ -69,11 +71,18 @@
     driver: Arc<MemberDriver>,
     rpc: Client,
     own_address: SocketAddr,
+    /// How many storage machines may be lost at once.
+    tolerated: usize,
 }
 
 impl OrderService {
-    pub fn new(driver: Arc<MemberDriver>, rpc: Client, own_address: SocketAddr) -> OrderService {
-        OrderService { driver, rpc, own_address }
+    pub fn new(
+        driver: Arc<MemberDriver>,
+        rpc: Client,
+        own_address: SocketAddr,
+        tolerated: usize,
+    ) -> OrderService {
+        OrderService { driver, rpc, own_address, tolerated }
     }
 
     /// Carries an order out, here or at the head, and waits for the answer until `deadline`.
@@ -98,7 +107,10 @@
         let status = self.driver.status();
         if status.is_head {
             *reached_head = true;
-            return timeout_at(deadline, execute_at_head(&self.driver, order)).await.ok().flatten();
+            return timeout_at(deadline, execute_at_head(&self.driver, self.tolerated, order))
+                .await
+                .ok()
+                .flatten();
         }
         let head = SocketAddr::V4(status.head?.address);
         if head == self.own_address {
@@ -118,13 +130,13 @@
     pub async fn take_forwarded(&self, body: Bytes) -> Vec<u8> {
         let Some((order, left)) = decode_order(&body) else { return Vec::new() };
         let wait = left.min(ORDER_TIMEOUT).saturating_sub(RETURN_TIME);
-        let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, &order)).await;
+        let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, self.tolerated, &order)).await;
         answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer))
     }
 }
 
 /// Carries an order out at the head; nothing if this machine isn't the head any more.
-async fn execute_at_head(driver: &MemberDriver, order: &Order) -> Option<Answer> {
+async fn execute_at_head(driver: &MemberDriver, tolerated: usize, order: &Order) -> Option<Answer> {
     match order {
         Order::PutConfiguration(put) => {
             let command = Command::PutConfiguration(put.clone());
@@ -141,10 +153,50 @@
             Reply::Configuration(None) => Some(Answer::NoConfiguration),
             _ => None,
         },
-        Order::Retire { .. } | Order::RetireState { .. } => Some(Answer::UnknownNode),
+        Order::Retire { node } => retire_at_head(driver, node, tolerated).await,
+        Order::RetireState { node } => retire_state_at_head(driver, node).await,
     }
 }
 
+/// Has a storage machine emptied. Nothing if another change of the storage view came first, or the head changed.
+async fn retire_at_head(driver: &MemberDriver, node: &str, tolerated: usize) -> Option<Answer> {
+    let (expected_epoch, bytes) = driver.latest_storage_view().unwrap_or_default();
+    let view = StorageView::decode(&bytes).unwrap_or_default();
+    let answer = match retire(&view, node, tolerated) {
+        Ok(changed) if changed.epoch != view.epoch => {
+            return submit_storage_view(driver, expected_epoch, &changed).await.then_some(Answer::Done);
+        }
+        Ok(_) => Answer::Done,
+        Err(RetireError::Unknown) => Answer::UnknownNode,
+        Err(RetireError::TooFew) => Answer::TooFewNodes,
+    };
+    (driver.request(Request::Confirm).await == Reply::Confirmed).then_some(answer)
+}
+
+async fn retire_state_at_head(driver: &MemberDriver, node: &str) -> Option<Answer> {
+    if driver.request(Request::Confirm).await != Reply::Confirmed {
+        return None;
+    }
+    let published = driver.published();
+    let stored = published.storage_view.as_ref().map(|stored| &stored.bytes.0[..]);
+    let view = stored.and_then(StorageView::decode).unwrap_or_default();
+    if view.retired.contains(node) {
+        Some(Answer::RetireState { is_finished: true })
+    } else if view.retiring.contains(node) {
+        Some(Answer::RetireState { is_finished: false })
+    } else {
+        Some(Answer::UnknownNode)
+    }
+}
+
+/// Puts a storage view in the place of the one of `expected_epoch`. Tells whether it is committed.
+pub async fn submit_storage_view(driver: &MemberDriver, expected_epoch: u64, view: &StorageView) -> bool {
+    let bytes = Blob::from(view.encode());
+    let put = PutStorageView { expected_epoch, epoch: view.epoch, bytes };
+    let reply = driver.request(Request::Submit(Command::PutStorageView(put))).await;
+    matches!(reply, Reply::Taken | Reply::AlreadyTaken)
+}
+
 fn encode<T: Writable<Endianness>>(value: &T) -> Vec<u8> {
     let mut bytes = vec![ORDER_VERSION];
     // Writing to a vector fails only when a length exceeds 32 bits, far above every bound on our values.
--- /dev/null
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -0,0 +1,91 @@
+//! Changes of the storage view: planned by the head of the chain from what the storage machines announce.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use woadreach_rpc::{Client, Router, ServiceId};
+use woadreach_storage::StorageView;
+use woadreach_storage::announce::{Announcements, handler};
+use woadreach_storage::view::plan;
+
+use crate::member_driver::MemberDriver;
+use crate::order::submit_storage_view;
+
+/// Interval between two looks at the announcements.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at a machine that isn't the head.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time for a change to be committed; the next look sees what became of it.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Plans the storage view while this machine is the head.
+pub struct StoragePlanner {
+    driver: Arc<MemberDriver>,
+    rpc: Client,
+    announcements: Arc<Mutex<Announcements>>,
+    seeds: Vec<SocketAddr>,
+    tolerated: usize,
+}
+
+impl StoragePlanner {
+    pub fn new(
+        driver: Arc<MemberDriver>,
+        rpc: Client,
+        seeds: Vec<SocketAddr>,
+        tolerated: usize,
+    ) -> Arc<StoragePlanner> {
+        let announcements = Arc::new(Mutex::new(Announcements::new(Instant::now())));
+        Arc::new(StoragePlanner { driver, rpc, announcements, seeds, tolerated })
+    }
+
+    /// Adds the handler of the storage machines' announcements.
+    pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
+        let planner = Arc::clone(self);
+        let heard = handler(Arc::clone(&self.announcements));
+        router.route(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
+            planner.relay(peer, &body);
+            heard(peer, body)
+        })
+    }
+
+    /// Storage machines announce themselves to the seeds: those pass it on to a head that is not among them.
+    fn relay(&self, peer: SocketAddr, body: &Bytes) {
+        let status = self.driver.status();
+        let Some(head) = status.head.map(|head| SocketAddr::V4(head.address)) else { return };
+        let is_from_core = status.members.iter().any(|member| SocketAddr::V4(*member).ip() == peer.ip());
+        if !status.is_head && !is_from_core && !self.seeds.contains(&head) {
+            self.rpc.send(head, ServiceId::ANNOUNCE, body.to_vec());
+        }
+    }
+
+    /// Looks at the announcements until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let is_head = self.driver.status().is_head;
+            tokio::time::sleep(if is_head { PLAN_INTERVAL } else { IDLE_INTERVAL }).await;
+            if is_head {
+                self.advance().await;
+            }
+        }
+    }
+
+    async fn advance(&self) {
+        let (expected_epoch, bytes) = self.driver.latest_storage_view().unwrap_or_default();
+        let view = StorageView::decode(&bytes).unwrap_or_default();
+        let planned = plan(Instant::now(), &view, &self.announcements.lock(), self.tolerated);
+        let Some(next) = planned else { return };
+        tracing::info!(
+            storage_epoch = next.epoch,
+            current = next.current.len(),
+            next = next.next.as_ref().map(Vec::len),
+            "storage view planned"
+        );
+        let submitted = submit_storage_view(&self.driver, expected_epoch, &next);
+        if tokio::time::timeout(SUBMIT_TIMEOUT, submitted).await.is_err() {
+            tracing::warn!(storage_epoch = next.epoch, "storage view not committed in time");
+        }
+    }
+}
