Chain: the view names a floor epoch in place of a list of complete members

A commit needs the whole chain, so a sealed member that was never active in an epoch proves that nothing was committed in it, and earlier members still qualify.

--- a/crates/woadreach-chain/src/agreement.rs
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -39,8 +39,8 @@
 pub struct Report {
     /// Its vote on the next view, if it has given one.
     pub accepted: Option<Accepted>,
-    /// Whether its state holds every write that may have been committed.
-    pub complete: bool,
+    /// The last epoch in which it was active in the chain: its state holds all that was committed up to it.
+    pub active_epoch: u64,
     /// Stamp of its state.
     pub stamp: Stamp,
     /// Whether it may be in a chain (neither leaving nor unable to sync).
--- a/crates/woadreach-chain/src/election.rs
+++ b/crates/woadreach-chain/src/election.rs
@@ -173,7 +173,7 @@
         let is_present = |member: MemberId| member == self.id || self.peers.is_alive(now, member);
         let candidate = |member: MemberId| Candidate {
             member,
-            complete: view.chain.contains(&member),
+            active_epoch: if view.chain.contains(&member) { view.epoch } else { 0 },
             stamp: Stamp::default(),
             fit: if member == self.id { self.is_fit() } else { self.peers.is_fit(member) },
         };
@@ -194,7 +194,7 @@
                 && self.peers.is_fit(member)
         });
         ready
-            .map(|member| Candidate { member, complete: false, stamp: Stamp::default(), fit: true })
+            .map(|member| Candidate { member, active_epoch: 0, stamp: Stamp::default(), fit: true })
             .collect()
     }
 
@@ -250,7 +250,7 @@
             .iter()
             .map(|(&member, report)| Candidate {
                 member,
-                complete: report.complete,
+                active_epoch: report.active_epoch,
                 stamp: report.stamp,
                 fit: report.fit,
             })
--- a/crates/woadreach-chain/src/member.rs
+++ b/crates/woadreach-chain/src/member.rs
@@ -482,23 +482,13 @@
     fn report(&self) -> Report {
         Report {
             accepted: self.durable.accepted.clone(),
-            complete: self.is_complete(),
+            active_epoch: self.durable.active_epoch,
             stamp: self.durable.state.stamp,
             fit: self.is_fit(),
             hears: self.peers.heard_lately(self.last_tick),
         }
     }
 
-    /// Whether the state holds every write that may have been committed up to the current epoch.
-    fn is_complete(&self) -> bool {
-        let view = &self.durable.view;
-        if view.epoch == 0 {
-            return self.durable.bootstrap;
-        }
-        let is_active = self.durable.active_epoch == view.epoch;
-        view.chain.contains(&self.id) && (is_active || view.complete.contains(&self.id))
-    }
-
     fn accept(&mut self, from: MemberId, accepted: Accepted) {
         let epoch = self.durable.view.epoch;
         let ballot = accepted.ballot;
--- a/crates/woadreach-chain/src/plan.rs
+++ b/crates/woadreach-chain/src/plan.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
     pub member: MemberId,
-    /// Whether its state holds every write that may have been committed.
-    pub complete: bool,
+    /// The last epoch in which it was active in the chain.
+    pub active_epoch: u64,
     pub stamp: Stamp,
     /// Whether it may be in a chain (neither leaving nor unable to sync).
     pub fit: bool,
@@ -45,7 +45,7 @@
 /// The view after `current`.
 ///
 /// `voters` are the voters of `current` that have reported, `learners` the other members in reach. The chain begins
-/// with a complete member; only members that reach each other (`linked`) are in it. Voters that have not reported
+/// with a member that holds every write that may have been committed; only members that reach each other (`linked`) are in it. Voters that have not reported
 /// are replaced by learners, and are kept where there is none; one whose address has come back with another
 /// identity has lost its disk and is dropped.
 pub fn next_view(
@@ -55,15 +55,22 @@
     policy: Policy,
     linked: &dyn Fn(MemberId, MemberId) -> bool,
 ) -> Result<View, PlanError> {
-    let chain = next_chain(current, voters, learners, policy, linked)?;
-    let complete = voters.iter().filter(|voter| voter.complete && chain.contains(&voter.member));
-    let complete = complete.map(|voter| voter.member).collect();
+    let floor = next_floor(current, voters);
+    let chain = next_chain(current, floor, voters, learners, policy, linked)?;
     let voters = next_voters(current, &chain, voters, learners, policy);
-    Ok(View { epoch: current.epoch + 1, voters, chain, complete })
+    Ok(View { epoch: current.epoch + 1, voters, chain, floor })
+}
+
+/// The floor of the next view. A commit needs every member of the chain: if one of them has sealed the epoch without
+/// ever having been active in it, nothing was committed in it, and the earlier floor holds.
+fn next_floor(current: &View, voters: &[Candidate]) -> u64 {
+    let mut chain = voters.iter().filter(|voter| current.chain.contains(&voter.member));
+    if chain.any(|voter| voter.active_epoch < current.epoch) { current.floor } else { current.epoch }
 }
 
 fn next_chain(
     current: &View,
+    floor: u64,
     voters: &[Candidate],
     learners: &[Candidate],
     policy: Policy,
@@ -73,7 +80,7 @@
         let found = current.chain.iter().position(|&other| other == member);
         found.unwrap_or(current.chain.len())
     };
-    let complete = voters.iter().filter(|voter| voter.complete);
+    let complete = voters.iter().filter(|voter| voter.active_epoch >= floor);
     let base = complete.max_by_key(|voter| (voter.fit, voter.stamp, Reverse(position(voter.member))));
     let base = base.ok_or(PlanError::NoCompleteMember)?;
 
--- a/crates/woadreach-chain/src/view.rs
+++ b/crates/woadreach-chain/src/view.rs
@@ -52,15 +52,16 @@
     pub voters: Vec<MemberId>,
     /// Members that replicate the state, head first. Part of the voters.
     pub chain: Vec<MemberId>,
-    /// Members of the chain that held every write of earlier epochs when the view was proposed.
-    pub complete: Vec<MemberId>,
+    /// Whoever has been active in this epoch or a later one holds every write that was committed before the view's
+    /// epoch.
+    pub floor: u64,
 }
 
 impl View {
     /// The view that a system starts from: the seeds vote, known by address only.
     pub fn bootstrap(seeds: &[SocketAddrV4]) -> View {
         let voters = seeds.iter().map(|&address| MemberId { address, identity: 0 }).collect();
-        View { epoch: 0, voters, chain: Vec::new(), complete: Vec::new() }
+        View { epoch: 0, voters, chain: Vec::new(), floor: 0 }
     }
 
     /// How many voters decide.
--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -93,6 +93,8 @@
     pub is_disk_stalled: bool,
     is_syncing: bool,
     sync_started: Duration,
+    /// Last record that this life's disk has synced.
+    last_synced: u64,
     woken_for: Duration,
     identity: u64,
     /// Messages that wait for a frozen process.
@@ -233,6 +235,7 @@
         }
         let state = &mut self.nodes[node];
         state.is_syncing = false;
+        state.last_synced = through;
         if let Some(disk) = &mut state.disk {
             disk.sync(through);
         }
@@ -359,6 +362,7 @@
             disk.lose(kept);
         }
         state.life += 1;
+        state.last_synced = 0;
         state.is_syncing = false;
         state.frozen_until = None;
         state.backlog.clear();
@@ -426,19 +430,8 @@
         }
         self.nodes[node].woken_for = Duration::ZERO;
         self.input(node, Input::Tick);
-        if let Some(through) = self.unreported_sync(node) {
-            self.input(node, Input::Persisted(through));
-        }
-    }
-
-    /// A sync that ended while the process was frozen.
-    fn unreported_sync(&self, node: usize) -> Option<u64> {
-        let disk = self.nodes[node].disk.as_ref()?;
-        if self.nodes[node].is_syncing {
-            None
-        } else {
-            disk.last_waiting().map(|last| last - disk.waiting() as u64)
-        }
+        let through = self.nodes[node].last_synced;
+        self.input(node, Input::Persisted(through));
     }
 
     /// Ends every fault and starts every machine.
@@ -468,6 +461,7 @@
         is_disk_stalled: false,
         is_syncing: false,
         sync_started: Duration::ZERO,
+        last_synced: 0,
         woken_for: Duration::ZERO,
         identity: 0,
         backlog: Vec::new(),
