Data plane: the whole path of a request, thin

A request is read whole, gets a task, is sent as admission says over pooled hyper connections, and its answer is judged and passed on; streams event by event, kept turns and budgets through the storage client.

--- /dev/null
+++ b/crates/woadreach-proxy/src/replica_connection.rs
@@ -0,0 +1,141 @@
+//! One connection to a replica.
+
+use crate::deadline::within;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// How long a connection may take to come up; a machine that is gone says nothing.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Sent bytes that stay unacknowledged for so long end the connection.
+const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Silence after which the peer's machine is probed, and the pause between probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+/// Bytes of an answer's head and of one read, at most.
+const READ_BUFFER: usize = 64 * 1024;
+
+/// Why no connection came up.
+#[derive(Debug, Snafu)]
+pub enum ConnectError {
+    /// The replica's machine did not answer in time.
+    #[snafu(display("no connection to {address} in time"))]
+    TimedOut {
+        /// Of the replica.
+        address: SocketAddr,
+    },
+    /// The connection was refused or reset, or its options could not be set.
+    #[snafu(display("no connection to {address}"))]
+    Refused {
+        /// Of the replica.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// No HTTP connection could be begun on it.
+    #[snafu(display("no HTTP connection to {address}"))]
+    Handshake {
+        /// Of the replica.
+        address: SocketAddr,
+        /// What went wrong.
+        source: hyper::Error,
+    },
+}
+
+/// What became of a request that was given to a connection.
+pub enum SendFailure {
+    /// No byte of it left; the request is given back.
+    NotSent(Box<Request<Full<Bytes>>>),
+    /// It may have left, and no answer came.
+    Broken,
+}
+
+/// A connection that serves one request at a time. It is closed when it is dropped, which stops the replica's work.
+pub struct ReplicaConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    idle_since: Instant,
+    expires: Option<Instant>,
+    requests: u64,
+}
+
+impl ReplicaConnection {
+    /// Connects.
+    pub async fn open(address: SocketAddr) -> Result<Self, ConnectError> {
+        let connected = within(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream =
+            connected.ok_or(ConnectError::TimedOut { address })?.context(RefusedSnafu { address })?;
+        set_options(&stream).context(RefusedSnafu { address })?;
+        let handshake =
+            Builder::new().max_buf_size(READ_BUFFER).writev(false).handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.context(HandshakeSnafu { address })?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::trace!(%address, %error, "connection to a replica ended");
+            }
+        });
+        let driver = driver.abort_handle();
+        Ok(ReplicaConnection { sender, driver, idle_since: Instant::now(), expires: None, requests: 0 })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, SendFailure> {
+        if self.sender.ready().await.is_err() {
+            return Err(SendFailure::NotSent(Box::new(request)));
+        }
+        self.requests += 1;
+        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+            Some(request) => SendFailure::NotSent(Box::new(request)),
+            None => SendFailure::Broken,
+        })
+    }
+
+    /// Whether it has carried no request yet.
+    pub fn is_new(&self) -> bool {
+        self.requests == 0
+    }
+
+    /// Whether another request may be given to it.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed() && self.expires.is_none_or(|expires| now < expires)
+    }
+
+    /// Since when no request has been on it.
+    pub fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
+    /// Notes that its request has ended well; `keep_alive` is how long the replica keeps an idle connection.
+    pub fn set_idle(&mut self, now: Instant, keep_alive: Option<Duration>) {
+        self.idle_since = now;
+        self.expires = keep_alive.map(|time| now + time);
+    }
+}
+
+impl Drop for ReplicaConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive =
+        TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL).with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -0,0 +1,415 @@
+//! The life of one request, from the end of its reading to its answer.
+//!
+//! The task carries out what the decisions say, reports what came of it, and passes the answer on. Every change of
+//! state goes through [`RequestProgress`]; see there for the table.
+
+use crate::answer_body::AnswerBody;
+use crate::attempt::{AttemptReport, AttemptResult, OpenStream, OutgoingRequest, ReplicaAnswer};
+use crate::attempt::{SendOrder, attempt, connection_share, duration};
+use crate::client_request::ClientRequest;
+use crate::client_side::{ClientSide, passed_on};
+use crate::dispatcher::Command;
+use crate::event_stream::EventReader;
+use crate::own_answer::{plain, refusal};
+use crate::proxy::Proxy;
+use crate::replica_answer::is_promise;
+use crate::request_state::{RequestEnd, RequestProgress, RequestState};
+use crate::turn_store::{PreparedTurn, TurnError};
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, Sleep, sleep_until};
+use woadreach_admission::{CallId, FailReason, Outcome};
+
+/// Advice to a client whose request could not be tried, in seconds.
+const RETRY_SOON: f64 = 0.2;
+
+/// A stream that is being passed on.
+struct ActiveStream {
+    attempt: u32,
+    open: Box<OpenStream>,
+    reader: EventReader,
+}
+
+/// What the task waits for.
+enum TaskEvent {
+    Command(Command),
+    Attempt(Box<AttemptReport>),
+    StreamData(Bytes),
+    StreamEnded,
+    StreamBroke,
+    ClientLeft,
+    DeadlineReached,
+}
+
+/// The life of one request.
+pub struct RequestTask {
+    proxy: Arc<Proxy>,
+    client: ClientRequest,
+    id: CallId,
+    commands: UnboundedReceiver<Command>,
+    side: ClientSide,
+    progress: RequestProgress,
+    outgoing: Option<Arc<OutgoingRequest>>,
+    attempts: JoinSet<AttemptReport>,
+    running: Vec<(u32, AbortHandle)>,
+    stream: Option<ActiveStream>,
+    /// Head that the client's answer has, once a stream has begun.
+    stream_head: Option<Parts>,
+    last_event_id: Option<u64>,
+    turn: PreparedTurn,
+    last_failure: Option<ReplicaAnswer>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl RequestTask {
+    /// A task for a request that has been read whole. Its answer's head goes to `head`.
+    pub fn new(
+        proxy: Arc<Proxy>,
+        client: ClientRequest,
+        head: oneshot::Sender<Response<AnswerBody>>,
+    ) -> Self {
+        let (id, commands) = proxy.dispatcher.register();
+        let progress = RequestProgress::new(client.is_repeatable());
+        let deadline = Box::pin(sleep_until(client.give_up));
+        let turn = PreparedTurn::new(&client);
+        let last_event_id = client.facts.last_event_id;
+        RequestTask {
+            proxy,
+            client,
+            id,
+            commands,
+            side: ClientSide::Unanswered(head),
+            progress,
+            outgoing: None,
+            attempts: JoinSet::new(),
+            running: Vec::new(),
+            stream: None,
+            stream_head: None,
+            last_event_id,
+            turn,
+            last_failure: None,
+            deadline,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub async fn run(mut self) {
+        let end = self.drive().await;
+        self.proxy.dispatcher.cancelled(self.id);
+        self.proxy.dispatcher.forget(self.id);
+        self.turn.close(&self.proxy.turns);
+        self.proxy.counters.count(end);
+        tracing::debug!(
+            request = %self.client.facts.request_id,
+            route = %self.client.route.name,
+            ?end,
+            events = self.turn.ledger.events(),
+            elapsed_ms = self.client.arrived.elapsed().as_millis() as u64,
+            "request ended"
+        );
+    }
+
+    async fn drive(&mut self) -> RequestEnd {
+        if let Some(end) = self.prepare().await {
+            return end;
+        }
+        self.change(RequestProgress::admitted);
+        let clock = self.proxy.clock;
+        self.proxy.dispatcher.arrive(self.client.call(self.id, |instant| clock.seconds_at(instant)));
+        loop {
+            let event = self.next_event().await;
+            if let Some(end) = self.handle(event).await {
+                return end;
+            }
+        }
+    }
+
+    /// Looks up the chain and reserves the budget; an end if the request stops here.
+    async fn prepare(&mut self) -> Option<RequestEnd> {
+        let RequestTask { proxy, client, side, turn, deadline, .. } = self;
+        let prepared = tokio::select! {
+            prepared = turn.prepare(&proxy.turns, client) => prepared,
+            () = side.closed() => return Some(self.end_without_client()),
+            () = deadline => Err(TurnError::Unavailable),
+        };
+        match prepared {
+            Ok(body) => {
+                self.outgoing = Some(Arc::new(self.client.outgoing(body)));
+                None
+            }
+            Err(TurnError::BudgetSpent) => {
+                let answer = plain(StatusCode::PAYMENT_REQUIRED, "the program's budget is spent");
+                Some(self.end_with(RequestEnd::BudgetSpent, answer))
+            }
+            Err(TurnError::UnknownTurn) => {
+                let answer = plain(StatusCode::NOT_FOUND, "Previous names no turn");
+                Some(self.end_with(RequestEnd::UnknownTurn, answer))
+            }
+            Err(TurnError::Unavailable) => Some(self.refuse(RETRY_SOON)),
+        }
+    }
+
+    async fn next_event(&mut self) -> TaskEvent {
+        let RequestTask { commands, attempts, stream, side, deadline, .. } = self;
+        loop {
+            let frame = async {
+                match stream.as_mut() {
+                    Some(active) => active.open.body.frame().await,
+                    None => std::future::pending().await,
+                }
+            };
+            return tokio::select! {
+                Some(command) = commands.recv() => TaskEvent::Command(command),
+                Some(joined) = attempts.join_next(), if !attempts.is_empty() => match joined {
+                    Ok(report) => TaskEvent::Attempt(Box::new(report)),
+                    Err(_aborted) => continue,
+                },
+                frame = frame => match frame {
+                    None => TaskEvent::StreamEnded,
+                    Some(Err(_)) => TaskEvent::StreamBroke,
+                    Some(Ok(frame)) => match frame.into_data() {
+                        Ok(data) => TaskEvent::StreamData(data),
+                        Err(_trailers) => continue,
+                    },
+                },
+                () = side.closed() => TaskEvent::ClientLeft,
+                () = deadline.as_mut() => TaskEvent::DeadlineReached,
+            };
+        }
+    }
+
+    async fn handle(&mut self, event: TaskEvent) -> Option<RequestEnd> {
+        match event {
+            TaskEvent::Command(command) => self.obey(command),
+            TaskEvent::Attempt(report) => self.take_report(*report),
+            TaskEvent::StreamData(data) => self.take_data(data).await,
+            TaskEvent::StreamEnded => self.finish_stream().await,
+            TaskEvent::StreamBroke => {
+                self.drop_broken_stream();
+                None
+            }
+            TaskEvent::ClientLeft => Some(self.end_without_client()),
+            TaskEvent::DeadlineReached => Some(self.fail(FailReason::TimedOut)),
+        }
+    }
+
+    fn obey(&mut self, command: Command) -> Option<RequestEnd> {
+        match command {
+            Command::Send { attempt, replica, timeout, priority } => {
+                self.send(attempt, replica, timeout, priority);
+                None
+            }
+            Command::Refuse { retry_after } => Some(self.refuse(retry_after)),
+            Command::Fail { reason } => Some(self.fail(reason)),
+            Command::Abort { attempt } => {
+                self.abort(attempt);
+                None
+            }
+        }
+    }
+
+    fn send(&mut self, number: u32, replica: Arc<str>, timeout: f64, priority: Option<u8>) {
+        let knowledge = self.proxy.knowledge();
+        let record = knowledge.replicas.get(&*replica);
+        let (Some(record), Some(outgoing)) = (record, self.outgoing.clone()) else {
+            self.proxy.dispatcher.outcome(self.id, number, Outcome::NeverSent, None);
+            return;
+        };
+        if let Err(error) = self.progress.sent() {
+            tracing::error!(%error, "a request may not be sent again");
+            self.proxy.dispatcher.outcome(self.id, number, Outcome::NeverSent, None);
+            return;
+        }
+        let max_conns = knowledge.max_conns(&record.service);
+        let order = SendOrder {
+            attempt: number,
+            replica,
+            address: record.address,
+            most_connections: connection_share(max_conns, self.proxy.edges()),
+            deadline: (Instant::now() + duration(timeout)).min(self.client.give_up),
+            priority,
+            resume_after: self.last_event_id,
+        };
+        let handle = self.attempts.spawn(attempt(self.proxy.pool.clone(), outgoing, order));
+        self.running.push((number, handle));
+    }
+
+    fn abort(&mut self, number: u32) {
+        let Some(index) = self.running.iter().position(|(running, _)| *running == number) else { return };
+        let (_, handle) = self.running.swap_remove(index);
+        handle.abort();
+        self.change(|progress| progress.attempt_ended(false));
+    }
+
+    fn take_report(&mut self, report: AttemptReport) -> Option<RequestEnd> {
+        let AttemptReport { attempt, result, load } = report;
+        let index = self.running.iter().position(|(running, _)| *running == attempt)?;
+        self.running.swap_remove(index);
+        match result {
+            AttemptResult::Answered(answer) => {
+                self.change(|progress| progress.attempt_ended(false));
+                self.proxy.dispatcher.first_event(self.id, attempt, load);
+                self.proxy.dispatcher.outcome(self.id, attempt, Outcome::Answered, load);
+                Some(self.pass_on(answer, RequestEnd::Answered))
+            }
+            AttemptResult::Streaming(open) => {
+                self.change(RequestProgress::stream_began);
+                self.proxy.dispatcher.first_event(self.id, attempt, load);
+                self.stream_head.get_or_insert_with(|| open.head.clone());
+                self.stream = Some(ActiveStream { attempt, open, reader: EventReader::default() });
+                None
+            }
+            AttemptResult::Failed { outcome, answer } => {
+                self.change(|progress| progress.attempt_ended(outcome.has_not_run()));
+                self.last_failure = answer.or(self.last_failure.take());
+                self.proxy.dispatcher.outcome(self.id, attempt, outcome, load);
+                None
+            }
+        }
+    }
+
+    async fn take_data(&mut self, data: Bytes) -> Option<RequestEnd> {
+        let active = self.stream.as_mut()?;
+        let Ok(mut batch) = active.reader.push(data) else {
+            self.drop_broken_stream();
+            return None;
+        };
+        if let Some(last_id) = self.last_event_id {
+            batch.skip_through(last_id);
+        }
+        self.last_event_id =
+            batch.events.iter().filter_map(|event| event.id).next_back().or(self.last_event_id);
+        if batch.bytes.is_empty() {
+            return None;
+        }
+        let head = self.stream_head.as_ref()?;
+        let passed = tokio::select! {
+            passed = self.side.stream(head, batch.bytes) => passed.is_ok(),
+            () = self.deadline.as_mut() => return Some(self.fail(FailReason::TimedOut)),
+        };
+        if !passed {
+            return Some(self.end_without_client());
+        }
+        self.turn.take_events(batch.events);
+        None
+    }
+
+    async fn finish_stream(&mut self) -> Option<RequestEnd> {
+        let active = self.stream.take()?;
+        let attempt = active.attempt;
+        let rest = active.reader.into_rest();
+        active.open.release();
+        self.change(|progress| progress.attempt_ended(false));
+        self.proxy.dispatcher.outcome(self.id, attempt, Outcome::Answered, None);
+        let head = self.stream_head.clone()?;
+        if self.side.stream(&head, rest).await.is_err() {
+            return Some(self.end_without_client());
+        }
+        self.change(RequestProgress::committing);
+        let committed = tokio::select! {
+            committed = self.turn.commit(&self.proxy.turns, &self.client) => committed,
+            () = self.deadline.as_mut() => Err(TurnError::Unavailable),
+        };
+        if committed.is_err() {
+            self.side.cut();
+            return Some(self.end(RequestEnd::Aborted));
+        }
+        self.side.finish().await;
+        Some(self.end(RequestEnd::Answered))
+    }
+
+    fn drop_broken_stream(&mut self) {
+        let Some(active) = self.stream.take() else { return };
+        self.change(|progress| progress.attempt_ended(false));
+        let outcome = Outcome::Broken { sent: true, events: self.turn.ledger.events() };
+        self.proxy.dispatcher.outcome(self.id, active.attempt, outcome, None);
+    }
+
+    fn pass_on(&mut self, answer: ReplicaAnswer, end: RequestEnd) -> RequestEnd {
+        if !self.side.is_unanswered() {
+            self.side.cut();
+            return self.end(RequestEnd::Aborted);
+        }
+        self.side.answer(passed_on(&answer.head, AnswerBody::Whole(Some(answer.body))));
+        self.end(end)
+    }
+
+    fn refuse(&mut self, retry_after: f64) -> RequestEnd {
+        self.end_with(RequestEnd::Refused, refusal(retry_after))
+    }
+
+    fn fail(&mut self, reason: FailReason) -> RequestEnd {
+        if !self.side.is_unanswered() {
+            self.side.cut();
+            return self.end(RequestEnd::Aborted);
+        }
+        if reason == FailReason::ReplicaError
+            && let Some(answer) = self
+                .last_failure
+                .take_if(|answer| self.client.is_repeatable() || !is_promise(answer.head.status))
+        {
+            return self.pass_on(answer, RequestEnd::ReplicaFailure);
+        }
+        let end = match reason {
+            FailReason::TimedOut => RequestEnd::TimedOut,
+            FailReason::MayHaveRun | FailReason::ReplicaError => RequestEnd::MayHaveRun,
+        };
+        let answer = match reason {
+            FailReason::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+            _ => plain(StatusCode::BAD_GATEWAY, "no whole answer of a replica"),
+        };
+        self.end_with(end, answer)
+    }
+
+    fn end_without_client(&mut self) -> RequestEnd {
+        self.side.cut();
+        self.end(RequestEnd::ClientGone)
+    }
+
+    /// Ends with an answer of our own, or with the one that the request's state permits instead.
+    fn end_with(&mut self, wanted: RequestEnd, answer: Response<AnswerBody>) -> RequestEnd {
+        if !self.side.is_unanswered() {
+            self.side.cut();
+            return self.end(RequestEnd::Aborted);
+        }
+        let end = self.end(wanted);
+        let answer = match end {
+            permitted if permitted == wanted => answer,
+            RequestEnd::Refused => refusal(RETRY_SOON),
+            _ => plain(StatusCode::BAD_GATEWAY, "no whole answer of a replica"),
+        };
+        self.side.answer(answer);
+        end
+    }
+
+    fn end(&mut self, wanted: RequestEnd) -> RequestEnd {
+        match self.progress.end(wanted) {
+            Ok(end) => end,
+            Err(error) => {
+                tracing::error!(%error, "a request ended twice");
+                wanted
+            }
+        }
+    }
+
+    fn change(
+        &mut self,
+        change: impl FnOnce(&mut RequestProgress) -> Result<(), crate::request_state::StateError>,
+    ) {
+        if let Err(error) = change(&mut self.progress) {
+            tracing::error!(%error, request = %self.client.facts.request_id, "unexpected change of state");
+        }
+    }
+
+    /// Where the request is.
+    pub fn state(&self) -> RequestState {
+        self.progress.state()
+    }
+}
