Storage client: one pure write operation; silent machines get one probe at a time

A dead machine cost every write a task that tried for eight seconds. Writes it misses now wait in a bounded queue behind one prober, and are sent when it answers again. A pull ends with a sync behind everything that was in memory before.

--- a/crates/woadreach-storage/src/client/exchange.rs
+++ b/crates/woadreach-storage/src/client/exchange.rs
@@ -24,6 +24,11 @@
         EncodedRequest { bytes: Arc::new(encode(&request)) }
     }
 
+    /// Bytes of the request.
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     fn addressed_to(&self, disk: u64) -> Vec<u8> {
         let mut bytes = Vec::clone(&self.bytes);
         bytes[DISK_OFFSET..DISK_OFFSET + 8].copy_from_slice(&disk.to_le_bytes());
--- a/crates/woadreach-storage/src/client/mod.rs
+++ b/crates/woadreach-storage/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod chain;
 mod exchange;
+mod peers;
 mod write;
 
 use std::collections::HashMap;
@@ -16,12 +17,13 @@
 use tokio::sync::watch;
 use woadreach_rpc::Client;
 
-use crate::budget::Budget;
 use crate::cache::TurnCache;
-use crate::message::{Answer, Operation, Settlement};
+use crate::message::{Operation, Settlement};
 use crate::turn::{Turn, TurnKey, TurnRecord};
 use crate::view::StorageView;
 
+use self::peers::SilentPeers;
+
 /// Memory for turns that were seen.
 const CACHE_BYTES: usize = 16 << 20;
 /// How long a reservation may take.
@@ -90,6 +92,7 @@
     cache: Mutex<TurnCache>,
     open: Mutex<HashMap<TurnKey, Vec<u64>>>,
     random: Mutex<Rand64>,
+    silent: Mutex<SilentPeers>,
 }
 
 impl StorageClient {
@@ -108,6 +111,7 @@
             cache: Mutex::new(TurnCache::new(CACHE_BYTES)),
             open: Mutex::default(),
             random: Mutex::new(Rand64::new(seed)),
+            silent: Mutex::default(),
         };
         StorageClient { shared: Arc::new(shared) }
     }
@@ -137,15 +141,14 @@
         let id = self.shared.random.lock().rand_u64();
         let operation =
             Operation::Reserve { program: request.program.clone(), reservation: id, most: request.most };
-        let written = self.write(&request.program, &operation, RESERVE_WITHIN).await;
-        let Ok(answers) = written else {
-            self.withdraw(request.program.clone(), id, SETTLE_WITHIN);
+        let Ok(write) = self.write(&request.program, operation, RESERVE_WITHIN).await else {
+            let withdrawal = settle_operation(request.program.clone(), id, 0);
+            self.write_in_background(request.program.clone(), withdrawal, SETTLE_WITHIN);
             return Err(ReserveError::Unavailable);
         };
-        let others = merged(answers).sum_of_others(id);
-        if others.saturating_add(request.most) > request.budget {
+        if !write.reservation_fits(id, request.most, request.budget) {
             let withdrawal = settle_operation(request.program.clone(), id, 0);
-            let _ = self.write(&request.program, &withdrawal, WITHDRAW_WITHIN).await;
+            let _ = self.write(&request.program, withdrawal, WITHDRAW_WITHIN).await;
             return Err(ReserveError::Spent);
         }
         let key = TurnKey { program: request.program.clone(), request_id: request.request_id.clone() };
@@ -157,7 +160,8 @@
     pub fn settle(&self, program: &str, request_id: &str, given: u64) {
         let key = TurnKey { program: program.to_owned(), request_id: request_id.to_owned() };
         if let Some(id) = self.take_reservation(&key) {
-            self.write_in_background(settle_operation(key.program, id, given), SETTLE_WITHIN);
+            let operation = settle_operation(key.program.clone(), id, given);
+            self.write_in_background(key.program, operation, SETTLE_WITHIN);
         }
     }
 
@@ -172,7 +176,7 @@
         let reservation = given.and_then(|tokens| Some((self.take_reservation(&turn.key())?, tokens)));
         let settlement = reservation.map(|(reservation, given)| Settlement { reservation, given });
         let operation = Operation::PutTurns { program: program.clone(), turns: records.clone(), settlement };
-        self.write(&program, &operation, PUT_WITHIN).await?;
+        self.write(&program, operation, PUT_WITHIN).await?;
         let now = self.now();
         let mut cache = self.shared.cache.lock();
         for stored in records.into_iter().filter_map(TurnRecord::into_turn) {
@@ -192,15 +196,14 @@
 
     /// Turns of another program that `turn` goes on from, to be stored in its own program's group.
     async fn adopted_ancestors(&self, turn: &Turn) -> Result<Vec<TurnRecord>, Unavailable> {
-        let Some(previous) = turn.previous.as_ref().filter(|key| key.program != turn.program) else {
+        let Some(previous) = &turn.previous else { return Ok(Vec::new()) };
+        let own = TurnKey { program: turn.program.clone(), request_id: previous.request_id.clone() };
+        if !self.shared.cache.lock().chain(&own).is_empty() {
             return Ok(Vec::new());
-        };
+        }
         let chain = self.read_chain(previous.clone()).await.map_err(|_| Unavailable)?;
-        Ok(chain.iter().map(|ancestor| ancestor.to_record(&turn.program)).collect())
-    }
-
-    fn withdraw(&self, program: String, id: u64, within: Duration) {
-        self.write_in_background(settle_operation(program, id, 0), within);
+        let others = chain.iter().filter(|ancestor| ancestor.program != turn.program);
+        Ok(others.map(|ancestor| ancestor.to_record(&turn.program)).collect())
     }
 
     fn take_reservation(&self, key: &TurnKey) -> Option<u64> {
@@ -222,18 +225,6 @@
     Operation::Settle { program, settlement: Settlement { reservation, given } }
 }
 
-fn merged(answers: Vec<Answer>) -> Budget {
-    let mut budget = Budget::default();
-    for answer in answers {
-        if let Answer::Reserved { reservations } = answer {
-            for reservation in reservations {
-                budget.join(reservation);
-            }
-        }
-    }
-    budget
-}
-
 /// A number that no other process draws, from the standard library's source of randomness and `salt`.
 #[must_use]
 pub fn random_number(salt: &str) -> u64 {
--- /dev/null
+++ b/crates/woadreach-storage/src/client/peers.rs
@@ -0,0 +1,163 @@
+//! Writes under way to each storage machine.
+//!
+//! A machine that fails to answer gets one request at a time until it answers again; what it misses meanwhile
+//! waits in a bounded queue, so that a slow or dead machine costs little and a returning one catches up.
+//!
+//! ```text
+//! answering -> silent     a try fails; the write is queued and a prober starts
+//! silent    -> answering  the prober's try succeeds; what is queued is sent
+//! silent    -> answering  the queue has run out of age
+//! ```
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{Instant, sleep};
+
+use super::StorageClient;
+use super::exchange::EncodedRequest;
+use crate::message::Answer;
+use crate::view::StorageMember;
+
+/// How long one try waits for a machine's answer: several slow syncs.
+const TRY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before the first new try at a silent machine; it doubles.
+const FIRST_BACKOFF: Duration = Duration::from_millis(60);
+/// Longest pause between tries.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(480);
+/// How long a write is kept for a silent machine.
+const KEPT_FOR: Duration = Duration::from_secs(10);
+/// Most bytes that are kept for a silent machine.
+const MOST_BYTES: usize = 2 << 20;
+
+/// Where the answers of a write go: epoch, disk and answer.
+pub(super) type Sender = UnboundedSender<(u64, u64, Answer)>;
+
+/// One write for one machine.
+pub(super) struct Delivery {
+    epoch: u64,
+    request: EncodedRequest,
+    answers: Sender,
+    since: Instant,
+}
+
+impl Delivery {
+    pub(super) fn new(epoch: u64, request: EncodedRequest, answers: Sender) -> Delivery {
+        Delivery { epoch, request, answers, since: Instant::now() }
+    }
+}
+
+/// Writes that a silent machine has missed.
+#[derive(Default)]
+struct Missed {
+    queue: VecDeque<Delivery>,
+    bytes: usize,
+}
+
+impl Missed {
+    fn push(&mut self, delivery: Delivery) {
+        self.bytes += delivery.request.len();
+        self.queue.push_back(delivery);
+        while self.bytes > MOST_BYTES {
+            self.pop();
+        }
+    }
+
+    fn pop(&mut self) -> Option<Delivery> {
+        let delivery = self.queue.pop_front()?;
+        self.bytes -= delivery.request.len();
+        Some(delivery)
+    }
+
+    fn drop_old(&mut self) {
+        while self.queue.front().is_some_and(|delivery| delivery.since.elapsed() > KEPT_FOR) {
+            self.pop();
+        }
+    }
+}
+
+/// Machines that do not answer at present, by disk.
+#[derive(Default)]
+pub(super) struct SilentPeers {
+    missed: HashMap<u64, Missed>,
+}
+
+/// Outcome of one try.
+enum Try {
+    /// The machine has answered for good: stored, or refused in a way that no new try changes.
+    Done,
+    Again(Delivery),
+}
+
+impl StorageClient {
+    /// Brings a write to one machine, in the background.
+    pub(super) fn deliver(&self, member: &StorageMember, delivery: Delivery) {
+        let mut silent = self.shared.silent.lock();
+        if let Some(missed) = silent.missed.get_mut(&member.disk) {
+            missed.push(delivery);
+            return;
+        }
+        drop(silent);
+        let (client, member) = (self.clone(), member.clone());
+        tokio::spawn(async move {
+            if let Try::Again(delivery) = client.try_once(&member, delivery).await {
+                client.keep_for_later(member, delivery);
+            }
+        });
+    }
+
+    async fn try_once(&self, member: &StorageMember, delivery: Delivery) -> Try {
+        match self.exchange(member, &delivery.request, TRY_TIMEOUT).await {
+            Ok(Answer::Failed | Answer::Behind) | Err(_) => Try::Again(delivery),
+            Ok(answer) => {
+                let _ = delivery.answers.send((delivery.epoch, member.disk, answer));
+                Try::Done
+            }
+        }
+    }
+
+    fn keep_for_later(&self, member: StorageMember, delivery: Delivery) {
+        let mut silent = self.shared.silent.lock();
+        let probed = silent.missed.contains_key(&member.disk);
+        silent.missed.entry(member.disk).or_default().push(delivery);
+        if !probed {
+            let client = self.clone();
+            tokio::spawn(async move { client.probe(member).await });
+        }
+    }
+
+    /// Tries the oldest write that a silent machine has missed until one succeeds, then sends the rest.
+    async fn probe(&self, member: StorageMember) {
+        let mut backoff = FIRST_BACKOFF;
+        while let Some(delivery) = self.oldest_missed(member.disk) {
+            match self.try_once(&member, delivery).await {
+                Try::Done => backoff = FIRST_BACKOFF,
+                Try::Again(delivery) => {
+                    self.put_back(member.disk, delivery);
+                    sleep(backoff).await;
+                    backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                }
+            }
+        }
+    }
+
+    /// The oldest missed write; without one the machine counts as answering again.
+    fn oldest_missed(&self, disk: u64) -> Option<Delivery> {
+        let mut silent = self.shared.silent.lock();
+        let missed = silent.missed.get_mut(&disk)?;
+        missed.drop_old();
+        let delivery = missed.pop();
+        if delivery.is_none() {
+            silent.missed.remove(&disk);
+        }
+        delivery
+    }
+
+    fn put_back(&self, disk: u64, delivery: Delivery) {
+        let mut silent = self.shared.silent.lock();
+        let missed = silent.missed.entry(disk).or_default();
+        missed.bytes += delivery.request.len();
+        missed.queue.push_front(delivery);
+    }
+}
--- a/crates/woadreach-storage/src/lib.rs
+++ b/crates/woadreach-storage/src/lib.rs
@@ -6,7 +6,7 @@
 //! epoch demands quorums of the present and of the next group until every next member has pulled its part.
 //!
 //! Pure parts, without I/O or clock: [`placement`], [`view`], [`budget`], [`store`], [`member`] (one storage
-//! machine), [`quorum`] (one operation of a client), [`pull`] (copying from other members). Drivers: [`client`]
+//! machine), [`operation`] (one write of a client), [`pull`] (copying from other members). Drivers: [`client`]
 //! for proxies, [`server`] for storage machines, [`announce`] for both ends of the membership.
 
 #![warn(missing_docs)]
@@ -17,6 +17,7 @@
 pub mod client;
 pub mod member;
 pub mod message;
+pub mod operation;
 pub mod placement;
 pub mod pull;
 pub mod quorum;
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -35,6 +35,13 @@
         /// What the answer depends on.
         pending: Pending,
     },
+    /// Replace the journal's snapshot; the receipt gives the answer.
+    Compact {
+        /// Snapshot of everything that is known here.
+        snapshot: Vec<u8>,
+        /// What the answer depends on.
+        pending: Pending,
+    },
 }
 
 /// An answer that waits for a sync.
@@ -46,6 +53,8 @@
     Stored,
     /// Epoch that is sealed by the sync.
     Sealed(u64),
+    /// Joint epoch for which the pull is whole once this is synced.
+    Pulled(u64),
 }
 
 /// State of one storage machine.
@@ -58,6 +67,8 @@
     /// Epoch whose predecessors are refused even after a restart.
     sealed_epoch: u64,
     pulled_epoch: u64,
+    /// The disk has refused records that are in memory.
+    has_unsynced: bool,
     store: Store,
 }
 
@@ -72,6 +83,7 @@
             view: StorageView::default(),
             sealed_epoch: 0,
             pulled_epoch: 0,
+            has_unsynced: false,
             store: Store::default(),
         };
         (member, encode(&Record::Identity { disk }))
@@ -148,9 +160,15 @@
         self.pulled_epoch
     }
 
-    /// Everything that was to be pulled for `epoch` is synced here.
-    pub fn pulled(&mut self, epoch: u64) {
-        self.pulled_epoch = self.pulled_epoch.max(epoch);
+    /// Everything that was to be pulled for `epoch` is in memory here. What was in memory before may still be
+    /// on its way to the disk, so a last sync goes behind it.
+    pub fn finish_pull(&mut self, now: Duration, epoch: u64) -> Step {
+        let pending = Pending::Pulled(epoch);
+        if self.has_unsynced {
+            self.has_unsynced = false;
+            return Step::Compact { snapshot: self.snapshot(now), pending };
+        }
+        Step::Persist { record: encode(&Record::View(self.view.clone())), pending }
     }
 
     /// Turns and budgets.
@@ -205,12 +223,17 @@
                 self.sealed_epoch = self.sealed_epoch.max(epoch);
                 self.response(Answer::Stored)
             }
+            Pending::Pulled(epoch) => {
+                self.pulled_epoch = self.pulled_epoch.max(epoch);
+                self.response(Answer::Stored)
+            }
         }
     }
 
     /// Answer to a request whose record the disk did not take.
     #[must_use]
-    pub fn failed(&self) -> Response {
+    pub fn failed(&mut self) -> Response {
+        self.has_unsynced = true;
         self.response(Answer::Failed)
     }
 
--- /dev/null
+++ b/crates/woadreach-storage/src/operation.rs
@@ -0,0 +1,90 @@
+//! One write of a client to the quorums of a program's groups, and what a reservation's answers decide.
+
+use crate::budget::Budget;
+use crate::message::{Answer, Operation};
+use crate::quorum::{Need, Quorum};
+use crate::view::{StorageMember, StorageView};
+
+/// State of a write.
+///
+/// | state | answer | next |
+/// | --- | --- | --- |
+/// | waiting | of the present epoch, quorum not reached | waiting |
+/// | waiting | of the present epoch, quorum reached | durable |
+/// | waiting | newer view | waiting, from the start under that view |
+/// | durable | any | durable |
+#[derive(Debug)]
+pub struct Write {
+    program: String,
+    operation: Operation,
+    tolerated: usize,
+    epoch: u64,
+    quorum: Quorum,
+    answers: Vec<Answer>,
+}
+
+impl Write {
+    /// A write under `view` that nobody has answered.
+    #[must_use]
+    pub fn new(view: &StorageView, program: String, operation: Operation, tolerated: usize) -> Write {
+        let quorum = Quorum::new(view, &program, tolerated, Need::Write);
+        Write { program, operation, tolerated, epoch: view.epoch, quorum, answers: Vec::new() }
+    }
+
+    /// Starts again under a newer view: answers under an older one do not count.
+    pub fn restart(&mut self, view: &StorageView) {
+        if view.epoch > self.epoch {
+            self.epoch = view.epoch;
+            self.quorum = Quorum::new(view, &self.program, self.tolerated, Need::Write);
+            self.answers.clear();
+        }
+    }
+
+    /// Epoch under which it is sent.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// What is sent.
+    #[must_use]
+    pub fn operation(&self) -> &Operation {
+        &self.operation
+    }
+
+    /// To whom it is sent.
+    #[must_use]
+    pub fn members(&self) -> &[StorageMember] {
+        self.quorum.members()
+    }
+
+    /// Counts the answer of one machine to the request that was sent under `epoch`.
+    pub fn answered(&mut self, epoch: u64, disk: u64, answer: Answer) {
+        let stored = matches!(answer, Answer::Stored | Answer::Reserved { .. });
+        if epoch == self.epoch && stored && !self.is_durable() {
+            self.quorum.answered(disk);
+            self.answers.push(answer);
+        }
+    }
+
+    /// Whether a quorum of each group has it on disk.
+    #[must_use]
+    pub fn is_durable(&self) -> bool {
+        self.quorum.reached()
+    }
+
+    /// For a reservation that is durable: whether the turn fits into the budget. Of two that do not fit
+    /// together at least one sees the other, as their quorums meet.
+    #[must_use]
+    pub fn reservation_fits(&self, reservation: u64, most: u64, budget: u64) -> bool {
+        let mut known = Budget::default();
+        for answer in &self.answers {
+            if let Answer::Reserved { reservations } = answer {
+                for entry in reservations {
+                    known.join(*entry);
+                }
+            }
+        }
+        known.sum_of_others(reservation).saturating_add(most) <= budget
+    }
+}
--- a/crates/woadreach-storage/src/server.rs
+++ b/crates/woadreach-storage/src/server.rs
@@ -11,12 +11,12 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
-use woadreach_journal::{Journal, JournalError, JournalOptions};
+use woadreach_journal::{Journal, JournalError, JournalOptions, Synced};
 use woadreach_rpc::{Client, Router, ServiceId};
 
 use crate::announce::Announcement;
 use crate::client::random_number;
-use crate::member::{Member, Step};
+use crate::member::{Member, Pending, Step};
 use crate::message::{Answer, Fence, Operation, Request, Response, decode, encode};
 use crate::pull::{Pages, Pull};
 use crate::view::{StorageMember, StorageView};
@@ -165,25 +165,33 @@
     async fn finish(&self, step: Step) -> Response {
         match step {
             Step::Reply(response) => response,
+            // Appends are queued in the order of the steps, as one thread makes both without a pause between.
             Step::Persist { record, pending } => {
-                // The future is made under no lock but in the order of the steps: one thread runs them.
                 let synced = self.shared.journal.append(record).await;
-                let mut member = self.shared.member.lock();
-                let response = match &synced {
-                    Ok(receipt) => member.complete(pending, receipt),
-                    Err(error) => {
-                        tracing::warn!(%error, "a record was not stored");
-                        member.failed()
-                    }
-                };
-                let epoch = member.view().epoch;
-                drop(member);
-                self.shared.epoch.send_if_modified(|known| std::mem::replace(known, epoch) != epoch);
-                response
+                self.complete(pending, synced)
+            }
+            Step::Compact { snapshot, pending } => {
+                let synced = self.shared.journal.replace(snapshot).await;
+                self.complete(pending, synced)
             }
         }
     }
 
+    fn complete(&self, pending: Pending, synced: Result<Synced, JournalError>) -> Response {
+        let mut member = self.shared.member.lock();
+        let response = match &synced {
+            Ok(receipt) => member.complete(pending, receipt),
+            Err(error) => {
+                tracing::warn!(%error, "a record was not stored");
+                member.failed()
+            }
+        };
+        let epoch = member.view().epoch;
+        drop(member);
+        self.shared.epoch.send_if_modified(|known| std::mem::replace(known, epoch) != epoch);
+        response
+    }
+
     async fn pull_in_joint_epochs(&self) {
         let mut epochs = self.shared.epoch.subscribe();
         epochs.mark_changed();
@@ -218,7 +226,13 @@
             let Some(Ok(disk)) = sources.join_next().await else { return };
             progress.finished(disk);
         }
-        self.shared.member.lock().pulled(view.epoch);
+        loop {
+            let step = self.shared.member.lock().finish_pull(self.now(), view.epoch);
+            if self.finish(step).await.answer == Answer::Stored {
+                break;
+            }
+            sleep(PULL_RETRY).await;
+        }
         tracing::info!(epoch = view.epoch, "pulled what this machine should hold");
         self.shared.pulled.send_replace(view.epoch);
         // The rest of the sources are not needed, but may hold copies of what is endangered.
