Admission: nothing is sent when a call's time is over to the microsecond

Cause: a copy that fell due exactly at the end of a call's time had a time left of 0, which is not under an unloaded tail of 0, and left with a time-out of 0.

--- a/crates/woadreach-admission/src/decisions.rs
+++ b/crates/woadreach-admission/src/decisions.rs
@@ -176,7 +176,8 @@
         self.calls.get(&id).is_none_or(|call| {
             let k = self.programs.step_size(&call.call);
             let tail = self.routes.tail(now, call.route, Some(replica), k);
-            PartBudget::hopeless(call.call.give_up_at - now, tail)
+            let time_left = call.call.give_up_at - now;
+            has_come(now, call.call.give_up_at) || PartBudget::hopeless(time_left, tail)
         })
     }
 
--- a/crates/woadreach-admission/tests/repeats.rs
+++ b/crates/woadreach-admission/tests/repeats.rs
@@ -112,6 +112,19 @@
     assert_eq!(driver.end(1), Some(End::Answered));
 }
 
+#[test]
+fn no_copy_is_sent_when_the_time_is_over() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    for id in 1..=40 {
+        driver.arrive(call(driver.now, id));
+        driver.outcome(id, 0, Outcome::Answered); // at once: the unloaded tail is nothing
+    }
+    // A copy would be due after an eighth of the target, 0.03125 s: at the very end.
+    let give_up_at = driver.now + 0.03125;
+    driver.arrive(Call { give_up_at, ..call(driver.now, 41) });
+    assert!(driver.advance(1.0).is_empty());
+}
+
 #[test]
 fn late_calls_that_may_not_run_again_are_left_alone() {
     for kind in [UNSAFE, STREAM] {
