--- /dev/null
+++ b/crates/woadreach-proxy/tests/streams.rs
@@ -0,0 +1,154 @@
+//! Streams through a data plane on loopback: passed on at once, taken up elsewhere, or cut.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use support::replica::{Received, Replica, Step, chunk, stream_end, stream_head, success};
+use support::tier::Tier;
+use support::{Client, Seen, ask, on_one_thread};
+
+const EVENTS: [&str; 4] = [
+    "id: 1\ndata: one\n\n",
+    "versions: 3\nid: 2\ndata: two\n\n",
+    "id: 3\ndata: 3\n\n",
+    "id: 4\ndata: four\n\n",
+];
+
+fn post(path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\nToken-Usage: 5,12\r\n\
+         Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// The events behind the one that the request has.
+fn events_after(request: &Received) -> Vec<u8> {
+    let last: usize = request.header("last-event-id").map_or(0, |text| text.parse().expect("a number"));
+    EVENTS[last..].concat().into_bytes()
+}
+
+/// Two replicas; whichever is asked first breaks off after `length` bytes of its body, the other goes on from there.
+async fn cut_after(path: &str, length: usize) -> (Seen, Vec<Received>) {
+    assert!(length > 0, "a chunk without bytes is the end of a body");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let script = move |_: usize, request: &Received| {
+        let body = events_after(request);
+        if asked.fetch_add(1, Ordering::Relaxed) == 0 {
+            vec![stream_head(request), chunk(&body[..length.min(body.len())]), Step::Close]
+        } else {
+            vec![stream_head(request), chunk(&body), stream_end()]
+        }
+    };
+    let first = Replica::start(script.clone()).await;
+    let second = Replica::start(script).await;
+    let tier = Tier::start(&[("i-1", &first), ("i-2", &second)]).await;
+    let seen = ask(tier.front, &post(path)).await;
+    let mut received = first.received();
+    received.extend(second.received());
+    received.sort_by_key(|request| request.header("last-event-id").map(str::to_owned));
+    (seen, received)
+}
+
+#[test]
+fn a_resumable_stream_cut_at_any_byte_goes_on_elsewhere() {
+    let whole = EVENTS.concat();
+    for length in 1..whole.len() {
+        on_one_thread(async {
+            let (seen, received) = cut_after("/resumable/", length).await;
+            assert_eq!(
+                (seen.status(), seen.text(), seen.whole),
+                (200, whole.clone(), true),
+                "cut at {length}"
+            );
+            assert_eq!(seen.header("response-signature"), Some("stamp"));
+            assert_eq!(received.len(), 2, "cut at {length}");
+            let passed = (1..=EVENTS.len()).filter(|count| EVENTS[..*count].concat().len() <= length).count();
+            let expected = (passed > 0).then(|| passed.to_string());
+            assert_eq!(received[1].header("last-event-id"), expected.as_deref(), "cut at {length}");
+            assert_eq!(received[1].body, b"hi");
+        });
+    }
+}
+
+#[test]
+fn a_stream_that_may_not_be_repeated_is_cut_and_never_looks_whole() {
+    let whole = EVENTS.concat();
+    for length in 1..=whole.len() {
+        on_one_thread(async {
+            let (seen, received) = cut_after("/once/", length).await;
+            assert_eq!(received.len(), 1);
+            assert!(!seen.whole || seen.status() == 502, "cut at {length}");
+            let text = if seen.status() == 200 { seen.text() } else { String::new() };
+            let ends: Vec<usize> = (0..=EVENTS.len()).map(|count| EVENTS[..count].concat().len()).collect();
+            assert!(whole.starts_with(&text) && ends.contains(&text.len()), "cut at {length}: {text:?}");
+        });
+    }
+}
+
+#[test]
+fn events_are_passed_on_before_the_stream_ends() {
+    on_one_thread(async {
+        let replica =
+            Replica::start(|_, request| vec![stream_head(request), chunk(EVENTS[0].as_bytes()), Step::Hang])
+                .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(post("/once/").as_bytes()).await;
+        client.until("data: one\n\n").await;
+        drop(client);
+        replica.wait_for_closed(1).await;
+    });
+}
+
+#[test]
+fn the_clients_own_place_in_a_stream_is_respected() {
+    on_one_thread(async {
+        // This replica begins at the start whatever it is asked.
+        let replica = Replica::start(|_, request| {
+            vec![stream_head(request), chunk(EVENTS.concat().as_bytes()), stream_end()]
+        })
+        .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let request = post("/resumable/").replace("r1", "r1\r\nLast-Event-Id: 2");
+        let seen = ask(tier.front, &request).await;
+        assert_eq!((seen.text(), seen.whole), (EVENTS[2..].concat(), true));
+        assert_eq!(replica.received()[0].header("last-event-id"), Some("2"));
+    });
+}
+
+#[test]
+fn a_streams_deadline_cuts_it() {
+    on_one_thread(async {
+        let replica =
+            Replica::start(|_, request| vec![stream_head(request), chunk(EVENTS[0].as_bytes()), Step::Hang])
+                .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let seen = ask(tier.front, &post("/once/").replace("r1", "r1\r\nTimeout-Ms: 100")).await;
+        assert_eq!((seen.text().as_str(), seen.whole), (EVENTS[0], false));
+    });
+}
+
+#[test]
+fn a_whole_answer_on_a_streaming_route_is_a_stream_with_its_length_told_by_chunks() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, EVENTS[0])]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let seen = ask(tier.front, &post("/once/")).await;
+        assert_eq!((seen.status(), seen.text().as_str(), seen.whole), (200, EVENTS[0], true));
+    });
+}
+
+#[test]
+fn a_kept_turn_without_storage_never_looks_whole() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| {
+            vec![stream_head(request), chunk(EVENTS.concat().as_bytes()), stream_end()]
+        })
+        .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let request = post("/kept/").replace("r1", "r1\r\nProgram: p\r\nSession: s");
+        let seen = ask(tier.front, &request).await;
+        assert_eq!((seen.text(), seen.whole), (EVENTS.concat(), false));
+    });
+}
--- /dev/null
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -0,0 +1,200 @@
+//! A replica that answers as its script says and remembers what it was sent.
+
+use super::find;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// Request line and headers; header names in lower case.
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// One step of an answer.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Write these bytes.
+    Write(Vec<u8>),
+    /// End the connection.
+    Close,
+    /// Say nothing until the caller closes the connection.
+    Hang,
+}
+
+type Script = dyn Fn(usize, &Received) -> Vec<Step> + Send + Sync;
+
+/// A replica on loopback.
+#[derive(Clone)]
+pub struct Replica {
+    /// Where it listens.
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+    count: Arc<watch::Sender<usize>>,
+    closed: Arc<watch::Sender<usize>>,
+    connections: Arc<watch::Sender<usize>>,
+}
+
+impl Replica {
+    /// Starts a replica; `script` gets the number of the request (from 0) and the request.
+    pub async fn start(script: impl Fn(usize, &Received) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let replica = Replica {
+            address: listener.local_addr().expect("an address"),
+            received: Arc::default(),
+            count: Arc::new(watch::Sender::new(0)),
+            closed: Arc::new(watch::Sender::new(0)),
+            connections: Arc::new(watch::Sender::new(0)),
+        };
+        let serving = replica.clone();
+        let script: Arc<Script> = Arc::new(script);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.send_modify(|count| *count += 1);
+                let (serving, script) = (serving.clone(), script.clone());
+                tokio::spawn(async move {
+                    serving.serve(stream, &*script).await;
+                    serving.closed.send_modify(|count| *count += 1);
+                });
+            }
+        });
+        replica
+    }
+
+    /// The requests that came.
+    pub fn received(&self) -> Vec<Received> {
+        self.received.lock().clone()
+    }
+
+    /// Connections that were opened to it.
+    pub fn connections(&self) -> usize {
+        *self.connections.borrow()
+    }
+
+    /// Waits until so many requests have come.
+    pub async fn wait_for_requests(&self, wanted: usize) {
+        let mut count = self.count.subscribe();
+        super::wait_for("requests at a replica", count.wait_for(|count| *count >= wanted))
+            .await
+            .expect("open");
+    }
+
+    /// Waits until so many connections have ended.
+    pub async fn wait_for_closed(&self, wanted: usize) {
+        let mut closed = self.closed.subscribe();
+        super::wait_for("closed connections", closed.wait_for(|count| *count >= wanted)).await.expect("open");
+    }
+
+    async fn serve(&self, mut stream: TcpStream, script: &Script) {
+        let mut unread = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut unread).await {
+            let number = {
+                let mut received = self.received.lock();
+                received.push(request.clone());
+                received.len() - 1
+            };
+            self.count.send_modify(|count| *count += 1);
+            for step in script(number, &request) {
+                match step {
+                    Step::Write(bytes) => {
+                        if stream.write_all(&bytes).await.is_err() {
+                            return;
+                        }
+                    }
+                    Step::Close => return,
+                    Step::Hang => {
+                        let mut byte = [0];
+                        let _ = stream.read(&mut byte).await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, unread: &mut Vec<u8>) -> Option<Received> {
+    let mut buffer = [0; 4096];
+    loop {
+        if let Some(end) = find(unread, b"\r\n\r\n") {
+            let head = lower_names(&String::from_utf8_lossy(&unread[..end + 4]));
+            let request = Received { head, body: Vec::new() };
+            let length: usize =
+                request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            if unread.len() >= end + 4 + length {
+                let bytes: Vec<u8> = unread.drain(..end + 4 + length).collect();
+                return Some(Received { body: bytes[end + 4..].to_vec(), ..request });
+            }
+        }
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => unread.extend_from_slice(&buffer[..length]),
+        }
+    }
+}
+
+fn lower_names(head: &str) -> String {
+    let mut lines = head.split("\r\n").filter(|line| !line.is_empty());
+    let first = lines.next().unwrap_or_default().to_owned();
+    lines.fold(first, |text, line| {
+        let (name, value) = line.split_once(": ").unwrap_or((line, ""));
+        text + "\n" + &name.to_ascii_lowercase() + ": " + value
+    })
+}
+
+/// A head of an answer to `request`, with its id and these lines.
+pub fn head(request: &Received, status: &str, lines: &[&str]) -> Vec<u8> {
+    let id = request.header("request-id").unwrap_or("none");
+    let mut text = format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n");
+    for line in lines {
+        text.push_str(line);
+        text.push_str("\r\n");
+    }
+    (text + "\r\n").into_bytes()
+}
+
+/// A whole success.
+pub fn success(request: &Received, body: &str) -> Step {
+    let length = format!("Content-Length: {}", body.len());
+    let mut bytes = head(request, "200 OK", &["Response-Signature: stamp", &length]);
+    bytes.extend_from_slice(body.as_bytes());
+    Step::Write(bytes)
+}
+
+/// A promise that the request has not run.
+pub fn not_executed(request: &Received) -> Step {
+    Step::Write(head(request, "503 Service Unavailable", &["Not-Executed: 1", "Content-Length: 0"]))
+}
+
+/// The head of a stream.
+pub fn stream_head(request: &Received) -> Step {
+    let lines =
+        ["Response-Signature: stamp", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"];
+    Step::Write(head(request, "200 OK", &lines))
+}
+
+/// A chunk of a stream.
+pub fn chunk(bytes: &[u8]) -> Step {
+    let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
+    framed.extend_from_slice(bytes);
+    framed.extend_from_slice(b"\r\n");
+    Step::Write(framed)
+}
+
+/// The end of a stream.
+pub fn stream_end() -> Step {
+    Step::Write(b"0\r\n\r\n".to_vec())
+}
--- /dev/null
+++ b/crates/woadreach-proxy/tests/support/tier.rs
@@ -0,0 +1,91 @@
+//! A data plane in this process, told what it should know.
+
+use super::replica::Replica;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use woadreach_config::Configuration;
+use woadreach_discovery::{ControlSnapshot, ReplicaRecord, ReplicaState};
+use woadreach_proxy::front::Front;
+use woadreach_proxy::proxy::Proxy;
+use woadreach_rpc::{Client, ClientOptions};
+use woadreach_settings::ProcessLimits;
+use woadreach_storage::StorageClient;
+
+/// Routes: `/safe/`, `/unsafe/`, `/resumable/` and `/once/` (streams), `/kept/` at host `tier.example`.
+const CONFIGURATION: &str = r#"{"generation":7,"routes":[
+ {"name":"safe","domain":"tier.example","path_prefix":"/safe/","route_type":"safe","timeout_ms":5000,
+  "target_latency_ms":250,"priority":0,"service":"s","max_retries":3},
+ {"name":"unsafe","domain":"tier.example","path_prefix":"/unsafe/","route_type":"unsafe","timeout_ms":5000,
+  "target_latency_ms":250,"priority":0,"service":"s","max_retries":3},
+ {"name":"resumable","domain":"tier.example","path_prefix":"/resumable/","route_type":"streaming",
+  "timeout_ms":5000,"target_latency_ms":250,"priority":0,"service":"s","max_retries":3,"resumable":true},
+ {"name":"once","domain":"tier.example","path_prefix":"/once/","route_type":"streaming","timeout_ms":5000,
+  "target_latency_ms":250,"priority":0,"service":"s","max_retries":3,"resumable":false},
+ {"name":"kept","domain":"tier.example","path_prefix":"/kept/","route_type":"streaming","timeout_ms":5000,
+  "target_latency_ms":250,"priority":0,"service":"s","max_retries":3,"kept":true,"retention_s":60.0}],
+ "services":[{"name":"s","health_check":"/healthz","max_conns":60}],
+ "limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
+/// A data plane with its front.
+pub struct Tier {
+    /// Where clients connect.
+    pub front: SocketAddr,
+    /// Its parts.
+    pub proxy: Arc<Proxy>,
+    /// Its client connections.
+    pub connections: Arc<Front>,
+}
+
+impl Tier {
+    /// A data plane that knows the configuration and these replicas, by id.
+    pub async fn start(replicas: &[(&str, &Replica)]) -> Self {
+        let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 1);
+        let proxy = Arc::new(Proxy::new(1, "a", storage));
+        proxy.learn(&snapshot(replicas));
+        let limits = ProcessLimits {
+            cpu_share: 1.0,
+            cores: 1.0,
+            memory_mb: 256,
+            max_fds: 4096,
+            link_mbps: 1000.0,
+            disk_mb: 0,
+        };
+        let connections = Front::new(proxy.clone(), &limits);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let front = listener.local_addr().expect("an address");
+        tokio::spawn(connections.clone().accept(listener));
+        let timer = proxy.clone();
+        tokio::spawn(async move { timer.dispatcher.run_timer().await });
+        Tier { front, proxy, connections }
+    }
+}
+
+/// What the control plane would tell.
+pub fn snapshot(replicas: &[(&str, &Replica)]) -> ControlSnapshot {
+    let records: BTreeMap<String, ReplicaRecord> =
+        replicas.iter().map(|(id, replica)| ((*id).to_owned(), record(id, replica.address))).collect();
+    ControlSnapshot {
+        configuration: Some(Arc::new(Configuration::parse(CONFIGURATION.as_bytes()).expect("valid"))),
+        replicas: Arc::new(records),
+        warmed: true,
+        ..ControlSnapshot::default()
+    }
+}
+
+fn record(id: &str, address: SocketAddr) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address,
+        zone: "a".to_owned(),
+        generation: "v1".to_owned(),
+        capacity: 8,
+        state: ReplicaState::Ready,
+        cold_remaining_ms: 0,
+        stage: None,
+        models: Vec::new(),
+        sequence: 1,
+    }
+}
