--- a/crates/woadreach-discovery/src/sampling.rs
+++ b/crates/woadreach-discovery/src/sampling.rs
@@ -24,7 +24,7 @@
 /// Time between shuffles while the process knows too little or has lost the core.
 pub const SHUFFLE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time between shuffles otherwise.
-pub const CALM_SHUFFLE_INTERVAL: Duration = Duration::from_millis(5000);
+pub const CALM_SHUFFLE_INTERVAL: Duration = Duration::from_millis(2000);
 /// An entry that was issued longer ago is dropped.
 pub const MAX_AGE: Duration = Duration::from_secs(120);
 /// Longest name of a node in bytes.
