--- a/crates/woadreach-storage/src/client/peers.rs
+++ b/crates/woadreach-storage/src/client/peers.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use super::StorageClient;
@@ -31,6 +32,9 @@
 /// Most bytes that are kept for a silent machine.
 const MOST_BYTES: usize = 2 << 20;
 
+/// Missed writes that are sent side by side once a machine answers again.
+const BURST: usize = 64;
+
 /// Where the answers of a write go: epoch, disk and answer.
 pub(super) type Sender = UnboundedSender<(u64, u64, Answer)>;
 
@@ -130,28 +134,50 @@
     /// Tries the oldest write that a silent machine has missed until one succeeds, then sends the rest.
     async fn probe(&self, member: StorageMember) {
         let mut backoff = FIRST_BACKOFF;
-        while let Some(delivery) = self.oldest_missed(member.disk) {
-            match self.try_once(&member, delivery).await {
-                Try::Done => backoff = FIRST_BACKOFF,
-                Try::Again(delivery) => {
-                    self.put_back(member.disk, delivery);
-                    sleep(backoff).await;
-                    backoff = (backoff * 2).min(LONGEST_BACKOFF);
-                }
+        let mut at_once = 1;
+        loop {
+            let deliveries = self.oldest_missed(member.disk, at_once);
+            if deliveries.is_empty() {
+                return;
+            }
+            if self.try_all(&member, deliveries).await {
+                backoff = FIRST_BACKOFF;
+                at_once = BURST;
+            } else {
+                at_once = 1;
+                sleep(backoff).await;
+                backoff = (backoff * 2).min(LONGEST_BACKOFF);
+            }
+        }
+    }
+
+    /// Tries some missed writes side by side; whether all were answered.
+    async fn try_all(&self, member: &StorageMember, deliveries: Vec<Delivery>) -> bool {
+        let mut tries = JoinSet::new();
+        for delivery in deliveries {
+            let (client, member) = (self.clone(), member.clone());
+            tries.spawn(async move { client.try_once(&member, delivery).await });
+        }
+        let mut all_answered = true;
+        while let Some(outcome) = tries.join_next().await {
+            if let Ok(Try::Again(delivery)) = outcome {
+                self.put_back(member.disk, delivery);
+                all_answered = false;
             }
         }
+        all_answered
     }
 
-    /// The oldest missed write; without one the machine counts as answering again.
-    fn oldest_missed(&self, disk: u64) -> Option<Delivery> {
+    /// The oldest missed writes; without any the machine counts as answering again.
+    fn oldest_missed(&self, disk: u64, most: usize) -> Vec<Delivery> {
         let mut silent = self.shared.silent.lock();
-        let missed = silent.missed.get_mut(&disk)?;
+        let Some(missed) = silent.missed.get_mut(&disk) else { return Vec::new() };
         missed.drop_old();
-        let delivery = missed.pop();
-        if delivery.is_none() {
+        let deliveries: Vec<Delivery> = std::iter::from_fn(|| missed.pop()).take(most).collect();
+        if deliveries.is_empty() {
             silent.missed.remove(&disk);
         }
-        delivery
+        deliveries
     }
 
     fn put_back(&self, disk: u64, delivery: Delivery) {
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -239,7 +239,8 @@
 
     /// Takes a newer view: older ones are refused from now on, and pulls are served once it is synced.
     pub fn learn_view(&mut self, view: StorageView) -> Option<Step> {
-        if view.epoch <= self.view.epoch {
+        // A view that is known and not sealed is written again: the disk may have refused it.
+        if view.epoch < self.view.epoch || view.epoch <= self.sealed_epoch {
             return None;
         }
         let epoch = view.epoch;
--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -7,7 +7,6 @@
 //! joint epoch   -> next is current, once every machine of it has pulled its part
 //! ```
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::announce::{Announcements, Sighting};
@@ -86,33 +85,34 @@
         .filter(|member| !leaves(&member.node))
         .map(|member| announcements.sighting(&member.node).map_or_else(|| member.clone(), member_of))
         .collect();
-    let mut replacements = joining.len();
     wanted.extend(joining);
-    drop_silent(&mut wanted, now, announcements, tolerated, &mut replacements);
+    let silence = |member: &StorageMember| announcements.silent_for(now, &member.node);
+    drop_silent(&mut wanted, view, silence, tolerated);
     wanted
 }
 
-/// Drops silent machines, the longest silent first, while enough others stay.
+/// Drops silent machines, the longest silent first, where others have taken their place or enough stay. A
+/// machine that is silent while the membership changes anyway goes sooner, for it holds the change up.
 fn drop_silent(
     wanted: &mut Vec<StorageMember>,
-    now: Instant,
-    announcements: &Announcements,
+    view: &StorageView,
+    silence: impl Fn(&StorageMember) -> Duration,
     tolerated: usize,
-    replacements: &mut usize,
 ) {
-    let silence = |member: &StorageMember| announcements.silent_for(now, &member.node);
+    let leaving = view.current.iter().filter(|member| view.retiring.contains(&member.node)).count();
+    let places = view.current.len() - leaving;
+    let changing = !same_members(wanted, &view.current);
+    let patience = if changing { REPLACEABLE_AFTER } else { DROPPED_AFTER };
     let mut silent: Vec<(Duration, String)> =
         wanted.iter().map(|member| (silence(member), member.node.clone())).collect();
     silent.retain(|(silence, _)| *silence >= REPLACEABLE_AFTER);
     silent.sort();
-    let heard: BTreeSet<&str> = announcements.sightings().map(|seen| seen.member.node.as_str()).collect();
     let alive = wanted.len() - silent.len();
     for (silence, node) in silent.into_iter().rev() {
-        let replaced = *replacements > 0;
-        let spare = silence >= DROPPED_AFTER && alive > 2 * tolerated && !heard.is_empty();
+        let replaced = wanted.len() > places;
+        let spare = silence >= patience && alive > 2 * tolerated;
         if replaced || spare {
             wanted.retain(|member| member.node != node);
-            *replacements = replacements.saturating_sub(1);
         }
     }
 }
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/core.rs
@@ -0,0 +1,47 @@
+//! The core as storage sees it: hears announcements, plans, commits one view after the other.
+
+use std::time::{Duration, Instant};
+
+use woadreach_storage::StorageView;
+use woadreach_storage::announce::{Announcement, Announcements};
+use woadreach_storage::view::{plan, retire};
+
+use super::world::Plant;
+
+pub struct Core {
+    base: Instant,
+    pub committed: StorageView,
+    announcements: Announcements,
+    pub frozen: bool,
+}
+
+impl Core {
+    pub fn new(base: Instant) -> Core {
+        let announcements = Announcements::new(base);
+        Core { base, committed: StorageView::default(), announcements, frozen: false }
+    }
+
+    pub fn heard(&mut self, now: Duration, announcement: Announcement) {
+        self.announcements.heard(self.base + now, announcement);
+    }
+
+    /// The next view, if there is one.
+    pub fn plan(&mut self, now: Duration, tolerated: usize, plant: Plant) -> Option<StorageView> {
+        if plant == Plant::JointEpochEndsEarly
+            && let Some(next) = self.committed.next.clone()
+        {
+            let mut view = self.committed.clone();
+            view.epoch += 1;
+            view.current = next;
+            view.next = None;
+            view.retired.append(&mut view.retiring);
+            return Some(view);
+        }
+        plan(self.base + now, &self.committed, &self.announcements, tolerated)
+    }
+
+    /// Takes an order to empty a machine; whether it was taken.
+    pub fn retire(&mut self, node: &str, tolerated: usize) -> Option<StorageView> {
+        retire(&self.committed, node, tolerated).ok().filter(|view| *view != self.committed)
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -0,0 +1,223 @@
+//! Faults within the tolerated number, and planned changes of the machines.
+
+use std::time::Duration;
+
+use woadreach_journal::DiskFault;
+
+use super::world::{Event, World};
+
+/// After its return a machine still counts as lost for this long.
+const CATCH_UP: Duration = Duration::from_millis(4_100);
+
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// Draw one and the time of the next.
+    Draw,
+    Kill(usize),
+    PowerLoss(usize),
+    Wipe(usize),
+    Start(usize),
+    Thaw(usize),
+    Joined(usize),
+    HealDisk(usize),
+    AddMachine,
+    ThawCore,
+    StartAll,
+}
+
+impl World {
+    pub fn on_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Draw => self.draw_fault(),
+            Fault::Kill(index) => self.take_down(index, false, false),
+            Fault::PowerLoss(index) => self.take_down(index, true, false),
+            Fault::Wipe(index) => self.take_down(index, true, true),
+            Fault::Start(index) => self.start_machine(index),
+            Fault::Thaw(index) => self.thaw(index),
+            Fault::Joined(index) => {
+                self.machines[index].cut_in = false;
+                self.machines[index].cut_out = false;
+            }
+            Fault::HealDisk(index) => {
+                if self.machines[index].process.is_some() {
+                    self.machines[index].disk.set_fault(DiskFault::Healthy);
+                }
+                self.unstall(index);
+            }
+            Fault::AddMachine => {
+                self.add_machine();
+            }
+            Fault::ThawCore => self.core.frozen = false,
+            Fault::StartAll => {
+                for index in 0..self.machines.len() {
+                    self.start_machine(index);
+                }
+            }
+        }
+    }
+
+    fn draw_fault(&mut self) {
+        if self.now > self.end_of_faults {
+            return;
+        }
+        let next = self.millis(200, 3_000);
+        self.after(next, Event::Fault(Fault::Draw));
+        match self.random.rand_range(0..14) {
+            0 | 1 => self.lose_one(Fault::Kill),
+            2 | 3 => self.lose_one(Fault::PowerLoss),
+            4 | 5 => self.lose_one(Fault::Wipe),
+            6 => self.freeze(),
+            7 | 8 => self.cut(),
+            9 => self.disk_trouble(),
+            10 => self.replace(),
+            11 => self.add(),
+            12 => self.retire(),
+            _ => self.rare(),
+        }
+    }
+
+    /// The machine that counts as lost from now on, if one more may be.
+    fn choose_loss(&mut self) -> Option<(usize, usize)> {
+        let chosen = self.draw_loss();
+        self.trace(|| format!("chosen for a loss: {chosen:?}"));
+        chosen
+    }
+
+    fn draw_loss(&mut self) -> Option<(usize, usize)> {
+        let slot = self.losses.iter().position(|until| *until <= self.now)?;
+        let up: Vec<usize> = (0..self.machines.len()).filter(|index| self.machines[*index].is_up()).collect();
+        // Machines that are not there any more do not count; all others must be up but for the losses.
+        let index = up.get(self.random.rand_range(0..up.len().max(1) as u64) as usize).copied()?;
+        Some((slot, index))
+    }
+
+    fn lose_one(&mut self, fault: impl Fn(usize) -> Fault) {
+        if let Some((slot, index)) = self.choose_loss() {
+            let fault = fault(index);
+            self.lose(slot, index, fault, Duration::ZERO);
+        }
+    }
+
+    /// Strikes after `delay`; the machine is back after a while.
+    fn lose(&mut self, slot: usize, index: usize, fault: Fault, delay: Duration) {
+        let down = self.millis(100, 3_000);
+        self.losses[slot] = self.now + delay + down + CATCH_UP;
+        self.after(delay, Event::Fault(fault));
+        self.after(delay + down, Event::Fault(Fault::Start(index)));
+    }
+
+    fn take_down(&mut self, index: usize, power: bool, wipe: bool) {
+        self.kill_machine(index, power);
+        if wipe {
+            self.machines[index].disk.wipe();
+        }
+    }
+
+    /// Strikes right after an acknowledgement, as often as the run says.
+    pub fn after_acknowledgement(&mut self) {
+        if self.after_ack_share == 0 || !self.chance(self.after_ack_share) {
+            return;
+        }
+        if let Some((slot, index)) = self.choose_loss() {
+            let fault = if self.chance(2) { Fault::Wipe(index) } else { Fault::PowerLoss(index) };
+            let delay = self.millis(0, 4);
+            self.lose(slot, index, fault, delay);
+        }
+    }
+
+    fn freeze(&mut self) {
+        if let Some((slot, index)) = self.choose_loss() {
+            let time = self.millis(100, 4_500);
+            self.losses[slot] = self.now + time + CATCH_UP;
+            self.machines[index].frozen = true;
+            self.after(time, Event::Fault(Fault::Thaw(index)));
+        }
+    }
+
+    fn cut(&mut self) {
+        if let Some((slot, index)) = self.choose_loss() {
+            let time = self.millis(100, 5_000);
+            self.losses[slot] = self.now + time + CATCH_UP;
+            let how = self.random.rand_range(0..3);
+            self.machines[index].cut_in = how != 0;
+            self.machines[index].cut_out = how != 1;
+            self.after(time, Event::Fault(Fault::Joined(index)));
+        }
+    }
+
+    fn disk_trouble(&mut self) {
+        if let Some((slot, index)) = self.choose_loss() {
+            let time = self.millis(100, 4_000);
+            self.losses[slot] = self.now + time + CATCH_UP;
+            match self.random.rand_range(0..3) {
+                0 => self.machines[index].disk.set_fault(DiskFault::Full),
+                1 => self.machines[index].disk.set_fault(DiskFault::FailingSync),
+                _ => self.machines[index].stalled = true,
+            }
+            self.after(time, Event::Fault(Fault::HealDisk(index)));
+        }
+    }
+
+    /// One machine is gone for good; an empty one comes at another address.
+    fn replace(&mut self) {
+        if let Some((slot, index)) = self.choose_loss() {
+            let pause = self.millis(500, 2_500);
+            self.losses[slot] = self.now + pause + CATCH_UP;
+            self.remove(index);
+            self.after(pause, Event::Fault(Fault::AddMachine));
+        }
+    }
+
+    fn remove(&mut self, index: usize) {
+        self.kill_machine(index, true);
+        self.machines[index].disk.wipe();
+        self.machines[index].removed = true;
+    }
+
+    fn add(&mut self) {
+        let free = self.losses.iter().position(|until| *until <= self.now);
+        if let Some(slot) = free.filter(|_| self.machines.len() < 9) {
+            self.losses[slot] = self.now + CATCH_UP;
+            self.add_machine();
+        }
+    }
+
+    fn retire(&mut self) {
+        if self.is_committing() || self.core.frozen {
+            return;
+        }
+        let index = self.random.rand_range(0..self.machines.len() as u64) as usize;
+        let node = self.machines[index].node.clone();
+        if let Some(view) = self.core.retire(&node, self.tolerated) {
+            self.propose(view);
+        }
+    }
+
+    /// Machines whose order has succeeded are taken away at once, and others may lose their disks right after.
+    pub fn emptied_machines_go(&mut self) {
+        for index in 0..self.machines.len() {
+            let retired = self.core.committed.retired.contains(&self.machines[index].node);
+            if retired && !self.machines[index].removed {
+                self.remove(index);
+                self.lose_one(Fault::Wipe);
+            }
+        }
+    }
+
+    fn rare(&mut self) {
+        if self.chance(2) {
+            self.core.frozen = true;
+            let time = self.millis(100, 3_000);
+            self.after(time, Event::Fault(Fault::ThawCore));
+            return;
+        }
+        // All machines lose power at once, and keep their disks.
+        for index in 0..self.machines.len() {
+            self.kill_machine(index, true);
+        }
+        let slots = self.losses.len();
+        let down = self.millis(100, 1_000);
+        self.losses = vec![self.now + down + CATCH_UP; slots];
+        self.after(down, Event::Fault(Fault::StartAll));
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/machine.rs
@@ -0,0 +1,232 @@
+//! One simulated storage machine: the pure member, its journal on a simulated disk, and group commit.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use oorandom::Rand64;
+use woadreach_journal::{DiskFault, Engine, JournalError, SimulatedDisk, Synced};
+use woadreach_storage::announce::Announcement;
+use woadreach_storage::member::{Member, Pending, Step};
+use woadreach_storage::message::{Operation, Request, Response};
+use woadreach_storage::pull::{Pages, Pull};
+use woadreach_storage::{StorageMember, StorageView};
+
+use super::world::Plant;
+
+const MAX_BYTES: u64 = 64 << 20;
+
+/// Whom an answer is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Caller {
+    /// A call over the network.
+    Call(u64),
+    /// The machine itself: a record that was pulled from this disk.
+    PulledFrom(u64),
+    /// The machine itself.
+    Nobody,
+}
+
+/// Something that waits for the disk.
+pub struct Waiting {
+    record: Record,
+    pending: Pending,
+    caller: Caller,
+}
+
+enum Record {
+    Append(Vec<u8>),
+    Replace(Vec<u8>),
+}
+
+/// Pull from one source.
+pub struct Source {
+    pub member: StorageMember,
+    pub pages: Pages,
+    /// Records of the last page that are not synced yet.
+    pub unsynced: usize,
+    pub done: bool,
+}
+
+/// Pull for one epoch.
+pub struct Pulling {
+    pub progress: Pull,
+    pub sources: Vec<Source>,
+    pub finishing: bool,
+}
+
+/// A running process.
+pub struct Process {
+    pub member: Member,
+    engine: Engine,
+    queue: VecDeque<Waiting>,
+    batch: Vec<Waiting>,
+    pub pulling: Option<Pulling>,
+}
+
+pub struct Machine {
+    pub node: String,
+    pub zone: String,
+    pub address: std::net::SocketAddr,
+    pub disk: SimulatedDisk,
+    pub identity: u64,
+    /// Rises with each start, so that events of an earlier process are dropped.
+    pub incarnation: u64,
+    pub process: Option<Process>,
+    pub frozen: bool,
+    /// Cut off from other machines, from here or to here.
+    pub cut_out: bool,
+    pub cut_in: bool,
+    pub stalled: bool,
+    pub removed: bool,
+}
+
+impl Machine {
+    pub fn announcement(&self) -> Option<Announcement> {
+        let process = self.process.as_ref()?;
+        let member = self.member(process.member.disk());
+        Some(Announcement { member, pulled_epoch: process.member.pulled_epoch() })
+    }
+
+    pub fn member(&self, disk: u64) -> StorageMember {
+        StorageMember { node: self.node.clone(), disk, address: self.address, zone: self.zone.clone() }
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.process.is_some() && !self.frozen
+    }
+
+    /// Starts the process on what the disk holds.
+    pub fn start(&mut self, now: Duration, tolerated: usize, random: &mut Rand64, plant: Plant) {
+        self.incarnation += 1;
+        self.disk.set_fault(match plant {
+            Plant::EndBeforeSync => DiskFault::IgnoresSync,
+            _ => DiskFault::Healthy,
+        });
+        let opened = Engine::open(Box::new(self.disk.clone()), MAX_BYTES);
+        let (mut engine, found) = match opened {
+            Ok(opened) => opened,
+            Err(JournalError::Corrupt { .. }) => {
+                self.disk.wipe();
+                Engine::open(Box::new(self.disk.clone()), MAX_BYTES).unwrap()
+            }
+            Err(error) => panic!("{error}"),
+        };
+        let snapshot = found.snapshot.as_deref();
+        let recovered = Member::recover(now, self.node.clone(), tolerated, snapshot, &found.records);
+        let member = recovered.unwrap_or_else(|| {
+            if plant != Plant::WipedMachineCounts || self.identity == 0 {
+                self.identity = random.rand_u64();
+            }
+            let (member, record) = Member::create(self.node.clone(), self.identity, tolerated);
+            let _ = engine.replace(&woadreach_storage::message::encode(&vec![record])).unwrap();
+            member
+        });
+        self.identity = member.disk();
+        let (queue, batch) = (VecDeque::new(), Vec::new());
+        self.process = Some(Process { member, engine, queue, batch, pulling: None });
+    }
+
+    /// Ends the process; with `power`, what is not synced may be lost.
+    pub fn kill(&mut self, random: &mut Rand64, power: bool) {
+        if let Some(mut process) = self.process.take() {
+            self.disk.set_fault(DiskFault::FailingSync);
+            let records = process.batch.iter().filter_map(|waiting| match &waiting.record {
+                Record::Append(record) => Some(record.clone()),
+                Record::Replace(_) => None,
+            });
+            let _ = process.engine.commit(&records.collect::<Vec<_>>());
+        }
+        if power {
+            self.disk.lose_power(random);
+        }
+        self.frozen = false;
+        self.stalled = false;
+    }
+
+    /// Takes a request; an answer that can be given at once is returned.
+    pub fn handle(
+        &mut self,
+        now: Duration,
+        mut request: Request,
+        call: u64,
+        plant: Plant,
+    ) -> Option<Response> {
+        let process = self.process.as_mut()?;
+        if plant == Plant::Unfenced {
+            request.fence.epoch = request.fence.epoch.max(process.member.view().epoch);
+        }
+        let is_reserve = matches!(request.operation, Operation::Reserve { .. });
+        let step = process.member.handle(now, request);
+        if plant == Plant::ReservationInMemory
+            && is_reserve
+            && let Step::Persist { pending, .. } = step
+        {
+            return Some(process.member.complete(pending, &receipt_of_another_disk()));
+        }
+        self.take(step, Caller::Call(call))
+    }
+
+    /// Queues what must be synced.
+    pub fn take(&mut self, step: Step, caller: Caller) -> Option<Response> {
+        let process = self.process.as_mut()?;
+        let (record, pending) = match step {
+            Step::Reply(response) => return Some(response),
+            Step::Persist { record, pending } => (Record::Append(record), pending),
+            Step::Compact { snapshot, pending } => (Record::Replace(snapshot), pending),
+        };
+        process.queue.push_back(Waiting { record, pending, caller });
+        None
+    }
+
+    pub fn learn_view(&mut self, view: StorageView) {
+        let Some(process) = self.process.as_mut() else { return };
+        if let Some(step) = process.member.learn_view(view) {
+            let answer = self.take(step, Caller::Nobody);
+            assert!(answer.is_none());
+        }
+    }
+
+    /// Whether a sync should begin now.
+    pub fn begin_sync(&mut self) -> bool {
+        let stalled = self.stalled;
+        let Some(process) = self.process.as_mut() else { return false };
+        if stalled || !process.batch.is_empty() || process.queue.is_empty() {
+            return false;
+        }
+        let first_is_replacement = matches!(process.queue[0].record, Record::Replace(_));
+        let appends = process.queue.iter().take_while(|waiting| matches!(waiting.record, Record::Append(_)));
+        let count = if first_is_replacement { 1 } else { appends.count() };
+        process.batch = process.queue.drain(..count).collect();
+        true
+    }
+
+    /// Ends the sync: answers for all callers.
+    pub fn end_sync(&mut self) -> Vec<(Caller, Response)> {
+        let Some(process) = self.process.as_mut() else { return Vec::new() };
+        let batch = std::mem::take(&mut process.batch);
+        let outcome = match &batch[0].record {
+            Record::Replace(snapshot) => process.engine.replace(snapshot),
+            Record::Append(_) => {
+                let records = batch.iter().filter_map(|waiting| match &waiting.record {
+                    Record::Append(record) => Some(record.clone()),
+                    Record::Replace(_) => None,
+                });
+                process.engine.commit(&records.collect::<Vec<_>>())
+            }
+        };
+        let answers = batch.into_iter().map(|waiting| {
+            let response = match &outcome {
+                Ok(synced) => process.member.complete(waiting.pending, synced),
+                Err(_) => process.member.failed(),
+            };
+            (waiting.caller, response)
+        });
+        answers.collect()
+    }
+}
+
+/// A receipt for something else than the record.
+fn receipt_of_another_disk() -> Synced {
+    let (mut engine, _) = Engine::open(Box::new(SimulatedDisk::default()), MAX_BYTES).unwrap();
+    engine.commit(&[Vec::new()]).unwrap()
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/oracle.rs
@@ -0,0 +1,95 @@
+//! What was acknowledged, and what must follow from it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use woadreach_storage::TurnKey;
+use woadreach_storage::turn::TurnRecord;
+
+/// State of one try to reserve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// Sent, or given up without a durable withdrawal: counts at its most.
+    Open { most: u64 },
+    /// Granted; the turn may run.
+    Granted { most: u64 },
+    /// The proxy knows what was given, the machines may not.
+    Ended { most: u64, given: u64 },
+    /// A quorum knows since `at` what was given.
+    Settled { most: u64, given: u64, at: Duration },
+}
+
+impl Attempt {
+    fn given(self) -> u64 {
+        match self {
+            Attempt::Open { .. } => 0,
+            Attempt::Granted { most } => most,
+            Attempt::Ended { given, .. } | Attempt::Settled { given, .. } => given,
+        }
+    }
+
+    /// What it may count for in an answer to a request that was sent at `sent`.
+    fn at_most(self, sent: Duration) -> u64 {
+        match self {
+            Attempt::Settled { given, at, .. } if at <= sent => given,
+            Attempt::Open { most }
+            | Attempt::Granted { most }
+            | Attempt::Ended { most, .. }
+            | Attempt::Settled { most, .. } => most,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// Turns whose answer ended whole.
+    pub acknowledged: BTreeMap<TurnKey, TurnRecord>,
+    attempts: BTreeMap<String, BTreeMap<u64, Attempt>>,
+}
+
+impl Oracle {
+    pub fn attempt(&mut self, program: &str, id: u64, state: Attempt) {
+        self.attempts.entry(program.to_owned()).or_default().insert(id, state);
+    }
+
+    /// A reservation was granted: what was given and may still be given must fit.
+    pub fn granted(&mut self, program: &str, id: u64, most: u64, budget: u64) -> Result<(), String> {
+        self.attempt(program, id, Attempt::Granted { most });
+        let total: u64 = self.attempts[program].values().map(|attempt| attempt.given()).sum();
+        if total > budget {
+            return Err(format!("budget of {program} overspent: {total} of {budget}"));
+        }
+        Ok(())
+    }
+
+    /// A reservation was refused: with everything open at its most it must not fit.
+    pub fn refused(
+        &self,
+        program: &str,
+        id: u64,
+        (most, budget): (u64, u64),
+        sent: Duration,
+    ) -> Result<(), String> {
+        let others = self.attempts[program].iter().filter(|(other, _)| **other != id);
+        let total: u64 = others.map(|(_, attempt)| attempt.at_most(sent)).sum();
+        if total + most <= budget {
+            return Err(format!("turn of {program} refused though {total} + {most} fit {budget}"));
+        }
+        Ok(())
+    }
+
+    /// A chain was read: it must be the acknowledged turn and all its ancestors.
+    pub fn read(&self, newest: &TurnKey, chain: &[TurnRecord]) -> Result<(), String> {
+        let mut next = Some(newest.clone());
+        for turn in chain {
+            let Some(key) = next else { return Err(format!("chain of {newest:?} is too long")) };
+            if self.acknowledged.get(&key) != Some(turn) {
+                let known = self.acknowledged.get(&key);
+                return Err(format!("turn {key:?} is {turn:?}, not {known:?} as acknowledged"));
+            }
+            let program = key.program;
+            next = turn.previous.clone().map(|request_id| TurnKey { program, request_id });
+        }
+        next.map_or(Ok(()), |key| Err(format!("chain of {newest:?} ends before {key:?}")))
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/proxy.rs
@@ -0,0 +1,198 @@
+//! One simulated proxy: writes and reads with the pure parts of the client.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use woadreach_storage::message::{Answer, Fence, Operation, Request};
+use woadreach_storage::operation::Write;
+use woadreach_storage::quorum::{Need, Quorum};
+use woadreach_storage::turn::TurnRecord;
+use woadreach_storage::{StorageMember, StorageView, TurnKey};
+
+/// Number of a job of a proxy.
+pub type JobId = u64;
+
+/// What a job is for.
+#[derive(Debug, Clone)]
+pub enum Purpose {
+    Reserve { program: usize, id: u64 },
+    Put { program: usize, id: u64, turn: TurnRecord, given: u64 },
+    Settle { program: usize, id: u64, given: u64 },
+    Read { key: TurnKey, last: bool },
+}
+
+/// Progress of a job.
+pub enum Work {
+    Write(Write),
+    Read(Read),
+}
+
+/// A chain that is being read, newest first.
+pub struct Read {
+    pub chain: Vec<TurnRecord>,
+    pub next: TurnKey,
+    pub phase: ReadPhase,
+    /// Rises with each round of requests, so that late answers of an earlier one are dropped.
+    round: u64,
+    waiting: BTreeSet<u64>,
+    all_answered: bool,
+    pub outcome: Option<Result<(), ReadFailure>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadPhase {
+    Group,
+    Everywhere,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadFailure {
+    NotFound,
+    Unavailable,
+}
+
+impl Read {
+    pub fn new(key: TurnKey) -> Read {
+        Read {
+            chain: Vec::new(),
+            next: key,
+            phase: ReadPhase::Group,
+            round: 0,
+            waiting: BTreeSet::new(),
+            all_answered: true,
+            outcome: None,
+        }
+    }
+
+    /// Requests of the present phase.
+    fn requests(&mut self, view: &StorageView, tolerated: usize) -> Vec<(StorageMember, Request)> {
+        let (members, operation) = match self.phase {
+            ReadPhase::Group => {
+                let quorum = Quorum::new(view, &self.next.program, tolerated, Need::Read);
+                let (program, request_id) = (self.next.program.clone(), self.next.request_id.clone());
+                (quorum.members().to_vec(), Operation::ReadChain { program, request_id })
+            }
+            ReadPhase::Everywhere => {
+                let request_id = self.next.request_id.clone();
+                (view.members().into_iter().cloned().collect(), Operation::Find { request_id })
+            }
+        };
+        self.round += 1;
+        self.all_answered = !members.is_empty();
+        self.waiting = members.iter().map(|member| member.disk).collect();
+        let request = |member: StorageMember| {
+            let fence = Fence { epoch: view.epoch, disk: member.disk };
+            (member, Request { fence, operation: operation.clone() })
+        };
+        members.into_iter().map(request).collect()
+    }
+
+    /// Takes an answer, or silence; whether the next phase begins.
+    fn answered(&mut self, round: u64, disk: u64, answer: Option<Answer>) -> bool {
+        if round != self.round || !self.waiting.remove(&disk) {
+            return false;
+        }
+        match answer {
+            Some(Answer::Chain { turns }) if self.phase == ReadPhase::Group && !turns.is_empty() => {
+                let previous = turns.last().and_then(|turn| turn.previous.clone());
+                self.chain.extend(turns);
+                match previous {
+                    Some(request_id) => self.next.request_id = request_id,
+                    None => self.outcome = Some(Ok(())),
+                }
+                return true;
+            }
+            Some(Answer::Found { programs }) if !programs.is_empty() => {
+                self.phase = ReadPhase::Group;
+                return true;
+            }
+            Some(Answer::Chain { .. } | Answer::Found { .. }) => {}
+            _ => self.all_answered = false,
+        }
+        if !self.waiting.is_empty() {
+            return false;
+        }
+        match (self.phase, self.all_answered) {
+            (ReadPhase::Group, _) if self.chain.is_empty() => self.phase = ReadPhase::Everywhere,
+            (ReadPhase::Everywhere, true) => self.outcome = Some(Err(ReadFailure::NotFound)),
+            _ => self.outcome = Some(Err(ReadFailure::Unavailable)),
+        }
+        true
+    }
+}
+
+pub struct Job {
+    pub purpose: Purpose,
+    pub work: Work,
+    pub deadline: Duration,
+    pub answered: BTreeSet<u64>,
+    /// The outcome was told; only machines that missed it are still tried.
+    pub reported: bool,
+}
+
+pub struct Proxy {
+    pub view: Arc<StorageView>,
+    pub jobs: BTreeMap<JobId, Job>,
+}
+
+impl Proxy {
+    /// Requests to be sent now for a job: to all that have not answered.
+    pub fn requests(&mut self, job: JobId, tolerated: usize) -> Vec<(StorageMember, Request)> {
+        let view = Arc::clone(&self.view);
+        let Some(job) = self.jobs.get_mut(&job) else { return Vec::new() };
+        match &mut job.work {
+            Work::Write(write) => {
+                if view.epoch > write.epoch() {
+                    write.restart(&view);
+                    job.answered.clear();
+                }
+                let waiting = write.members().iter().filter(|member| !job.answered.contains(&member.disk));
+                let request = |member: &StorageMember| {
+                    let fence = Fence { epoch: write.epoch(), disk: member.disk };
+                    (member.clone(), Request { fence, operation: write.operation().clone() })
+                };
+                waiting.map(request).collect()
+            }
+            Work::Read(read) => read.requests(&view, tolerated),
+        }
+    }
+
+    /// Round of a job's requests.
+    pub fn round(&self, job: JobId) -> u64 {
+        match self.jobs.get(&job).map(|job| &job.work) {
+            Some(Work::Read(read)) => read.round,
+            _ => 0,
+        }
+    }
+
+    /// Takes an answer; whether the job's requests should be sent at once.
+    pub fn answered(
+        &mut self,
+        id: JobId,
+        (epoch, round): (u64, u64),
+        disk: u64,
+        answer: Option<Answer>,
+    ) -> bool {
+        if let Some(Answer::Stale { view }) = &answer
+            && view.epoch > self.view.epoch
+        {
+            self.view = Arc::new(view.clone());
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        match &mut job.work {
+            Work::Write(write) => match answer {
+                Some(Answer::Stale { .. }) => write.epoch() < self.view.epoch,
+                Some(Answer::Failed) | None => false,
+                Some(answer) => {
+                    if epoch == write.epoch() {
+                        job.answered.insert(disk);
+                    }
+                    write.answered(epoch, disk, answer);
+                    false
+                }
+            },
+            Work::Read(read) => read.answered(round, disk, answer) && read.outcome.is_none(),
+        }
+    }
+}
