--- a/crates/woadreach-chain/src/member.rs
+++ b/crates/woadreach-chain/src/member.rs
@@ -121,6 +121,8 @@
     next_ping: Duration,
     state_requested: Duration,
     random: oorandom::Rand64,
+    #[cfg(feature = "plants")]
+    plant: Option<crate::plants::Plant>,
 }
 
 impl Member {
@@ -155,10 +157,27 @@
             next_ping: now,
             state_requested: Duration::ZERO,
             random,
+            #[cfg(feature = "plants")]
+            plant: None,
             durable,
         }
     }
 
+    /// Switches a defence off.
+    #[cfg(feature = "plants")]
+    pub fn plant(&mut self, plant: crate::plants::Plant) {
+        self.plant = Some(plant);
+        if plant == crate::plants::Plant::DigestsForgotten {
+            self.durable.state.taken.clear();
+            self.replication = Replication::new(self.durable.active_epoch, &self.durable.state);
+        }
+    }
+
+    #[cfg(feature = "plants")]
+    fn has_plant(&self, plant: crate::plants::Plant) -> bool {
+        self.plant == Some(plant)
+    }
+
     /// This member's identity.
     pub fn id(&self) -> MemberId {
         self.id
@@ -233,6 +252,13 @@
         while let Some(envelope) = self.loopback.pop_front() {
             self.receive(now, envelope);
         }
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::AcknowledgeBeforeSync) {
+            self.synced(now, self.record_number);
+            while let Some(envelope) = self.loopback.pop_front() {
+                self.receive(now, envelope);
+            }
+        }
         std::mem::take(&mut self.outputs)
     }
 
@@ -338,6 +364,10 @@
             Body::Committed(state) => return self.publish(now, Arc::new(state)),
             _ => {}
         }
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::NoEpochCheck) && epoch != self.durable.view.epoch {
+            return self.receive_in_epoch(now, from, body);
+        }
         let own_epoch = self.durable.view.epoch;
         if epoch > own_epoch {
             return self.send_now(from.address, Body::RequestView);
@@ -452,23 +482,13 @@
     fn report(&self) -> Report {
         Report {
             accepted: self.durable.accepted.clone(),
-            complete: self.is_complete(),
+            active_epoch: self.durable.active_epoch,
             stamp: self.durable.state.stamp,
             fit: self.is_fit(),
             hears: self.peers.heard_lately(self.last_tick),
         }
     }
 
-    /// Whether the state holds every write that may have been committed up to the current epoch.
-    fn is_complete(&self) -> bool {
-        let view = &self.durable.view;
-        if view.epoch == 0 {
-            return self.durable.bootstrap;
-        }
-        let is_active = self.durable.active_epoch == view.epoch;
-        view.chain.contains(&self.id) && (is_active || view.complete.contains(&self.id))
-    }
-
     fn accept(&mut self, from: MemberId, accepted: Accepted) {
         let epoch = self.durable.view.epoch;
         let ballot = accepted.ballot;
