--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -1,18 +1,27 @@
 //! The `storage` role: keeps turns and programs' budgets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use woadreach_discovery::{ControlSnapshot, ControlWatch};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId, serve};
 use woadreach_settings::NodeSettings;
+use woadreach_storage::StorageView;
 use woadreach_storage::announce::ANNOUNCE_INTERVAL;
 use woadreach_storage::message::encode;
 use woadreach_storage::server::{Server, ServerError, ServerOptions};
 
 /// Bytes in a megabyte of the settings.
 const MEGABYTE: u64 = 1_000_000;
+/// Without an answer of the core for this long, this machine was cut off.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_800);
+/// How long the answer to an announcement is waited for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why the role cannot run.
 #[derive(Debug, Snafu)]
@@ -58,26 +67,65 @@
     let server = Server::open(&folder, rpc.clone(), options).await.context(StorageSnafu)?;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
     let router = server.routes(Router::new());
+    let control = ControlWatch::spawn(&settings, rpc.clone());
     tracing::info!(node = settings.node, %address, "storage is up");
     tokio::join!(
         serve(listener, router),
         server.run(),
-        announce(&server, &rpc, settings.seed_internal_addresses())
+        follow_views(&server, control.clone()),
+        announce(&server, &rpc, settings.seed_internal_addresses(), control),
     );
     Ok(())
 }
 
-/// Tells the core machines, at intervals and at once when a pull has ended.
-async fn announce(server: &Server, rpc: &Client, core: Vec<SocketAddr>) {
+/// Takes each new view of the storage machines.
+async fn follow_views(server: &Server, mut control: watch::Receiver<Arc<ControlSnapshot>>) {
+    while control.changed().await.is_ok() {
+        let snapshot = control.borrow_and_update().clone();
+        if let Some(view) = &snapshot.storage_view {
+            server.learn_view(StorageView::clone(view)).await;
+        }
+    }
+}
+
+/// Tells the core machines, at intervals and at once when a pull has ended. One of them is to answer: after a
+/// time without answers this machine was cut off and may have missed records.
+async fn announce(
+    server: &Server,
+    rpc: &Client,
+    seeds: Vec<SocketAddr>,
+    control: watch::Receiver<Arc<ControlSnapshot>>,
+) {
     let mut pulled = server.pulled();
+    let mut last_answer = Instant::now();
+    let mut turn: usize = 0;
     loop {
+        let snapshot = control.borrow().clone();
+        let core = if snapshot.core_members.is_empty() { &seeds } else { &snapshot.core_members };
         let announcement = encode(&server.announcement());
-        for address in &core {
+        let asked = turn % core.len().max(1);
+        for (_, address) in core.iter().enumerate().filter(|(place, _)| *place != asked) {
             rpc.send(*address, ServiceId::ANNOUNCE, announcement.clone());
         }
-        tokio::select! {
-            () = sleep(ANNOUNCE_INTERVAL) => {}
-            _ = pulled.changed() => {}
+        let answered = async {
+            let Some(address) = core.get(asked) else { return false };
+            rpc.call(*address, ServiceId::ANNOUNCE, announcement.clone(), ANSWER_TIMEOUT).await.is_ok()
+        };
+        let pause = async {
+            tokio::select! {
+                () = sleep(ANNOUNCE_INTERVAL) => server.tick(),
+                _ = pulled.changed() => {}
+            }
+        };
+        let (answered, ()) = tokio::join!(answered, pause);
+        if answered {
+            let now = Instant::now();
+            if now.saturating_duration_since(last_answer) > CUT_OFF_AFTER {
+                server.missed_records();
+            }
+            last_answer = now;
+        } else {
+            turn = turn.wrapping_add(1);
         }
     }
 }
--- a/crates/woadreach-journal/src/engine.rs
+++ b/crates/woadreach-journal/src/engine.rs
@@ -4,7 +4,11 @@
 
 use crate::disk::{Disk, Slot};
 use crate::error::JournalError;
-use crate::format::{self, HEADER_BYTES, Header, HeaderState};
+use crate::format::{self, HEADER_BYTES, Header};
+use crate::recovery::{Position, Recovered, blank_position, newest_slot, read_slot, start_of_log};
+
+/// Bytes of a snapshot that are written and synced at once.
+const PIECE_BYTES: usize = 256 << 10;
 
 /// Receipt that records are on disk. Only the journal can make one, so that a message that must not leave
 /// before the sync can demand it.
@@ -19,26 +23,12 @@
     }
 }
 
-/// What was found on disk.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Recovered {
-    /// Newest snapshot, if one was ever written.
-    pub snapshot: Option<Vec<u8>>,
-    /// Records appended after it, in order.
-    pub records: Vec<Vec<u8>>,
-    /// Whether the disk held nothing at all: first start, or a lost disk.
-    pub was_empty: bool,
-}
-
-/// Slot in use and where its log ends.
-#[derive(Debug)]
-struct Position {
-    slot: Slot,
-    generation: u64,
-    log_start: u64,
-    end: u64,
-    sequence: u64,
-    checksum: u32,
+/// A snapshot that is being written into the slot that is not in use, while appends go on.
+struct Replacement {
+    snapshot: Vec<u8>,
+    written: usize,
+    /// Batches committed since it began.
+    tail: Vec<Vec<Vec<u8>>>,
 }
 
 /// Journal on a [`Disk`].
@@ -48,13 +38,8 @@
     max_bytes: u64,
     /// A replacement failed midway: its slot may come out as the newer one after a restart.
     replacement_in_doubt: bool,
-}
-
-/// Content of a slot that can be read.
-struct ReadableSlot {
-    position: Position,
-    recovered: Recovered,
-    content_length: u64,
+    replacement: Option<Replacement>,
+    piece_bytes: usize,
 }
 
 impl Engine {
@@ -67,24 +52,44 @@
         let contents = [read_slot(disk.as_mut(), Slot::A)?, read_slot(disk.as_mut(), Slot::B)?];
         let Some(found) = newest_slot(&contents)? else {
             let position = blank_position();
-            let engine = Engine { disk, position, max_bytes, replacement_in_doubt: false };
+            let engine = Engine::at(disk, position, max_bytes);
             return Ok((engine, Recovered { was_empty: true, ..Recovered::default() }));
         };
         let position = found.position;
-        let mut engine = Engine { disk, position, max_bytes, replacement_in_doubt: false };
+        let mut engine = Engine::at(disk, position, max_bytes);
         engine.settle_recovered(found.content_length)?;
+        let other = engine.position.slot.other();
+        if !contents[other.index()].is_empty() {
+            engine.give_up(other);
+        }
         Ok((engine, found.recovered))
     }
 
+    fn at(disk: Box<dyn Disk>, position: Position, max_bytes: u64) -> Engine {
+        Engine {
+            disk,
+            position,
+            max_bytes,
+            replacement_in_doubt: false,
+            replacement: None,
+            piece_bytes: PIECE_BYTES,
+        }
+    }
+
+    /// Sets the bytes of a snapshot that are written and synced at once.
+    #[must_use]
+    pub fn with_piece_bytes(mut self, bytes: usize) -> Engine {
+        self.piece_bytes = bytes.max(1);
+        self
+    }
+
     /// Appends `records` in one frame and syncs it.
     ///
     /// # Errors
     /// [`JournalError::Full`] or [`JournalError::Io`]; none of the records then counts as written, though
     /// they may appear after a restart.
     pub fn commit(&mut self, records: &[Vec<u8>]) -> Result<Synced, JournalError> {
-        if self.position.generation == 0 {
-            self.write_snapshot(&[])?;
-        }
+        self.start_log()?;
         self.withdraw_replacement()?;
         let position = &self.position;
         let (frame, checksum) =
@@ -95,6 +100,9 @@
         self.position.end += frame.len() as u64;
         self.position.sequence += 1;
         self.position.checksum = checksum;
+        if let Some(replacement) = &mut self.replacement {
+            replacement.tail.push(records.to_vec());
+        }
         Ok(Synced::receipt())
     }
 
@@ -104,35 +112,109 @@
     /// # Errors
     /// [`JournalError::Full`] or [`JournalError::Io`]; the journal then goes on in the present slot.
     pub fn replace(&mut self, snapshot: &[u8]) -> Result<Synced, JournalError> {
-        let previous = self.position.slot;
-        let had_previous = self.position.generation > 0;
-        self.write_snapshot(snapshot)?;
-        if had_previous {
-            self.give_up(previous);
+        self.begin_replacement(snapshot.to_vec())?;
+        loop {
+            if let Some(outcome) = self.continue_replacement() {
+                return outcome;
+            }
         }
-        Ok(Synced::receipt())
     }
 
-    /// Bytes of the log since the last snapshot.
+    /// Begins to write `snapshot` into the other slot, piece by piece, so that appends wait for one piece at
+    /// most. The snapshot must hold everything that was appended before; what is appended meanwhile is added.
+    ///
+    /// # Errors
+    /// As for [`Engine::replace`].
+    pub fn begin_replacement(&mut self, snapshot: Vec<u8>) -> Result<(), JournalError> {
+        self.start_log()?;
+        self.withdraw_replacement()?;
+        self.replacement = Some(Replacement { snapshot, written: 0, tail: Vec::new() });
+        Ok(())
+    }
+
+    /// Whether a replacement is under way.
     #[must_use]
-    pub fn log_bytes(&self) -> u64 {
-        self.position.end - self.position.log_start
+    pub fn is_replacing(&self) -> bool {
+        self.replacement.is_some()
     }
 
-    fn write_snapshot(&mut self, snapshot: &[u8]) -> Result<(), JournalError> {
+    /// Writes the next piece of a replacement; `None` while more remains to be done.
+    pub fn continue_replacement(&mut self) -> Option<Result<Synced, JournalError>> {
+        let mut replacement = self.replacement.take()?;
         let slot = self.position.slot.other();
-        let header = Header {
+        let start = replacement.written;
+        let end = replacement.snapshot.len().min(start + self.piece_bytes);
+        if end < replacement.snapshot.len() {
+            let written = self.write(slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..end]);
+            if let Err(error) = written.and_then(|()| self.sync(slot)) {
+                return Some(Err(error));
+            }
+            replacement.written = end;
+            self.replacement = Some(replacement);
+            return None;
+        }
+        Some(self.end_replacement(&replacement))
+    }
+
+    /// Writes the last piece, the head and what was appended meanwhile, and goes on in the new slot.
+    fn end_replacement(&mut self, replacement: &Replacement) -> Result<Synced, JournalError> {
+        let previous = self.position.slot;
+        let start = replacement.written;
+        let (position, tail) = self.tail_frames(replacement);
+        self.replacement_in_doubt = true;
+        self.write(position.slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..])?;
+        self.write(position.slot, position.log_start, &tail)?;
+        let header = self.next_header(&replacement.snapshot);
+        self.write(position.slot, 0, &format::encode_header(&header))?;
+        self.truncate(position.slot, position.end)?;
+        self.sync(position.slot)?;
+        self.replacement_in_doubt = false;
+        self.position = position;
+        self.give_up(previous);
+        Ok(Synced::receipt())
+    }
+
+    /// Frames of the batches that were committed during a replacement, and where the log ends behind them.
+    fn tail_frames(&self, replacement: &Replacement) -> (Position, Vec<u8>) {
+        let header = self.next_header(&replacement.snapshot);
+        let mut position = start_of_log(self.position.slot.other(), &header);
+        let mut bytes = Vec::new();
+        for records in &replacement.tail {
+            let (frame, checksum) =
+                format::encode_frame(position.generation, position.sequence, position.checksum, records);
+            bytes.extend_from_slice(&frame);
+            position.sequence += 1;
+            position.checksum = checksum;
+        }
+        position.end += bytes.len() as u64;
+        (position, bytes)
+    }
+
+    fn next_header(&self, snapshot: &[u8]) -> Header {
+        Header {
             generation: self.position.generation + 1,
             snapshot_length: snapshot.len() as u64,
             snapshot_checksum: crc32fast::hash(snapshot),
-        };
-        self.replacement_in_doubt = true;
-        self.write(slot, HEADER_BYTES as u64, snapshot)?;
-        self.write(slot, 0, &format::encode_header(&header))?;
-        self.truncate(slot, HEADER_BYTES as u64 + header.snapshot_length)?;
-        self.sync(slot)?;
-        self.replacement_in_doubt = false;
-        self.position = start_of_log(slot, &header);
+        }
+    }
+
+    /// Bytes of the log since the last snapshot.
+    #[must_use]
+    pub fn log_bytes(&self) -> u64 {
+        self.position.end - self.position.log_start
+    }
+
+    /// Writes the first head of an empty journal.
+    fn start_log(&mut self) -> Result<(), JournalError> {
+        if self.position.generation > 0 {
+            return Ok(());
+        }
+        let header = self.next_header(&[]);
+        let position = start_of_log(self.position.slot.other(), &header);
+        self.write(position.slot, 0, &format::encode_header(&header))?;
+        self.truncate(position.slot, position.end)?;
+        self.sync(position.slot)?;
+        self.position = position;
         Ok(())
     }
 
@@ -168,7 +250,11 @@
 
     fn write(&mut self, slot: Slot, offset: u64, bytes: &[u8]) -> Result<(), JournalError> {
         let wanted = bytes.len() as u64;
-        let other_end = if slot == self.position.slot { 0 } else { self.position.end };
+        let other_end = match &self.replacement {
+            _ if slot != self.position.slot => self.position.end,
+            Some(replacement) => (HEADER_BYTES + replacement.written) as u64,
+            None => 0,
+        };
         if offset + wanted + other_end > self.max_bytes {
             return Err(JournalError::Full { slot, wanted });
         }
@@ -190,106 +276,3 @@
         self.disk.sync(slot).map_err(failed)
     }
 }
-
-fn blank_position() -> Position {
-    Position { slot: Slot::B, generation: 0, log_start: 0, end: 0, sequence: 0, checksum: 0 }
-}
-
-fn start_of_log(slot: Slot, header: &Header) -> Position {
-    let log_start = HEADER_BYTES as u64 + header.snapshot_length;
-    Position {
-        slot,
-        generation: header.generation,
-        log_start,
-        end: log_start,
-        sequence: 0,
-        checksum: format::chain_start(header),
-    }
-}
-
-fn read_slot(disk: &mut dyn Disk, slot: Slot) -> Result<Vec<u8>, JournalError> {
-    let failed = |error: io::Error| JournalError::Io { slot, operation: "read", kind: error.kind() };
-    disk.read(slot).map_err(failed)
-}
-
-/// The readable slot of the highest generation; `None` if nothing was ever acknowledged.
-fn newest_slot(contents: &[Vec<u8>; 2]) -> Result<Option<ReadableSlot>, JournalError> {
-    let mut newest: Option<ReadableSlot> = None;
-    let mut damaged: Option<JournalError> = None;
-    for slot in Slot::ALL {
-        match read_log(slot, &contents[slot.index()])? {
-            SlotState::Blank => {}
-            SlotState::Damaged(offset) => damaged = Some(JournalError::Corrupt { slot, offset }),
-            SlotState::Readable(found) => {
-                let newer =
-                    newest.as_ref().is_none_or(|best| found.position.generation > best.position.generation);
-                if newer {
-                    newest = Some(*found);
-                }
-            }
-        }
-    }
-    match (newest, damaged) {
-        (Some(found), _) => Ok(Some(found)),
-        (None, Some(error)) => Err(error),
-        (None, None) => Ok(None),
-    }
-}
-
-/// What a slot's bytes amount to.
-enum SlotState {
-    Blank,
-    /// Unreadable from this byte on: a replacement that was never acknowledged, or damage.
-    Damaged(u64),
-    Readable(Box<ReadableSlot>),
-}
-
-fn read_log(slot: Slot, content: &[u8]) -> Result<SlotState, JournalError> {
-    let header = match format::decode_header(content) {
-        HeaderState::Blank => return Ok(SlotState::Blank),
-        HeaderState::Damaged => return Ok(SlotState::Damaged(0)),
-        HeaderState::Newer(version) => {
-            return Err(JournalError::Version { slot, version, supported: format::FORMAT_VERSION });
-        }
-        HeaderState::Valid(header) => header,
-    };
-    let mut position = start_of_log(slot, &header);
-    let Some(snapshot) = slice(content, HEADER_BYTES as u64, header.snapshot_length) else {
-        return Ok(SlotState::Damaged(HEADER_BYTES as u64));
-    };
-    if crc32fast::hash(snapshot) != header.snapshot_checksum {
-        return Ok(SlotState::Damaged(HEADER_BYTES as u64));
-    }
-    let records = read_frames(slot, content, &mut position)?;
-    let snapshot = (header.generation > 1 || !snapshot.is_empty()).then(|| snapshot.to_vec());
-    let recovered = Recovered { snapshot, records, was_empty: false };
-    let content_length = content.len() as u64;
-    Ok(SlotState::Readable(Box::new(ReadableSlot { position, recovered, content_length })))
-}
-
-fn read_frames(slot: Slot, content: &[u8], position: &mut Position) -> Result<Vec<Vec<u8>>, JournalError> {
-    let mut records = Vec::new();
-    loop {
-        let rest = &content[usize::try_from(position.end).expect("an offset within the file")..];
-        let frame = format::decode_frame(rest, position.generation, position.checksum);
-        let decoded = frame
-            .filter(|frame| frame.sequence == position.sequence)
-            .and_then(|frame| Some((format::decode_records(frame.payload)?, frame)));
-        let Some((decoded, frame)) = decoded else {
-            if format::holds_later_frame(rest, position.generation, position.sequence) {
-                return Err(JournalError::Corrupt { slot, offset: position.end });
-            }
-            return Ok(records);
-        };
-        records.extend(decoded);
-        position.end += (format::FRAME_HEAD_BYTES + frame.payload.len()) as u64;
-        position.sequence += 1;
-        position.checksum = frame.checksum;
-    }
-}
-
-fn slice(content: &[u8], start: u64, length: u64) -> Option<&[u8]> {
-    let start = usize::try_from(start).ok()?;
-    let end = start.checked_add(usize::try_from(length).ok()?)?;
-    content.get(start..end)
-}
--- a/crates/woadreach-journal/src/error.rs
+++ b/crates/woadreach-journal/src/error.rs
@@ -61,6 +61,9 @@
         /// Bytes waiting.
         queued: usize,
     },
+    /// A newer snapshot came before this one was written.
+    #[snafu(display("a newer snapshot takes this one's place"))]
+    Superseded,
     /// The journal's thread has ended.
     #[snafu(display("the journal is closed"))]
     Closed,
--- a/crates/woadreach-journal/src/journal.rs
+++ b/crates/woadreach-journal/src/journal.rs
@@ -10,8 +10,9 @@
 use tokio::sync::oneshot;
 
 use crate::disk::{Disk, FileDisk, Slot};
-use crate::engine::{Engine, Recovered, Synced};
+use crate::engine::{Engine, Synced};
 use crate::error::JournalError;
+use crate::recovery::Recovered;
 
 /// Most bytes that go into one frame.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -41,7 +42,7 @@
 /// State shared by callers and the disk thread.
 #[derive(Debug, Default)]
 struct Progress {
-    waiting_requests: usize,
+    waiting_appends: usize,
     waiting_bytes: usize,
     oldest: Option<Instant>,
     log_bytes: u64,
@@ -110,7 +111,7 @@
         record: Vec<u8>,
     ) -> impl Future<Output = Result<Synced, JournalError>> + Send + use<> {
         let (reply, outcome) = oneshot::channel();
-        let queued = self.enqueue(record.len(), Request::Append { record, reply });
+        let queued = self.enqueue(record, reply);
         wait(queued, outcome)
     }
 
@@ -124,8 +125,8 @@
         snapshot: Vec<u8>,
     ) -> impl Future<Output = Result<Synced, JournalError>> + Send + use<> {
         let (reply, outcome) = oneshot::channel();
-        let queued = self.enqueue(0, Request::Replace { snapshot, reply });
-        wait(queued, outcome)
+        let queued = self.requests.send(Request::Replace { snapshot, reply });
+        wait(queued.map_err(|_| JournalError::Closed), outcome)
     }
 
     /// Bytes of the log since the last snapshot; when they exceed the snapshot, it is time to replace it.
@@ -140,16 +141,17 @@
         self.progress.lock().oldest.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
-    fn enqueue(&self, bytes: usize, request: Request) -> Result<(), JournalError> {
+    fn enqueue(&self, record: Vec<u8>, reply: Reply) -> Result<(), JournalError> {
+        let bytes = record.len();
         let mut progress = self.progress.lock();
         if progress.waiting_bytes > 0 && progress.waiting_bytes + bytes > self.max_queued_bytes {
             return Err(JournalError::Overloaded { queued: progress.waiting_bytes });
         }
-        progress.waiting_requests += 1;
+        progress.waiting_appends += 1;
         progress.waiting_bytes += bytes;
         progress.oldest.get_or_insert_with(Instant::now);
         // Under the lock, so that the queue has the order in which callers were counted.
-        self.requests.send(request).map_err(|_| JournalError::Closed)
+        self.requests.send(Request::Append { record, reply }).map_err(|_| JournalError::Closed)
     }
 }
 
@@ -178,27 +180,55 @@
 }
 
 fn run(mut engine: Engine, queue: &Receiver<Request>, progress: &Mutex<Progress>) {
-    while let Ok(first) = queue.recv() {
+    let mut replacing: Option<Reply> = None;
+    loop {
+        let first = if replacing.is_some() { queue.try_recv().ok() } else { queue.recv().ok() };
+        if first.is_none() && replacing.is_none() {
+            return;
+        }
         let started = Instant::now();
-        let mut batch = Batch::default();
-        let mut next = Some(first);
-        let mut replacement = None;
-        while let Some(request) = next.take() {
-            match request {
-                Request::Append { record, reply } => batch.push(record, reply),
-                Request::Replace { snapshot, reply } => replacement = Some((snapshot, reply)),
-            }
-            if replacement.is_none() && batch.bytes < MAX_FRAME_BYTES {
-                next = queue.try_recv().ok();
+        let (batch, snapshot) = next_batch(first, queue);
+        commit(&mut engine, batch, started, progress);
+        if let Some((snapshot, reply)) = snapshot {
+            // A newer snapshot holds everything that the one before it does.
+            if let Some(earlier) = replacing.take() {
+                let _ = earlier.send(Err(JournalError::Superseded));
             }
+            replacing = begin_replacement(&mut engine, snapshot, reply);
         }
-        commit(&mut engine, batch, started, progress);
-        if let Some((snapshot, reply)) = replacement {
-            let outcome = engine.replace(&snapshot);
-            finish(&engine, 1, 0, started, progress);
-            let _ = reply.send(outcome);
+        replacing = replacing.and_then(|reply| continue_replacement(&mut engine, reply, progress));
+    }
+}
+
+fn begin_replacement(engine: &mut Engine, snapshot: Vec<u8>, reply: Reply) -> Option<Reply> {
+    match engine.begin_replacement(snapshot) {
+        Ok(()) => Some(reply),
+        Err(error) => {
+            let _ = reply.send(Err(error));
+            None
+        }
+    }
+}
+
+fn continue_replacement(engine: &mut Engine, reply: Reply, progress: &Mutex<Progress>) -> Option<Reply> {
+    let Some(outcome) = engine.continue_replacement() else { return Some(reply) };
+    progress.lock().log_bytes = engine.log_bytes();
+    let _ = reply.send(outcome);
+    None
+}
+
+/// Collects what waits, up to a frame's size or a snapshot.
+fn next_batch(first: Option<Request>, queue: &Receiver<Request>) -> (Batch, Option<(Vec<u8>, Reply)>) {
+    let mut batch = Batch::default();
+    let mut next = first;
+    while let Some(request) = next {
+        match request {
+            Request::Append { record, reply } => batch.push(record, reply),
+            Request::Replace { snapshot, reply } => return (batch, Some((snapshot, reply))),
         }
+        next = if batch.bytes < MAX_FRAME_BYTES { queue.try_recv().ok() } else { None };
     }
+    (batch, None)
 }
 
 fn commit(engine: &mut Engine, batch: Batch, started: Instant, progress: &Mutex<Progress>) {
@@ -219,8 +249,8 @@
 /// Everything that still waits was queued after `started`.
 fn finish(engine: &Engine, requests: usize, bytes: usize, started: Instant, progress: &Mutex<Progress>) {
     let mut progress = progress.lock();
-    progress.waiting_requests -= requests;
+    progress.waiting_appends -= requests;
     progress.waiting_bytes -= bytes;
-    progress.oldest = (progress.waiting_requests > 0).then_some(started);
+    progress.oldest = (progress.waiting_appends > 0).then_some(started);
     progress.log_bytes = engine.log_bytes();
 }
--- a/crates/woadreach-journal/src/lib.rs
+++ b/crates/woadreach-journal/src/lib.rs
@@ -17,10 +17,12 @@
 mod error;
 mod format;
 mod journal;
+mod recovery;
 mod simulated;
 
 pub use disk::{Disk, FileDisk, Slot};
-pub use engine::{Engine, Recovered, Synced};
+pub use engine::{Engine, Synced};
 pub use error::JournalError;
 pub use journal::{Journal, JournalOptions};
+pub use recovery::Recovered;
 pub use simulated::{DiskFault, SimulatedDisk};
--- a/crates/woadreach-journal/tests/engine.rs
+++ b/crates/woadreach-journal/tests/engine.rs
@@ -2,7 +2,7 @@
 
 use oorandom::Rand64;
 use quickcheck::{TestResult, quickcheck};
-use woadreach_journal::{DiskFault, Engine, JournalError, SimulatedDisk, Slot};
+use woadreach_journal::{DiskFault, Engine, JournalError, SimulatedDisk, Slot, Synced};
 
 const MAX_BYTES: u64 = 1 << 20;
 
@@ -12,10 +12,25 @@
     snapshot: Option<Vec<u8>>,
     records: Vec<Vec<u8>>,
     doubtful: Vec<Vec<Vec<u8>>>,
-    doubtful_snapshot: Option<Vec<u8>>,
+    /// Snapshot and later records of a replacement that failed at its end.
+    doubtful_replacement: Option<(Vec<u8>, Vec<Vec<u8>>)>,
+    /// Records committed since a replacement began.
+    tail: Vec<Vec<u8>>,
 }
 
 impl Oracle {
+    /// Takes the outcome of a piece of a replacement.
+    fn replaced(&mut self, outcome: Option<Result<Synced, JournalError>>, snapshot: Vec<u8>) {
+        let tail = self.tail.clone();
+        match outcome {
+            None => {}
+            Some(Ok(_)) => {
+                *self = Oracle { snapshot: Some(snapshot), records: tail, ..Oracle::default() };
+            }
+            Some(Err(_)) => self.doubtful_replacement = Some((snapshot, tail)),
+        }
+    }
+
     fn check(&self, found: &woadreach_journal::Recovered) {
         let found_snapshot = found.snapshot.clone().unwrap_or_default();
         let acknowledged = self.snapshot.clone().unwrap_or_default();
@@ -25,8 +40,8 @@
         for batch in &self.doubtful {
             allowed |= accepts(&acknowledged, &[self.records.clone(), batch.clone()].concat());
         }
-        if let Some(snapshot) = &self.doubtful_snapshot {
-            allowed |= accepts(snapshot, &[]);
+        if let Some((snapshot, tail)) = &self.doubtful_replacement {
+            allowed |= accepts(snapshot, tail);
         }
         assert!(allowed, "found {found:?}, acknowledged {acknowledged:?} and {:?}", self.records);
     }
@@ -45,7 +60,7 @@
     for _ in 0..6 {
         disk.set_fault(DiskFault::Healthy);
         let opened = Engine::open(Box::new(disk.clone()), MAX_BYTES);
-        let (mut engine, found) = match opened {
+        let (engine, found) = match opened {
             Ok(opened) => opened,
             // The very first slot was torn before anything was acknowledged.
             Err(JournalError::Corrupt { .. }) if oracle.snapshot.is_none() && oracle.records.is_empty() => {
@@ -54,30 +69,34 @@
             }
             Err(error) => panic!("seed {seed}: {error}"),
         };
+        let mut engine = engine.with_piece_bytes(7);
         oracle.check(&found);
         oracle = Oracle { snapshot: found.snapshot, records: found.records, ..Oracle::default() };
-        for _ in 0..random.rand_range(0..8) {
+        let mut snapshot = None;
+        for _ in 0..random.rand_range(0..16) {
             if random.rand_range(0..10) == 0 {
                 let faults = [DiskFault::Full, DiskFault::Failing, DiskFault::FailingSync];
                 disk.set_fault(faults[usize::try_from(random.rand_range(0..3)).unwrap()]);
             } else {
                 disk.set_fault(DiskFault::Healthy);
             }
-            if random.rand_range(0..4) == 0 {
-                let snapshot = record(&mut random);
-                match engine.replace(&snapshot) {
-                    Ok(_) => {
-                        oracle = Oracle { snapshot: Some(snapshot), ..Oracle::default() };
-                    }
-                    Err(_) => oracle.doubtful_snapshot = Some(snapshot),
+            let replacing = snapshot.is_some() && engine.is_replacing();
+            if replacing && random.rand_range(0..2) == 0 {
+                oracle.replaced(engine.continue_replacement(), snapshot.clone().unwrap());
+            } else if !replacing && random.rand_range(0..4) == 0 {
+                let next = record(&mut random);
+                if engine.begin_replacement(next.clone()).is_ok() {
+                    oracle.tail.clear();
+                    snapshot = Some(next);
                 }
             } else {
                 let batch: Vec<_> = (0..random.rand_range(1..4)).map(|_| record(&mut random)).collect();
                 match engine.commit(&batch) {
                     Ok(_) => {
-                        oracle.records.extend(batch);
+                        oracle.records.extend(batch.clone());
+                        oracle.tail.extend(batch);
                         oracle.doubtful.clear();
-                        oracle.doubtful_snapshot = None;
+                        oracle.doubtful_replacement = None;
                     }
                     Err(_) => oracle.doubtful.push(batch),
                 }
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -12,7 +12,7 @@
     Answer, Fence, Operation, ProgramRecords, Request, Response, Settlement, decode, encode,
 };
 use crate::placement::holds;
-use crate::record::Record;
+use crate::record::{Record, SnapshotWriter, snapshot_records};
 use crate::store::Store;
 use crate::turn::TurnRecord;
 use crate::view::StorageView;
@@ -99,8 +99,8 @@
         snapshot: Option<&[u8]>,
         records: &[Vec<u8>],
     ) -> Option<Member> {
-        let snapshot: Vec<Vec<u8>> = snapshot.map_or(Some(Vec::new()), decode)?;
-        let mut all = snapshot.iter().chain(records);
+        let snapshot = snapshot.map_or(Some(Vec::new()), snapshot_records)?;
+        let mut all = snapshot.into_iter().chain(records.iter().map(Vec::as_slice));
         let Record::Identity { disk } = decode(all.next()?)? else { return None };
         let (mut member, _) = Member::create(node, disk, tolerated);
         for bytes in all {
@@ -121,13 +121,15 @@
     /// Everything durable in one piece, for [`Member::recover`].
     #[must_use]
     pub fn snapshot(&self, now: Duration) -> Vec<u8> {
-        let mut records = vec![encode(&Record::Identity { disk: self.disk })];
+        let mut snapshot = SnapshotWriter::new(self.store.bytes());
+        snapshot.push(&Record::Identity { disk: self.disk });
         if self.view.epoch > 0 {
-            records.push(encode(&Record::View(self.view.clone())));
+            snapshot.push(&Record::View(self.view.clone()));
         }
-        let programs = self.store.names().filter_map(|name| self.store.program(now, name));
-        records.extend(programs.map(|program| encode(&Record::Program(program))));
-        encode(&records)
+        for program in self.store.names().filter_map(|name| self.store.program(now, name)) {
+            snapshot.push(&Record::Program(program));
+        }
+        snapshot.finish()
     }
 
     /// Identity of the disk.
--- a/crates/woadreach-storage/src/record.rs
+++ b/crates/woadreach-storage/src/record.rs
@@ -2,7 +2,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::message::ProgramRecords;
+use crate::message::{ProgramRecords, encode};
 use crate::view::StorageView;
 
 /// A change of durable state.
@@ -19,3 +19,44 @@
     /// Records of a program, to be merged with what is there.
     Program(ProgramRecords),
 }
+
+/// Writes records one behind the other, each with its length before it, without a second copy of all.
+#[derive(Debug)]
+pub struct SnapshotWriter {
+    bytes: Vec<u8>,
+}
+
+impl SnapshotWriter {
+    /// An empty snapshot of about `expected` bytes.
+    #[must_use]
+    pub fn new(expected: usize) -> SnapshotWriter {
+        SnapshotWriter { bytes: Vec::with_capacity(expected) }
+    }
+
+    /// Adds a record.
+    pub fn push(&mut self, record: &Record) {
+        let record = encode(record);
+        let length = u32::try_from(record.len()).expect("a record is shorter than 4 GiB");
+        self.bytes.extend_from_slice(&length.to_le_bytes());
+        self.bytes.extend_from_slice(&record);
+    }
+
+    /// The snapshot.
+    #[must_use]
+    pub fn finish(self) -> Vec<u8> {
+        self.bytes
+    }
+}
+
+/// Encoded records of a snapshot; `None` if it is not whole.
+#[must_use]
+pub fn snapshot_records(mut snapshot: &[u8]) -> Option<Vec<&[u8]>> {
+    let mut records = Vec::new();
+    while !snapshot.is_empty() {
+        let (length, rest) = snapshot.split_first_chunk::<4>()?;
+        let length = u32::from_le_bytes(*length) as usize;
+        records.push(rest.get(..length)?);
+        snapshot = &rest[length..];
+    }
+    Some(records)
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/server/pulling.rs
@@ -0,0 +1,135 @@
+//! Pulls: in joint epochs, and after this machine may have missed records.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use woadreach_rpc::ServiceId;
+
+use super::{PullDue, Server};
+use crate::message::{Answer, Fence, Operation, ProgramRecords, Request, Response, decode, encode};
+use crate::pull::{Pages, Pull};
+use crate::view::{StorageMember, StorageView};
+
+/// How long one request of a pull may take.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before a source is tried again.
+const PULL_RETRY: Duration = Duration::from_millis(150);
+
+impl Server {
+    pub(super) async fn pull_when_due(&self) {
+        let mut due = self.shared.pull_due.subscribe();
+        due.mark_changed();
+        while due.changed().await.is_ok() {
+            let known = *due.borrow_and_update();
+            tokio::select! {
+                () = self.pull_for(known) => {}
+                () = something_else_due(&mut due, known) => due.mark_changed(),
+            }
+        }
+    }
+
+    /// Pulls what this machine should hold under the present view.
+    async fn pull_for(&self, due: PullDue) {
+        let (view, disk) = {
+            let member = self.shared.member.lock();
+            (member.view().clone(), member.disk())
+        };
+        if view.epoch != due.epoch {
+            return;
+        }
+        let joins = view.next.iter().flatten().any(|member| member.disk == disk);
+        if !joins && !view.is_current(disk) {
+            return;
+        }
+        let tolerated = self.shared.member.lock().tolerated();
+        let mut progress = Pull::new(&view, disk, tolerated);
+        let mut sources = JoinSet::new();
+        for source in view.current.iter().filter(|source| source.disk != disk) {
+            sources.spawn(pull_from(self.clone(), view.clone(), source.clone()));
+        }
+        while !progress.complete() {
+            let Some(Ok(source)) = sources.join_next().await else { return };
+            progress.finished(source);
+        }
+        if joins {
+            self.end_pull(view.epoch).await;
+        }
+        // The other sources are not needed for a quorum, but may hold copies that few others have.
+        while sources.join_next().await.is_some() {}
+    }
+
+    async fn end_pull(&self, epoch: u64) {
+        loop {
+            let step = self.shared.member.lock().finish_pull(self.now(), epoch);
+            if self.finish(step).await.answer == Answer::Stored {
+                break;
+            }
+            sleep(PULL_RETRY).await;
+        }
+        tracing::info!(epoch, "pulled what this machine should hold");
+        self.shared.pulled.send_replace(epoch);
+    }
+
+    async fn call_source(&self, source: &StorageMember, epoch: u64, operation: Operation) -> Option<Answer> {
+        let fence = Fence { epoch, disk: source.disk };
+        let body = encode(&Request { fence, operation });
+        let reply = self.shared.rpc.call(source.address, ServiceId::STORAGE, body, PULL_TIMEOUT).await;
+        let response: Response = decode(&reply.ok()?)?;
+        Some(response.answer)
+    }
+
+    async fn store_pulled(&self, records: ProgramRecords) {
+        loop {
+            let step = self.shared.member.lock().merge(self.now(), records.clone());
+            let Some(step) = step else { return };
+            if self.finish(step).await.answer == Answer::Stored {
+                return;
+            }
+            sleep(PULL_RETRY).await;
+        }
+    }
+}
+
+async fn something_else_due(due: &mut watch::Receiver<PullDue>, known: PullDue) {
+    let _ = due.wait_for(|due| *due != known).await;
+}
+
+/// Copies everything that this machine should hold from one source; returns the source's disk.
+async fn pull_from(server: Server, view: StorageView, source: StorageMember) -> u64 {
+    let node = server.shared.member.lock().node().to_owned();
+    let mut pages = Pages::default();
+    while let Some(operation) = pages.next(&node) {
+        let answer = server.call_source(&source, view.epoch, operation).await;
+        let records = match answer {
+            Some(Answer::Behind) => {
+                let operation = Operation::NewView { view: view.clone() };
+                let _ = server.call_source(&source, view.epoch, operation).await;
+                None
+            }
+            Some(Answer::Stale { view }) => {
+                server.learn_view(view).await;
+                None
+            }
+            Some(answer) => pages.answered(server.shared.member.lock().store(), answer),
+            None => None,
+        };
+        let Some(records) = records else {
+            sleep(PULL_RETRY).await;
+            continue;
+        };
+        store_all(&server, records).await;
+    }
+    source.disk
+}
+
+/// Stores the records of one page, which share one sync.
+async fn store_all(server: &Server, records: Vec<ProgramRecords>) {
+    let mut stored = JoinSet::new();
+    for program in records {
+        let server = server.clone();
+        stored.spawn(async move { server.store_pulled(program).await });
+    }
+    while stored.join_next().await.is_some() {}
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/server/upkeep.rs
@@ -0,0 +1,60 @@
+//! Expiry, compaction, and noticing that this process stood still.
+
+use std::time::{Duration, Instant};
+
+use super::Server;
+use crate::placement::{finish, hash64};
+
+/// A pause between two ticks that is longer than this means that the process was frozen.
+const FROZEN_AFTER: Duration = Duration::from_millis(1_200);
+/// A log shorter than this is never compacted.
+const LEAST_LOG_BYTES: u64 = 8 << 20;
+
+/// What is known from earlier ticks.
+#[derive(Debug)]
+pub(super) struct Upkeep {
+    last_tick: Instant,
+    compacting: bool,
+    /// How long the log may be, in hundredths of what is alive. It differs between the machines, so that they do
+    /// not compact at the same time.
+    log_percent: u64,
+}
+
+impl Upkeep {
+    pub(super) fn new(now: Instant, node: &str) -> Upkeep {
+        let log_percent = 100 + finish(hash64(node.as_bytes(), 3)) % 100;
+        Upkeep { last_tick: now, compacting: false, log_percent }
+    }
+}
+
+impl Server {
+    pub(super) fn upkeep(&self) {
+        let now = Instant::now();
+        let last_tick = std::mem::replace(&mut self.shared.upkeep.lock().last_tick, now);
+        if now.saturating_duration_since(last_tick) > FROZEN_AFTER {
+            self.missed_records();
+        }
+        self.shared.member.lock().expire(self.now());
+        self.compact_if_due();
+    }
+
+    fn compact_if_due(&self) {
+        let alive = self.shared.member.lock().store().bytes() as u64;
+        let mut upkeep = self.shared.upkeep.lock();
+        let allowed = LEAST_LOG_BYTES.max(alive) * upkeep.log_percent / 100;
+        if upkeep.compacting || self.shared.journal.log_bytes() <= allowed {
+            return;
+        }
+        upkeep.compacting = true;
+        drop(upkeep);
+        let snapshot = self.shared.member.lock().snapshot(self.now());
+        let replaced = self.shared.journal.replace(snapshot);
+        let server = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = replaced.await {
+                tracing::warn!(%error, "the log was not compacted");
+            }
+            server.shared.upkeep.lock().compacting = false;
+        });
+    }
+}
--- a/crates/woadreach-storage/src/store.rs
+++ b/crates/woadreach-storage/src/store.rs
@@ -15,7 +15,7 @@
 /// Kept beyond the retention, for the way to the client and back.
 const RETENTION_MARGIN: Duration = Duration::from_secs(5);
 /// How long the budget of a program is kept after its last use.
-const BUDGET_RETENTION: Duration = Duration::from_secs(600);
+const BUDGET_RETENTION: Duration = Duration::from_secs(300);
 
 /// Records of one program.
 #[derive(Debug, Default)]
--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -18,6 +18,9 @@
 const SMALL_FIRST_VIEW_WAIT: Duration = Duration::from_secs(5);
 /// Silence after which a machine gives its place to one that joins.
 const REPLACEABLE_AFTER: Duration = Duration::from_millis(1_500);
+/// Silence after which a machine goes that holds up a change of the membership, though less than a full group
+/// stays.
+const HOLDS_UP_AFTER: Duration = Duration::from_millis(2_500);
 /// Silence after which a machine is dropped though nobody takes its place.
 const DROPPED_AFTER: Duration = Duration::from_secs(6);
 /// Announcements older than this do not make a machine join.
@@ -72,7 +75,10 @@
     announcements: &Announcements,
     tolerated: usize,
 ) -> Vec<StorageMember> {
-    let leaves = |node: &str| view.retiring.contains(node) || view.retired.contains(node);
+    let others_alive = alive_without_leaving(now, view, announcements);
+    // An order waits while too few others are there to take over.
+    let may_leave = others_alive > tolerated;
+    let leaves = |node: &str| (may_leave && view.retiring.contains(node)) || view.retired.contains(node);
     let joining: Vec<StorageMember> = announcements
         .sightings()
         .filter(|seen| !leaves(&seen.member.node) && now.saturating_duration_since(seen.last) < FRESH)
@@ -91,6 +97,13 @@
     wanted
 }
 
+/// Machines that are heard and are not to be emptied.
+fn alive_without_leaving(now: Instant, view: &StorageView, announcements: &Announcements) -> usize {
+    let stays = |node: &str| !view.retiring.contains(node) && !view.retired.contains(node);
+    let heard = |member: &&StorageMember| announcements.silent_for(now, &member.node) < REPLACEABLE_AFTER;
+    view.latest().iter().filter(|member| stays(&member.node)).filter(heard).count()
+}
+
 /// Drops silent machines, the longest silent first, where others have taken their place or enough stay. A
 /// machine that is silent while the membership changes anyway goes sooner, for it holds the change up.
 fn drop_silent(
@@ -99,8 +112,8 @@
     silence: impl Fn(&StorageMember) -> Duration,
     tolerated: usize,
 ) {
-    let leaving = view.current.iter().filter(|member| view.retiring.contains(&member.node)).count();
-    let places = view.current.len() - leaving;
+    let stays = |member: &&StorageMember| wanted.iter().any(|other| other.node == member.node);
+    let places = view.current.iter().filter(stays).count();
     let changing = !same_members(wanted, &view.current);
     let patience = if changing { REPLACEABLE_AFTER } else { DROPPED_AFTER };
     let mut silent: Vec<(Duration, String)> =
@@ -111,7 +124,8 @@
     for (silence, node) in silent.into_iter().rev() {
         let replaced = wanted.len() > places;
         let spare = silence >= patience && alive > 2 * tolerated;
-        if replaced || spare {
+        let holds_up = changing && silence >= HOLDS_UP_AFTER && alive > tolerated;
+        if replaced || spare || holds_up {
             wanted.retain(|member| member.node != node);
         }
     }
--- a/crates/woadreach-storage/tests/simulation/faults.rs
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -62,7 +62,8 @@
         }
         let next = self.millis(200, 3_000);
         self.after(next, Event::Fault(Fault::Draw));
-        match self.random.rand_range(0..14) {
+        let kind = if self.churn { self.random.rand_range(10..13) } else { self.random.rand_range(0..14) };
+        match kind {
             0 | 1 => self.lose_one(Fault::Kill),
             2 | 3 => self.lose_one(Fault::PowerLoss),
             4 | 5 => self.lose_one(Fault::Wipe),
--- a/crates/woadreach-storage/tests/simulation/machine.rs
+++ b/crates/woadreach-storage/tests/simulation/machine.rs
@@ -118,7 +118,7 @@
                 self.identity = random.rand_u64();
             }
             let (member, record) = Member::create(self.node.clone(), self.identity, tolerated);
-            let _ = engine.replace(&woadreach_storage::message::encode(&vec![record])).unwrap();
+            let _ = engine.commit(&[record]).unwrap();
             member
         });
         self.identity = member.disk();
--- a/crates/woadreach-storage/tests/simulation/world.rs
+++ b/crates/woadreach-storage/tests/simulation/world.rs
@@ -99,6 +99,10 @@
     pub losses: Vec<Duration>,
     pub end_of_faults: Duration,
     pub after_ack_share: u64,
+    /// The run is about changes of the membership.
+    pub churn: bool,
+    /// Proxies hear of new views late.
+    late_views: bool,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     scheduled: BTreeMap<u64, Event>,
     held: BTreeMap<usize, Vec<Event>>,
@@ -129,6 +133,8 @@
             losses: vec![Duration::ZERO; tolerated],
             end_of_faults: START_OF_TRAFFIC + traffic,
             after_ack_share: if random.rand_range(0..2) == 0 { 0 } else { random.rand_range(5..40) },
+            churn: random.rand_range(0..4) == 0,
+            late_views: random.rand_range(0..3) == 0,
             events: BinaryHeap::new(),
             scheduled: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -526,7 +532,8 @@
             }
         }
         for index in 0..self.proxies.len() {
-            let delay = if self.chance(8) { self.millis(100, 2_500) } else { self.millis(1, 40) };
+            let late = self.late_views || self.chance(8);
+            let delay = if late { self.millis(100, 9_000) } else { self.millis(1, 40) };
             self.after(delay, Event::View { to: Endpoint::Proxy(index), view: view.clone() });
         }
         self.emptied_machines_go();
