--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -7,7 +7,6 @@
 //! joint epoch   -> next is current, once every machine of it has pulled its part
 //! ```
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::announce::{Announcements, Sighting};
@@ -19,6 +18,9 @@
 const SMALL_FIRST_VIEW_WAIT: Duration = Duration::from_secs(5);
 /// Silence after which a machine gives its place to one that joins.
 const REPLACEABLE_AFTER: Duration = Duration::from_millis(1_500);
+/// Silence after which a machine goes that holds up a change of the membership, though less than a full group
+/// stays.
+const HOLDS_UP_AFTER: Duration = Duration::from_millis(2_500);
 /// Silence after which a machine is dropped though nobody takes its place.
 const DROPPED_AFTER: Duration = Duration::from_secs(6);
 /// Announcements older than this do not make a machine join.
@@ -73,7 +75,10 @@
     announcements: &Announcements,
     tolerated: usize,
 ) -> Vec<StorageMember> {
-    let leaves = |node: &str| view.retiring.contains(node) || view.retired.contains(node);
+    let others_alive = alive_without_leaving(now, view, announcements);
+    // An order waits while too few others are there to take over.
+    let may_leave = others_alive > tolerated;
+    let leaves = |node: &str| (may_leave && view.retiring.contains(node)) || view.retired.contains(node);
     let joining: Vec<StorageMember> = announcements
         .sightings()
         .filter(|seen| !leaves(&seen.member.node) && now.saturating_duration_since(seen.last) < FRESH)
@@ -86,33 +91,42 @@
         .filter(|member| !leaves(&member.node))
         .map(|member| announcements.sighting(&member.node).map_or_else(|| member.clone(), member_of))
         .collect();
-    let mut replacements = joining.len();
     wanted.extend(joining);
-    drop_silent(&mut wanted, now, announcements, tolerated, &mut replacements);
+    let silence = |member: &StorageMember| announcements.silent_for(now, &member.node);
+    drop_silent(&mut wanted, view, silence, tolerated);
     wanted
 }
 
-/// Drops silent machines, the longest silent first, while enough others stay.
+/// Machines that are heard and are not to be emptied.
+fn alive_without_leaving(now: Instant, view: &StorageView, announcements: &Announcements) -> usize {
+    let stays = |node: &str| !view.retiring.contains(node) && !view.retired.contains(node);
+    let heard = |member: &&StorageMember| announcements.silent_for(now, &member.node) < REPLACEABLE_AFTER;
+    view.latest().iter().filter(|member| stays(&member.node)).filter(heard).count()
+}
+
+/// Drops silent machines, the longest silent first, where others have taken their place or enough stay. A
+/// machine that is silent while the membership changes anyway goes sooner, for it holds the change up.
 fn drop_silent(
     wanted: &mut Vec<StorageMember>,
-    now: Instant,
-    announcements: &Announcements,
+    view: &StorageView,
+    silence: impl Fn(&StorageMember) -> Duration,
     tolerated: usize,
-    replacements: &mut usize,
 ) {
-    let silence = |member: &StorageMember| announcements.silent_for(now, &member.node);
+    let stays = |member: &&StorageMember| wanted.iter().any(|other| other.node == member.node);
+    let places = view.current.iter().filter(stays).count();
+    let changing = !same_members(wanted, &view.current);
+    let patience = if changing { REPLACEABLE_AFTER } else { DROPPED_AFTER };
     let mut silent: Vec<(Duration, String)> =
         wanted.iter().map(|member| (silence(member), member.node.clone())).collect();
     silent.retain(|(silence, _)| *silence >= REPLACEABLE_AFTER);
     silent.sort();
-    let heard: BTreeSet<&str> = announcements.sightings().map(|seen| seen.member.node.as_str()).collect();
     let alive = wanted.len() - silent.len();
     for (silence, node) in silent.into_iter().rev() {
-        let replaced = *replacements > 0;
-        let spare = silence >= DROPPED_AFTER && alive > 2 * tolerated && !heard.is_empty();
-        if replaced || spare {
+        let replaced = wanted.len() > places;
+        let spare = silence >= patience && alive > 2 * tolerated;
+        let holds_up = changing && silence >= HOLDS_UP_AFTER && alive > tolerated;
+        if replaced || spare || holds_up {
             wanted.retain(|member| member.node != node);
-            *replacements = replacements.saturating_sub(1);
         }
     }
 }
