--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use woadreach_chain::{Input, MemberOptions};
-use woadreach_discovery::CoreDiscovery;
+use woadreach_discovery::{CoreDiscovery, NodeRole, Sampler};
 use woadreach_journal::{Journal, JournalError, JournalOptions, Recovered};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
 use woadreach_settings::NodeSettings;
@@ -67,9 +67,11 @@
     let discovery = CoreDiscovery::new(&settings, random_number() | 1, rpc.clone(), committed);
     let seeds = settings.seed_internal_addresses();
     let planner = StoragePlanner::new(Arc::clone(&driver), rpc, seeds, tolerated);
+    let sampler = Sampler::new(&settings, NodeRole::Core, random_number());
 
     let services = discovery.handlers(planner.handlers(internal_services(&driver, &orders)));
-    tokio::spawn(woadreach_rpc::serve(internal, services));
+    tokio::spawn(woadreach_rpc::serve(internal, sampler.handlers(services)));
+    tokio::spawn(Arc::clone(&sampler).run());
     tokio::spawn(Arc::clone(&discovery).run());
     tokio::spawn(planner.run());
     let (stop, stopped) = watch::channel(false);
@@ -83,7 +85,7 @@
     let server = tokio::spawn(server);
     tracing::info!(node = settings.node, address = %settings.internal_address(), "core machine started");
 
-    follow_signals(&driver, &mut terminate, &mut hangup).await;
+    follow_signals(&driver, &sampler, &mut terminate, &mut hangup).await;
     leave(&driver).await;
     stop.send_replace(true);
     // A server task that failed has nothing in hand any more.
@@ -182,26 +184,46 @@
 }
 
 /// Returns on SIGTERM; reads the settings again on SIGHUP, and while no quorum is in reach.
-async fn follow_signals(driver: &MemberDriver, terminate: &mut Signal, hangup: &mut Signal) {
+async fn follow_signals(
+    driver: &MemberDriver,
+    sampler: &Sampler,
+    terminate: &mut Signal,
+    hangup: &mut Signal,
+) {
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
-            _ = hangup.recv() => read_seeds_again(driver),
+            _ = hangup.recv() => read_seeds_again(driver, sampler),
             () = tokio::time::sleep(SETTINGS_INTERVAL) => {
-                if !driver.status().in_quorum {
-                    read_seeds_again(driver);
+                let in_quorum = driver.status().in_quorum;
+                sampler.set_lost(!in_quorum);
+                if !in_quorum {
+                    read_seeds_again(driver, sampler);
                 }
             }
         }
     }
 }
 
-fn read_seeds_again(driver: &MemberDriver) {
+/// Gives the member the seeds of the settings, and the core machines that other processes have named.
+fn read_seeds_again(driver: &MemberDriver, sampler: &Sampler) {
     let options = NodeSettings::load_from_environment()
         .map_err(|source| RoleError::Settings { source })
-        .and_then(|settings| member_options(&settings));
+        .and_then(|settings| {
+            sampler.set_seeds(settings.seed_internal_addresses());
+            member_options(&settings)
+        });
     match options {
-        Ok(options) => driver.input(Input::Seeds(options.seeds)),
+        Ok(options) => {
+            let mut seeds = options.seeds;
+            for machine in sampler.core_machines().borrow().iter() {
+                match machine {
+                    SocketAddr::V4(address) if !seeds.contains(address) => seeds.push(*address),
+                    _ => {}
+                }
+            }
+            driver.input(Input::Seeds(seeds));
+        }
         Err(error) => tracing::warn!(%error, "settings not read again"),
     }
 }
--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -1,5 +1,6 @@
 //! The `storage` role: keeps turns and programs' budgets.
 
+use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
-use woadreach_discovery::{ControlSnapshot, ControlWatch};
+use woadreach_discovery::{ControlSnapshot, ControlWatch, NodeRole, Sampler};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId, serve};
 use woadreach_settings::NodeSettings;
 use woadreach_storage::StorageView;
@@ -66,12 +67,15 @@
     };
     let server = Server::open(&folder, rpc.clone(), options).await.context(StorageSnafu)?;
     let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-    let router = server.routes(Router::new());
-    let control = ControlWatch::spawn(&settings, rpc.clone());
+    let sampler =
+        Sampler::new(&settings, NodeRole::Storage, std::hash::RandomState::new().build_hasher().finish());
+    let router = sampler.handlers(server.routes(Router::new()));
+    let control = ControlWatch::spawn_with_sampler(&settings, rpc.clone(), Arc::clone(&sampler));
     tracing::info!(node = settings.node, %address, "storage is up");
     tokio::join!(
         serve(listener, router),
         server.run(),
+        sampler.run(),
         follow_views(&server, control.clone()),
         announce(&server, &rpc, settings.seed_internal_addresses(), control),
     );
--- a/crates/woadreach-discovery/src/sampler.rs
+++ b/crates/woadreach-discovery/src/sampler.rs
@@ -13,6 +13,7 @@
 
 use crate::messages::{decode, encode};
 use crate::sampling::{NodeEntry, NodeRole, PartialView, Shuffle};
+use crate::watcher::rank;
 
 /// How long a partner has to answer.
 const SHUFFLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,6 +40,8 @@
             control: settings.listen.control.map(Into::into),
         };
         let seeds = settings.seed_internal_addresses();
+        // Processes that were given the same seed still differ.
+        let random_seed = random_seed ^ rank(&settings.node, settings.internal_address());
         Arc::new(Self {
             started: Instant::now(),
             view: Mutex::new(PartialView::new(Duration::ZERO, own, seeds, random_seed)),
--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use woadreach_discovery::ControlWatch;
-use woadreach_rpc::{Client, ClientOptions};
+use woadreach_discovery::{ControlWatch, NodeRole, Sampler};
+use woadreach_rpc::{Client, ClientOptions, Router};
 use woadreach_settings::NodeSettings;
 use woadreach_storage::StorageClient;
 
@@ -54,13 +54,17 @@
     let ready_address = settings.listen.ready.context(NoAddressSnafu { field: "ready" })?;
     let front_listener = listen(front_address).await?;
     let ready_listener = listen(ready_address).await?;
+    let internal_listener = listen(settings.internal_address()).await?;
     let signals = Signals::new().context(SignalsSnafu)?;
 
     let rpc = Client::new(ClientOptions::default());
     let turns = StorageClient::new(rpc.clone(), settings.zone.clone(), settings.fault_tolerance.machines);
     let seed = RandomState::new().hash_one(&settings.node);
     let proxy = Arc::new(Proxy::new(seed, &settings.zone, turns));
-    let snapshots = ControlWatch::spawn(&settings, rpc);
+    let sampler = Sampler::new(&settings, NodeRole::Proxy, seed);
+    tokio::spawn(woadreach_rpc::serve(internal_listener, sampler.handlers(Router::new())));
+    tokio::spawn(sampler.clone().run());
+    let snapshots = ControlWatch::spawn_with_sampler(&settings, rpc, sampler);
     let front = Front::new(proxy.clone(), &settings.limits);
 
     spawn_service(&proxy, &front, front_listener, snapshots);
