--- /dev/null
+++ b/crates/woadreach-proxy/src/command_line.rs
@@ -0,0 +1,59 @@
+//! The command line of `woadreach-proxy`.
+
+use clap::{Arg, Command};
+use woadreach_settings::SETTINGS_VARIABLE;
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What the command line says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arguments {
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// What is logged.
+    pub log_filter: String,
+}
+
+/// The command, for `--help` and parsing.
+pub fn command() -> Command {
+    Command::new("woadreach-proxy")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Data plane of the woadreach serving tier: takes clients' requests and passes them to replicas")
+        .after_help(format!(
+            "The settings file is named by {SETTINGS_VARIABLE}. Logs go to standard error.\n\
+             Exit codes: 0 stopped by SIGTERM, 1 failure, 2 bad settings or arguments.\n\n\
+             Example:\n  {SETTINGS_VARIABLE}=/etc/woadreach/settings.yaml woadreach-proxy"
+        ))
+        .arg(
+            Arg::new("log-format")
+                .long("log-format")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("Form of the log"),
+        )
+        .arg(
+            Arg::new("log-filter")
+                .long("log-filter")
+                .default_value("info")
+                .help("What is logged, as in `info,woadreach_proxy=debug`"),
+        )
+}
+
+/// Reads the arguments.
+pub fn parse<I, T>(arguments: I) -> Result<Arguments, clap::Error>
+where
+    I: IntoIterator<Item = T>,
+    T: Into<std::ffi::OsString> + Clone,
+{
+    let matches = command().try_get_matches_from(arguments)?;
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let log_format = if text("log-format") == "json" { LogFormat::Json } else { LogFormat::Text };
+    Ok(Arguments { log_format, log_filter: text("log-filter") })
+}
--- a/crates/woadreach-proxy/src/lib.rs
+++ b/crates/woadreach-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client_connection;
 pub mod client_request;
 pub mod client_side;
+pub mod command_line;
 pub mod counters;
 pub mod deadline;
 pub mod dispatcher;
