--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -7,6 +7,7 @@
 
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use woadreach_discovery::{ControlSnapshot, ControlWatch, NodeRole, Sampler};
@@ -47,9 +48,15 @@
         /// The operating system's failure.
         source: std::io::Error,
     },
+    /// A signal cannot be waited for.
+    #[snafu(display("cannot wait for signals: {source}"))]
+    Signal {
+        /// The operating system's failure.
+        source: std::io::Error,
+    },
 }
 
-/// Runs the role until it fails.
+/// Runs the role until SIGTERM.
 ///
 /// # Errors
 /// See [`StorageRoleError`].
@@ -71,14 +78,23 @@
         Sampler::new(&settings, NodeRole::Storage, std::hash::RandomState::new().build_hasher().finish());
     let router = sampler.handlers(server.routes(Router::new()));
     let control = ControlWatch::spawn_with_sampler(&settings, rpc.clone(), Arc::clone(&sampler));
+    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    // Whoever needs the changed settings reads them again; without a handler the signal would end the process.
+    let _hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     tracing::info!(node = settings.node, %address, "storage is up");
-    tokio::join!(
-        serve(listener, router),
-        server.run(),
-        sampler.run(),
-        follow_views(&server, control.clone()),
-        announce(&server, &rpc, settings.seed_internal_addresses(), control),
-    );
+    let service = async {
+        tokio::join!(
+            serve(listener, router),
+            server.run(),
+            sampler.run(),
+            follow_views(&server, control.clone()),
+            announce(&server, &rpc, settings.seed_internal_addresses(), control),
+        )
+    };
+    tokio::select! {
+        _ = service => {}
+        _ = terminate.recv() => tracing::info!(node = settings.node, "storage stopped"),
+    }
     Ok(())
 }
 
