--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -82,7 +82,7 @@
 
     /// Sends batches and watches for silence until the task is dropped.
     pub async fn run(self: Arc<Self>) {
-        tokio::join!(self.exchange_batches(), self.pull_registries());
+        tokio::join!(self.exchange_batches(), Arc::clone(&self).pull_registries());
     }
 
     /// Takes a replica's heartbeat. A departure is acknowledged after the other core machines have been told.
@@ -144,7 +144,8 @@
     async fn tell_peers(&self, id: &str) {
         let (batch, peers) = {
             let state = self.state.lock();
-            (state.urgent_batch(id), state.peers(self.now(), &self.committed.view()))
+            let now = self.now();
+            (state.urgent_batch(now, id), state.peers(now, &self.committed.view()))
         };
         let body = encode(&Request::Urgent(batch));
         let mut calls = JoinSet::new();
@@ -187,12 +188,16 @@
     }
 
     /// Asks the peers that know more for their registries.
-    async fn pull_registries(&self) {
+    async fn pull_registries(self: Arc<Self>) {
         loop {
             let peers = self.state.lock().take_incomplete_peers();
-            let mut warm_peer = false;
+            let mut pulls = JoinSet::new();
             for peer in peers {
-                warm_peer |= self.pull_registry(peer).await == Some(false);
+                pulls.spawn(Arc::clone(&self).pull_registry(peer));
+            }
+            let mut warm_peer = false;
+            while let Some(pulled) = pulls.join_next().await {
+                warm_peer |= matches!(pulled, Ok(Some(false)));
             }
             let warming = {
                 let view = self.committed.view();
@@ -208,7 +213,7 @@
     }
 
     /// Takes in the registry of `peer`. Returns whether that machine is warming itself, or nothing if it fails.
-    async fn pull_registry(&self, peer: SocketAddr) -> Option<bool> {
+    async fn pull_registry(self: Arc<Self>, peer: SocketAddr) -> Option<bool> {
         loop {
             let known = self.state.lock().version_of_peer(peer);
             let body = encode(&Request::Registry(known));
@@ -241,7 +246,7 @@
                 }
                 encode(&BatchResponse { incarnation: self.incarnation })
             }
-            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(known)),
+            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(self.now(), known)),
             Err(error) => {
                 tracing::warn!(%error, "discovery request refused");
                 Vec::new()
@@ -257,7 +262,7 @@
         loop {
             registry_changed.borrow_and_update();
             committed_changed.borrow_and_update();
-            let response = self.state.lock().respond(&request, self.committed.as_ref());
+            let response = self.state.lock().respond(self.now(), &request, self.committed.as_ref());
             if has_news(&request, &response) || Instant::now() >= deadline {
                 return encode(&response);
             }
--- a/crates/woadreach-discovery/src/core_state.rs
+++ b/crates/woadreach-discovery/src/core_state.rs
@@ -67,8 +67,8 @@
     }
 
     /// Whether this machine does not know all replicas yet.
-    pub fn is_warming(&self) -> bool {
-        self.observation.is_warming()
+    pub fn is_warming(&self, now: Duration) -> bool {
+        self.observation.is_warming(now)
     }
 
     /// Takes a replica's heartbeat.
@@ -106,13 +106,13 @@
     }
 
     /// What the peers are told of `id` before its departure is acknowledged.
-    pub fn urgent_batch(&self, id: &str) -> Batch {
-        self.outbox.urgent_batch(id, &self.registry, self.is_warming())
+    pub fn urgent_batch(&self, now: Duration, id: &str) -> Batch {
+        self.outbox.urgent_batch(id, &self.registry, self.is_warming(now))
     }
 
     /// The next batch for the peers, if one is due.
     pub fn next_batch(&mut self, now: Duration) -> Option<Batch> {
-        let warming = self.is_warming();
+        let warming = self.is_warming(now);
         self.outbox.next_batch(now, &self.registry, warming)
     }
 
@@ -181,19 +181,24 @@
         if warm_peer && self.incomplete.is_empty() {
             self.observation.peers_taken_in();
         }
-        if self.is_warming() {
+        if self.is_warming(now) {
             self.incomplete.extend(self.peers(now, view));
         }
-        self.is_warming()
+        self.is_warming(now)
     }
 
     /// What is new in this registry since `known`.
-    pub fn registry_since(&self, known: RegistryVersion) -> RegistryResponse {
-        RegistryResponse::new(self.registry.changes_since(known, MAX_STATUSES), self.is_warming())
+    pub fn registry_since(&self, now: Duration, known: RegistryVersion) -> RegistryResponse {
+        RegistryResponse::new(self.registry.changes_since(known, MAX_STATUSES), self.is_warming(now))
     }
 
     /// The answer to a poll, whether or not it has news.
-    pub fn respond(&self, request: &PollRequest, committed: &dyn CommittedState) -> PollResponse {
-        respond(request, &self.registry, committed, self.is_warming())
+    pub fn respond(
+        &self,
+        now: Duration,
+        request: &PollRequest,
+        committed: &dyn CommittedState,
+    ) -> PollResponse {
+        respond(request, &self.registry, committed, self.is_warming(now))
     }
 }
--- a/crates/woadreach-discovery/src/replica_table.rs
+++ b/crates/woadreach-discovery/src/replica_table.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::messages::RegistryResponse;
+use crate::messages::{RegistryResponse, StatusEntry};
 use crate::registry::{RegistryVersion, TOMBSTONE_LIFE};
 use crate::replica::ReplicaRecord;
 use crate::status::ReplicaStatus;
@@ -78,17 +78,16 @@
         listing.complete = !response.more;
         listing.trusted = trusted;
         listing.answered_at = now;
-        let mut changed = false;
-        for entry in response.statuses {
-            let (id, status) = entry.into_status();
+        let accounts: Vec<_> = response.statuses.into_iter().map(StatusEntry::into_status).collect();
+        for (id, status) in &accounts {
             match status.record() {
                 Some(_) => listing.present.insert(id.clone()),
-                None => listing.present.remove(&id),
+                None => listing.present.remove(id),
             };
-            changed |= join(&mut self.known, now, id, status);
         }
-        if changed {
-            self.rebuild();
+        let mut changed = false;
+        for (id, status) in accounts {
+            changed |= self.join(now, id, status);
         }
         changed
     }
@@ -118,9 +117,7 @@
         for id in &dropped {
             self.known.remove(id);
             self.unlisted_since.remove(id);
-        }
-        if !dropped.is_empty() {
-            self.rebuild();
+            Arc::make_mut(&mut self.present).remove(id);
         }
         !dropped.is_empty()
     }
@@ -147,30 +144,26 @@
         }
     }
 
-    fn rebuild(&mut self) {
-        let records = self
-            .known
-            .iter()
-            .filter_map(|(id, known)| known.status.record().map(|record| (id.clone(), record.clone())));
-        self.present = Arc::new(records.collect());
-    }
-}
-
-/// Joins an account. Returns whether the replicas that are there change by it.
-fn join(known: &mut BTreeMap<String, Known>, now: Duration, id: String, status: ReplicaStatus) -> bool {
-    let Some(current) = known.get_mut(&id) else {
-        let is_present = status.record().is_some();
-        known.insert(id, Known { status, changed_at: now });
-        return is_present;
-    };
-    if !status.is_newer_than(&current.status) {
-        return false;
+    /// Joins an account. Returns whether the replicas that are there change by it.
+    fn join(&mut self, now: Duration, id: String, status: ReplicaStatus) -> bool {
+        let current = self.known.get(&id).map(|known| &known.status);
+        if current.is_some_and(|current| !status.is_newer_than(current)) {
+            return false;
+        }
+        let former = current.and_then(ReplicaStatus::record);
+        let changed = match (former, status.record()) {
+            (Some(one), Some(two)) => !one.same_content(two),
+            (None, None) => false,
+            _ => true,
+        };
+        if changed {
+            let present = Arc::make_mut(&mut self.present);
+            match status.record() {
+                Some(record) => present.insert(id.clone(), record.clone()),
+                None => present.remove(&id),
+            };
+        }
+        self.known.insert(id, Known { status, changed_at: now });
+        changed
     }
-    let changed = match (current.status.record(), status.record()) {
-        (Some(one), Some(two)) => !one.same_content(two),
-        (None, None) => false,
-        _ => true,
-    };
-    *current = Known { status, changed_at: now };
-    changed
 }
--- a/crates/woadreach-discovery/src/warming.rs
+++ b/crates/woadreach-discovery/src/warming.rs
@@ -57,9 +57,9 @@
         Self { heartbeat, warmth: Warmth::Warming { since: now }, last_tick: now, peers: BTreeMap::new() }
     }
 
-    /// Whether this machine says that it is warming.
-    pub fn is_warming(&self) -> bool {
-        self.warmth != Warmth::Warm
+    /// Whether this machine says that it is warming; also when its loop has stood still and has not found it yet.
+    pub fn is_warming(&self, now: Duration) -> bool {
+        self.warmth != Warmth::Warm || now.saturating_sub(self.last_tick) > STALL
     }
 
     /// A batch of `peer` has come.
--- a/crates/woadreach-discovery/tests/common/world.rs
+++ b/crates/woadreach-discovery/tests/common/world.rs
@@ -566,7 +566,7 @@
     fn answer_polls(&mut self, core: usize) {
         let node = &self.cores[core];
         let committed = *node.committed.changed().borrow();
-        let current = (node.state.registry().version(), node.state.is_warming(), committed);
+        let current = (node.state.registry().version(), node.state.is_warming(self.now), committed);
         if node.power != Power::Up || node.answered_for == Some(current) {
             return;
         }
@@ -576,7 +576,7 @@
             .polls
             .iter()
             .filter(|(_, (.., request))| {
-                has_news(request, &node.state.respond(request, node.committed.as_ref()))
+                has_news(request, &node.state.respond(self.now, request, node.committed.as_ref()))
             })
             .map(|(poll, _)| *poll)
             .collect();
@@ -588,7 +588,7 @@
     fn answer_poll(&mut self, core: usize, poll: u64) {
         let node = &mut self.cores[core];
         let Some((from, life, request)) = node.polls.remove(&poll) else { return };
-        let body = encode(&node.state.respond(&request, node.committed.as_ref()));
+        let body = encode(&node.state.respond(self.now, &request, node.committed.as_ref()));
         self.send(Node::Core(core), from, Message::Answer { call: poll, life, body });
     }
 
@@ -616,7 +616,7 @@
                     self.cores[core].polls.insert(call, (from, life, request));
                     self.push(self.now + wait, Event::PollDeadline { core, life: own_life, poll: call });
                     let node = &self.cores[core];
-                    if has_news(&request, &node.state.respond(&request, node.committed.as_ref())) {
+                    if has_news(&request, &node.state.respond(self.now, &request, node.committed.as_ref())) {
                         self.answer_poll(core, call);
                     }
                 }
@@ -642,7 +642,7 @@
                 }
             }
             Message::AskRegistry { life, known } => {
-                let body = encode(&self.cores[core].state.registry_since(known));
+                let body = encode(&self.cores[core].state.registry_since(self.now, known));
                 self.send(Node::Core(core), from, Message::Registry { life, body });
             }
             Message::Registry { life, body } if life == own_life => {
@@ -788,7 +788,7 @@
         match result {
             Ok(Ack::Leaving) if !peers.is_empty() => {
                 self.answer_polls(core);
-                let body = encode(&Request::Urgent(self.cores[core].state.urgent_batch(id)));
+                let body = encode(&Request::Urgent(self.cores[core].state.urgent_batch(self.now, id)));
                 let waiting = WaitingAck { replica, peers: peers.len() };
                 self.cores[core].waiting_acks.insert(call, waiting);
                 for peer in peers {
--- a/crates/woadreach-discovery/tests/distribution.rs
+++ b/crates/woadreach-discovery/tests/distribution.rs
@@ -125,7 +125,7 @@
             }
         });
         assert!(world.cores.iter().all(|core| core.state.registry().present() == 12));
-        assert!(world.cores.iter().all(|core| !core.state.is_warming()));
+        assert!(world.cores.iter().all(|core| !core.state.is_warming(world.now)));
     }
 }
 
@@ -178,6 +178,29 @@
     }
 }
 
+#[test]
+fn an_observer_that_starts_when_a_frozen_core_machine_wakes_does_not_take_its_old_list() {
+    for seed in 0..20 {
+        let mut world = calm(seed, 3, 6, 12);
+        world.set_power(2, Power::Frozen);
+        world.drain(0, 0);
+        world.run_for(seconds(4));
+        // The observer reaches the others a little later than the one that wakes.
+        world.restart_edge(0, (0..3).map(core_address).collect());
+        world.cuts.extend([(Node::Core(0), Node::Edge(0)), (Node::Core(1), Node::Edge(0))]);
+        world.thaw_core(2);
+        let until = world.now + millis(700);
+        world.run_checked(until, |world| {
+            let is_warmed = world.edges[0].watcher.is_warmed();
+            assert!(!(is_warmed && world.is_used(0, 0)), "seed {seed} at {:?}", world.now);
+        });
+        world.cuts.clear();
+        world.run_for(seconds(4));
+        assert!(world.edges[0].watcher.is_warmed(), "seed {seed}");
+        assert_eq!(world.edges_using(0), 0, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_departure_that_a_frozen_core_machine_missed_is_not_undone_when_it_wakes() {
     let mut world = calm(4, 3, 6, 12);
