Admission: one broken answer or one lost call takes a replica out; a few returns, then refused

Now a broken answer, or a call that is late beyond 1.5 times the longest of late at a replica that is silent or began later ones, ejects at once, and three returns are followed by a refusal that leaves time for the client's own try. Ruled out: failing such calls early, as silence is no reason to end an answer.

--- a/crates/woadreach-admission/src/decisions.rs
+++ b/crates/woadreach-admission/src/decisions.rs
@@ -25,7 +25,7 @@
     pub(crate) fn decide(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get(&id) else { return };
         match call.state() {
-            CallState::Running => self.consider_copy(now, id, actions),
+            CallState::Running => self.consider_late(now, id, actions),
             CallState::Held { .. } | CallState::Waiting => {
                 self.release(id);
                 self.place(now, id, actions);
@@ -204,7 +204,8 @@
         call.attempts.push(Attempt { replica, replica_id, state: AttemptState::Out, begun: false });
         call.apply(CallEvent::Sent);
         let alone = at.in_flight.is_empty();
-        let sent = InFlight { sent_at: now, route: call.route, alone, begun_late: None, overtaken: 0 };
+        let sent =
+            InFlight { sent_at: now, route: call.route, alone, begun_late: None, overtaken: 0, lost: false };
         at.in_flight.insert((id, attempt), sent);
         if let Some(service) = self.services.get_mut(&call.service) {
             let to_read = call.call.tokens_in.saturating_sub(at.cache.cached_tokens(&call.call.prefix));
@@ -212,9 +213,12 @@
             service.sent(to_read);
             if repeats { service.budget.spend() } else { service.budget.earn() }
         }
-        let may_copy =
-            call.call.kind.may_run_again() && call.replicas_reached().len() < call.call.max_replicas as usize;
-        let look_at = may_copy.then(|| now + self.routes.late_after(call.route));
+        let late_after = if call.may_be_copied() {
+            self.routes.late_after(call.route)
+        } else {
+            self.routes.lost_after(call.route)
+        };
+        let look_at = Some(now + late_after).filter(|at| *at < call.call.give_up_at);
         self.timers.set(&mut call.timer, id, look_at);
         actions.push(Action::Send {
             call: id,
--- a/crates/woadreach-admission/src/in_hand.rs
+++ b/crates/woadreach-admission/src/in_hand.rs
@@ -9,6 +9,9 @@
 use crate::outcome::Outcome;
 use crate::routes::RouteKey;
 
+/// How often a call may be sent again to a replica that did not run it.
+const MOST_RETURNS: usize = 3;
+
 /// How an attempt stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum AttemptState {
@@ -122,12 +125,31 @@
 
     /// Whether the call may be sent to this replica (again): not where it may have run, nor where another
     /// replica answered.
+    ///
+    /// After a few returns a refusal serves the client better: its next try may go elsewhere.
     pub fn may_return_to(&self, replica: ReplicaKey) -> bool {
+        if self.sends_to(replica) > MOST_RETURNS {
+            return false;
+        }
         let misdirected = AttemptState::Ended(Outcome::Misdirected);
         let mut there = self.attempts.iter().filter(|attempt| attempt.replica == replica);
         there.all(|attempt| attempt.has_not_run() && attempt.state != misdirected)
     }
 
+    /// Whether a second copy may be sent beside the attempt that is out: one at a time, before an answer has
+    /// begun, within the most replicas.
+    pub fn may_be_copied(&self) -> bool {
+        let mut out = self.attempts.iter().filter(|attempt| attempt.state == AttemptState::Out);
+        let single = out.next().is_some_and(|attempt| !attempt.begun) && out.next().is_none();
+        let within_bounds = self.replicas_reached().len() < self.call.max_replicas as usize;
+        single && within_bounds && self.call.kind.may_run_again()
+    }
+
+    /// How often the call was sent to a replica.
+    pub fn sends_to(&self, replica: ReplicaKey) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.replica == replica).count()
+    }
+
     /// Whether the call has been offered to a replica.
     pub fn was_offered(&self) -> bool {
         self.attempts.iter().any(Attempt::reached_replica)
--- a/crates/woadreach-admission/src/observations.rs
+++ b/crates/woadreach-admission/src/observations.rs
@@ -63,11 +63,8 @@
             Outcome::Answered | Outcome::ReplicaError => replica.answered(),
             Outcome::NotExecuted { .. } if too_large => return,
             Outcome::NotExecuted { .. } | Outcome::TimedOut => replica.hold.begin(replica.in_flight.len()),
-            Outcome::Unreachable => {
-                replica.health.eject(now, None);
-            }
+            Outcome::Unreachable | Outcome::Broken { .. } => replica.health.eject(now, None),
             Outcome::Misdirected | Outcome::NeverSent => return,
-            Outcome::Broken { .. } => {}
         }
         if outcome != Outcome::Answered {
             let kind = if outcome.has_not_run() { FailureKind::NotRun } else { FailureKind::MayHaveRun };
@@ -78,6 +75,16 @@
         }
     }
 
+    /// A replica has lost an attempt: it is ejected, once for each attempt.
+    pub(crate) fn observe_lost_attempt(&mut self, now: f64, id: CallId, attempt: u32, key: ReplicaKey) {
+        let Some(replica) = self.fleet.get_mut(key) else { return };
+        let Some(sent) = replica.in_flight.get_mut(&(id, attempt)).filter(|sent| !sent.lost) else { return };
+        sent.lost = true;
+        let sent = *sent;
+        replica.health.eject(now, None);
+        self.observe_health(now, key, sent, Some(FailureKind::MayHaveRun));
+    }
+
     /// A call is given up: attempts that are late without a sign of life speak against their replicas.
     pub(crate) fn observe_given_up(&mut self, now: f64, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
--- a/crates/woadreach-admission/src/replica.rs
+++ b/crates/woadreach-admission/src/replica.rs
@@ -50,6 +50,8 @@
     pub begun_late: Option<bool>,
     /// Attempts sent later that began before it.
     pub overtaken: u32,
+    /// It has been counted as lost.
+    pub lost: bool,
 }
 
 /// One replica, as far as this process has seen it.
--- a/crates/woadreach-admission/src/routes.rs
+++ b/crates/woadreach-admission/src/routes.rs
@@ -26,6 +26,8 @@
 const LATE_MEDIANS: f64 = 4.0;
 /// And at least this share of the target: a moment in which this process stood still makes no replica bad.
 const LATE_SHARE_OF_TARGET: f64 = 0.125;
+/// An attempt counts as lost beyond so many times the longest of the recent ones, if its replica is at work.
+const LOST_LONGEST: f64 = 1.5;
 /// Before any sample an unloaded answer is taken to need this share of the target.
 const START_SHARE_OF_TARGET: f64 = 0.1;
 
@@ -36,6 +38,7 @@
     recent: VecDeque<f64>,
     answers: usize,
     late_after: f64,
+    lost_after: f64,
     typical: f64,
 }
 
@@ -47,6 +50,7 @@
             recent: VecDeque::new(),
             answers: 0,
             late_after: target,
+            lost_after: target * LOST_LONGEST,
             typical: target * START_SHARE_OF_TARGET,
         }
     }
@@ -76,6 +80,8 @@
         self.typical = quantile(recent, 0.5).unwrap_or(self.typical);
         let floor = (self.typical * LATE_MEDIANS).max(self.target * LATE_SHARE_OF_TARGET);
         self.late_after = high.max(floor);
+        let longest = self.recent.iter().copied().fold(0.0, f64::max);
+        self.lost_after = self.late_after.max(longest * LOST_LONGEST);
     }
 }
 
@@ -112,6 +118,12 @@
         self.routes.get(&key).map_or(f64::INFINITY, Route::late_after)
     }
 
+    /// Seconds from which an attempt counts as lost, if its replica shows no sign of work or has begun later
+    /// ones.
+    pub fn lost_after(&self, key: RouteKey) -> f64 {
+        self.routes.get(&key).map_or(f64::INFINITY, |route| route.lost_after)
+    }
+
     /// The unloaded tail of a replica for one of `k` calls side by side.
     pub fn tail(&self, now: f64, key: RouteKey, replica: Option<ReplicaKey>, k: usize) -> f64 {
         let Some(route) = self.routes.get(&key) else { return 0.0 };
--- a/crates/woadreach-admission/src/second_copies.rs
+++ b/crates/woadreach-admission/src/second_copies.rs
@@ -1,4 +1,4 @@
-//! What becomes of a late attempt of a call that may run again.
+//! What becomes of late attempts.
 
 use crate::action::Action;
 use crate::admission::Admission;
@@ -7,6 +7,7 @@
 use crate::fleet::ReplicaKey;
 use crate::in_hand::{Attempt, AttemptState};
 use crate::placement::Placement;
+use crate::replica::InFlight;
 
 /// How soon (seconds) a late attempt is looked at again, at the least.
 const LOOK_AGAIN: f64 = 0.05;
@@ -14,20 +15,13 @@
 const OVERTAKEN: u32 = 2;
 
 impl Admission {
-    /// A late attempt of a call that may run again: a safe one gets a second copy, a resumable stream that
-    /// shows nothing is taken from a replica that has lost it.
-    pub(crate) fn consider_copy(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
+    /// A late attempt. If its replica has lost it that speaks against the replica. If the call may run again,
+    /// a safe one gets a second copy, and a resumable stream is taken from a replica that has lost it.
+    pub(crate) fn consider_late(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
+        self.observe_lost(now, id);
         let Some(call) = self.calls.get(&id) else { return };
-        let begun = call.attempts.iter().any(|a| a.begun && a.state == AttemptState::Out);
-        let within_bounds = call.replicas_reached().len() < call.call.max_replicas as usize;
-        let copied = call.attempts.iter().filter(|a| a.state == AttemptState::Out).count() > 1;
-        if begun || copied || !within_bounds || !call.call.kind.may_run_again() {
-            let Some(call) = self.calls.get_mut(&id) else { return };
-            self.timers.set(&mut call.timer, id, None);
-            return;
-        }
         let streaming = call.call.kind.is_streaming();
-        let wanted = !streaming || self.has_lost_it(now, id);
+        let wanted = call.may_be_copied() && (!streaming || self.has_lost_it(now, id));
         if let Some(replica) = self.copy_target(now, id).filter(|_| wanted) {
             let freed = if streaming { self.abort_lost(now, id, actions) } else { Vec::new() };
             self.send(now, id, replica, actions);
@@ -35,8 +29,29 @@
             return;
         }
         let Some(call) = self.calls.get_mut(&id) else { return };
+        let begun = call.attempts.iter().any(|attempt| attempt.begun);
         let again = now + (self.routes.late_after(call.route) / 2.0).max(LOOK_AGAIN);
-        self.timers.set(&mut call.timer, id, Some(again).filter(|at| *at < call.call.give_up_at));
+        let again = Some(again).filter(|at| !begun && *at < call.call.give_up_at);
+        self.timers.set(&mut call.timer, id, again);
+    }
+
+    /// Replicas that have lost an attempt of the call are ejected, as it won't be told otherwise for long.
+    fn observe_lost(&mut self, now: f64, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let late = |sent: &InFlight| now > sent.sent_at + self.routes.lost_after(sent.route);
+        let lost: Vec<(u32, ReplicaKey)> = (0..)
+            .zip(&call.attempts)
+            .filter(|(_, attempt)| attempt.state == AttemptState::Out && !attempt.begun)
+            .filter(|(number, attempt)| {
+                let replica = self.fleet.get(attempt.replica);
+                let sent = replica.and_then(|replica| replica.in_flight.get(&(id, *number)));
+                sent.is_some_and(late) && self.is_lost(now, id, *number, attempt)
+            })
+            .map(|(number, attempt)| (number, attempt.replica))
+            .collect();
+        for (number, replica) in lost {
+            self.observe_lost_attempt(now, id, number, replica);
+        }
     }
 
     fn abort_lost(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) -> Vec<ReplicaKey> {
@@ -66,14 +81,17 @@
         (!self.is_hopeless(now, id, replica)).then_some(replica)
     }
 
-    /// Whether every replica where the call is out has left, shows no sign of work, or answered others since.
+    /// Whether every replica where the call is out has lost it.
     fn has_lost_it(&self, now: f64, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else { return false };
-        let lost = |(number, attempt): (u32, &Attempt)| {
-            let Some(replica) = self.fleet.get(attempt.replica) else { return true };
-            let overtaken = replica.in_flight.get(&(id, number)).is_none_or(|s| s.overtaken >= OVERTAKEN);
-            overtaken || replica.is_silent(now, |route| self.routes.late_after(route))
-        };
-        (0..).zip(&call.attempts).filter(|(_, attempt)| attempt.state == AttemptState::Out).all(lost)
+        let mut out = (0..).zip(&call.attempts).filter(|(_, attempt)| attempt.state == AttemptState::Out);
+        out.all(|(number, attempt)| self.is_lost(now, id, number, attempt))
+    }
+
+    /// Whether the replica of a late attempt has left, shows no sign of work, or began others sent later.
+    fn is_lost(&self, now: f64, id: CallId, number: u32, attempt: &Attempt) -> bool {
+        let Some(replica) = self.fleet.get(attempt.replica) else { return true };
+        let overtaken = replica.in_flight.get(&(id, number)).is_none_or(|s| s.overtaken >= OVERTAKEN);
+        overtaken || replica.is_silent(now, |route| self.routes.late_after(route))
     }
 }
--- a/crates/woadreach-admission/tests/failures.rs
+++ b/crates/woadreach-admission/tests/failures.rs
@@ -78,6 +78,53 @@
     }
 }
 
+#[test]
+fn a_replica_that_broke_off_gets_no_call_that_may_not_run_again() {
+    for seed in 0..20 {
+        let mut driver = Driver::new(seed, service(), &replicas(&["a", "b"]));
+        for id in 1..=20 {
+            driver.arrive(unsafe_call(driver.now, id));
+            driver.outcome(id, 0, Outcome::Answered);
+        }
+        driver.arrive(unsafe_call(driver.now, 21));
+        let broken = driver.sent_to(21)[0].clone();
+        driver.outcome(21, 0, Outcome::Broken { sent: true, events: 0 });
+        for id in 22..=60 {
+            driver.advance(0.1);
+            driver.arrive(unsafe_call(driver.now, id));
+            assert_ne!(driver.sent_to(id)[0], broken);
+            driver.outcome(id, 0, Outcome::Answered);
+        }
+    }
+}
+
+/// A replica that swallows one call and answers others: seen long before that call times out.
+#[test]
+fn a_replica_that_lost_a_call_is_left_out() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    for id in 1..=40 {
+        driver.arrive(unsafe_call(driver.now, id));
+        driver.advance(0.1);
+        driver.outcome(id, 0, Outcome::Answered);
+    }
+    driver.arrive(unsafe_call(driver.now, 100));
+    let lossy = driver.sent_to(100)[0].clone();
+    let mut later_there = 0;
+    for id in (101..=160).step_by(4) {
+        driver.advance(0.01);
+        for id in id..id + 4 {
+            driver.arrive(unsafe_call(driver.now, id));
+            later_there += usize::from(driver.sent_to(id)[0] == lossy);
+        }
+        driver.advance(0.1);
+        for id in id..id + 4 {
+            driver.outcome(id, 0, Outcome::Answered);
+        }
+    }
+    assert!((2..=14).contains(&later_there), "none after some 0.5 s: {later_there} of 60");
+    assert_eq!(driver.end(100), None, "the call itself waits");
+}
+
 #[test]
 fn a_silent_replica_gets_no_more() {
     for seed in 0..20 {
--- a/crates/woadreach-admission/tests/repeats.rs
+++ b/crates/woadreach-admission/tests/repeats.rs
@@ -85,6 +85,20 @@
     assert_eq!(driver.advance(0.02).len(), 1);
 }
 
+#[test]
+fn a_call_returns_three_times_and_is_refused_early_enough_for_another_try() {
+    let mut driver = Driver::new(1, service(), &replicas(&["a", "b"]));
+    let start = driver.now;
+    driver.arrive(Call { kind: UNSAFE, max_replicas: 1, ..call(driver.now, 1) });
+    for attempt in 0..4 {
+        driver.outcome(1, attempt, FULL);
+        driver.advance(0.15);
+    }
+    assert_eq!(driver.sent_to(1).len(), 4);
+    assert_eq!(driver.end(1), Some(End::Refused));
+    assert!(driver.now - start < 1.0);
+}
+
 #[test]
 fn a_call_that_no_replica_takes_is_refused_at_last_with_an_advice() {
     let mut driver = Driver::new(1, service(), &replicas(&["a"]));
