Discovery: after silence, lists asked for every half drain grace and a watch that waits

Discovery is down from about 3 s to 10.95 s; the list changes at 11.08 s and 29 replicas drain. Cause: calls for a whole list made while the agent is down are never answered, not even at its return (the one of 4.735 and the one of 10.735 were open then); watches are. asks for no watch after silence (turn: state.whole = true), and its next list came up to 1.2 s (HUNG) after the return, over the drain grace of 0.5 s. Excluded: an older list taken for the newest (no list came between 0.034 and 11.945 s at any process); a fresh call dropped in the moment of its answer (the one dropped at 11.935 had been open, unanswered, since 10.735, 0.98 s past the return; its successor was answered in 10 ms); a second connection that is not taken (the answered call was such a one, at all 297).

Change: the decision when to call, and for what, stands in discovery/schedule.rs (no I/O, no clock): the first call waits as before (10 s), a second as before (1.2 s), the latest is replaced every half drain grace of the settings, and after silence a watch waits beside them; it counts from its first whole object. The first two rows of HUNG and PATIENT stay. Two descriptors as before, the other two calls only where one is free. discovery/version.rs judges versions: an older whole list is ignored once, and taken where the next one says the same or where something was lost; the same version with other entries is taken; each with a log line. Parsing and lines move to files of their own. Rigs: the stand-in answered every call at its return and told what it wrote; now the calls made while it is silent may be lost (all, or those for lists), drawn by seed, and what the agent has counts as told at once, with or without a watch, and to a new process from its start.

Unit tables of schedule.rs and version.rs. Clippy and fmt clean.

--- a/crates/woadreach-cluster/src/rig.rs
+++ b/crates/woadreach-cluster/src/rig.rs
@@ -408,10 +408,7 @@
         let path = self.folder.path().join(format!("n{n}.json"));
         std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
         self.recorder.tell(What::NodeStarted { node: NodeId(n) });
-        for slot in self.slots.iter().filter(|s| s.handle.is_some()) {
-            let (node, replica) = (NodeId(n), slot.name.as_str().into());
-            self.recorder.tell(What::Told { node, replica, ready: true });
-        }
+        self.nodes[n].agent.process_started();
         self.tally.borrow_mut().started(n);
         // One per cent fast, one slow, and seconds apart.
         let clock = (1.0 + 0.01 * [1.0, -1.0, 0.0][n % 3], 3.0 * n as f64);
--- a/crates/woadreach-faults/src/lib.rs
+++ b/crates/woadreach-faults/src/lib.rs
@@ -22,7 +22,7 @@
 pub use network::{BEGIN, Figures, Network, SimDatagrams, SimNet, SimStream, Zone, address, seed_of};
 pub use record::{Fared, Record};
 pub use recovery::Recovery;
-pub use script::{Bad, Fault, Kind, Peers, Repeats, Script};
+pub use script::{Bad, Fault, Kind, Peers, Repeats, Script, SilentCalls};
 pub use shrink::{Small, shrink};
 pub use sockets::on_sockets;
 pub use world::{Judged, Options, Outcome, Places, configuration, play, terms};
--- a/crates/woadreach-faults/src/script.rs
+++ b/crates/woadreach-faults/src/script.rs
@@ -55,6 +55,19 @@
     pub way: f64,
     /// Bytes that a connection holds unread at one end, and unsent at the other.
     pub buffers: usize,
+    /// What becomes of calls to discovery that are made while it is silent.
+    #[serde(default)]
+    pub calls_while_silent: SilentCalls,
+}
+
+/// As [`woadreach_standin::CallsWhileSilent`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SilentCalls {
+    #[default]
+    Kept,
+    ListsLost,
+    Lost,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -492,6 +505,12 @@
             clocks_apart: d.of(&[0.0, 0.01, 0.05]),
             way: d.of(&[0.001, 0.001, 0.001, 0.02]),
             buffers: d.of(&[131_072, 131_072, 131_072, 512]),
+            // Drawn apart, so that all else of a seed stays as it was.
+            calls_while_silent: Draw(Pcg64Mcg::seed_from_u64(seed_of(seed, "calls while silent"))).of(&[
+                SilentCalls::Kept,
+                SilentCalls::ListsLost,
+                SilentCalls::Lost,
+            ]),
         };
         let settings = Settings {
             per_call: d.of(&[1, 1, 2, 4]),
--- a/crates/woadreach-faults/src/world.rs
+++ b/crates/woadreach-faults/src/world.rs
@@ -6,7 +6,7 @@
 use crate::network::{BEGIN, Network, SimNet, Zone, address, seed_of};
 use crate::record::{Fared, Record};
 use crate::recovery::{Recovery, recoveries};
-use crate::script::{Kind, QueryType, Repeats, Script};
+use crate::script::{Kind, QueryType, Repeats, Script, SilentCalls};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
@@ -17,7 +17,9 @@
 use tokio::sync::mpsc;
 use woadreach_net::{Net, Stream};
 use woadreach_rules::{Breach, Budget, Cold, Event, NodeId, QueryTerms, Terms, What};
-use woadreach_standin::{Agent, Ask, Behaviour, Caller, Calls, Line, Recorder, Replica, Retry};
+use woadreach_standin::{
+    Agent, Ask, Behaviour, Caller, Calls, CallsWhileSilent, Line, Recorder, Replica, Retry,
+};
 use woadreachd::Outside;
 use woadreachd::config::{self, First, Given};
 use woadreachd::events::Held;
@@ -327,12 +329,18 @@
                 let place = address(agent_process, DISCOVERY_PORT);
                 // Nobody listens there yet.
                 let agent = woadreach_standin::discovery(&agent, NodeId(n), place, None, &recorder);
+                let agent = agent.unwrap_or_else(|e| panic!("an agent's address is taken: {e}"));
+                agent.calls_while_silent(match f.calls_while_silent {
+                    SilentCalls::Kept => CallsWhileSilent::Kept,
+                    SilentCalls::ListsLost => CallsWhileSilent::ListsLost,
+                    SilentCalls::Lost => CallsWhileSilent::Lost,
+                });
                 Node {
                     process: Cell::new(Some(first.process())),
                     address: at,
                     clients: Caller::new(&clients, NodeId(n), at, &recorder),
                     up: Cell::new(false),
-                    agent: agent.unwrap_or_else(|e| panic!("an agent's address is taken: {e}")),
+                    agent,
                     agent_process: Cell::new(agent_process),
                     moves: Cell::new(0),
                     hangup: RefCell::default(),
@@ -439,6 +447,7 @@
         };
         node.process.set(Some(net.process()));
         self.recorder.tell(What::NodeStarted { node: NodeId(n) });
+        node.agent.process_started();
         let seed = seed_of(self.script.seed, &format!("node {n} {start}"));
         let (hangup, hangups) = mpsc::unbounded_channel();
         let (term, terms) = mpsc::unbounded_channel();
--- a/crates/woadreach-faults/tests/days.rs
+++ b/crates/woadreach-faults/tests/days.rs
@@ -1,7 +1,7 @@
 //! Days on the virtual clock: seeds, the hard cases, and scripts that once broke a rule, each pinned.
 
 use rstest::rstest;
-use woadreach_faults::{Fault, Kind, Options, Outcome, Script, play};
+use woadreach_faults::{Fault, Kind, Options, Outcome, Script, SilentCalls, play};
 
 /// A fleet of two cells in two zones under three co-ordinators, all sound; one query type of each kind.
 const CALM: &str = r#"
@@ -146,6 +146,37 @@
     assert_eq!(outcome.recoveries.len(), faults.len());
 }
 
+/// Discovery is down for several seconds, and replicas drain just before its return, in that instant or just
+/// after: what the agent has then counts as told at once, whether the calls made meanwhile are answered at its
+/// return, only watches are (by push), or none (by list), and whenever in a turn of calls it returns.
+#[rstest]
+fn a_drain_as_discovery_returns(
+    #[values(SilentCalls::Kept, SilentCalls::ListsLost, SilentCalls::Lost)] calls: SilentCalls,
+    #[values(9.7, 9.9, 10.1, 10.3, 10.5, 10.7, 10.9)] returns: f64,
+    #[values(-0.5, 0.0, 0.05)] drains_after: f64,
+) {
+    let silence = Kind::DiscoverySilent { co_ordinators: vec![0, 1, 2] };
+    let drain = Kind::Drain { replicas: vec![0, 4] };
+    let mut script = with(&[(4.0, returns - 4.0, silence), (returns + drains_after, 4.0, drain)]);
+    script.fleet.calls_while_silent = calls;
+    kept(&script);
+}
+
+/// The same for a process that starts while discovery is down, on what was known before.
+#[rstest]
+fn a_process_that_starts_while_discovery_is_down(
+    #[values(SilentCalls::Kept, SilentCalls::ListsLost, SilentCalls::Lost)] calls: SilentCalls,
+    #[values(9.7, 10.0, 10.3, 10.6, 10.9)] returns: f64,
+) {
+    let silence = Kind::DiscoverySilent { co_ordinators: vec![0, 1, 2] };
+    let kill = Kind::Kill { co_ordinators: vec![0, 1] };
+    let drain = Kind::Drain { replicas: vec![0, 4] };
+    let faults = [(4.0, returns - 4.0, silence), (5.0, 1.0, kill), (returns, 4.0, drain)];
+    let mut script = with(&faults);
+    script.fleet.calls_while_silent = calls;
+    kept(&script);
+}
+
 /// Seeds that once broke a rule: the budget counted a search from when it was placed, and half a request kept
 /// a process beyond its end; a cold replica was given all parts of one search (13403), was sent full traffic
 /// after it died and came back before the list said so (17695), and was given parts priced at the median of
--- a/crates/woadreach-standin/src/discovery.rs
+++ b/crates/woadreach-standin/src/discovery.rs
@@ -44,6 +44,19 @@
     }
 }
 
+/// What becomes of calls that are made while discovery is down. The page on the protocol says only that the
+/// agent is silent then; a co-ordinator has to get along with each of these.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CallsWhileSilent {
+    /// All are answered at its return.
+    #[default]
+    Kept,
+    /// Watches are, and calls for the whole list never.
+    ListsLost,
+    /// None is ever answered.
+    Lost,
+}
+
 struct Inner {
     node: NodeId,
     recorder: Recorder,
@@ -53,6 +66,9 @@
     /// The latest that has been written to its co-ordinator.
     told: Cell<u64>,
     silent: Cell<bool>,
+    calls_while_silent: Cell<CallsWhileSilent>,
+    /// The version up to which all counts as told.
+    counted: Cell<u64>,
     changed: Notify,
     /// Counts what was told to be closed: watches of an older count end.
     era: Cell<u64>,
@@ -78,6 +94,8 @@
             told: Cell::new(0),
             lines: RefCell::default(),
             silent: Cell::new(false),
+            calls_while_silent: Cell::default(),
+            counted: Cell::new(0),
             changed: Notify::new(),
             era: Cell::new(0),
         }))
@@ -95,9 +113,30 @@
         for line in lines {
             self.0.lines.borrow_mut().insert(line.id.clone(), (generation, line.clone()));
         }
+        self.count();
         self.0.changed.notify_waiters();
     }
 
+    /// What it has counts as told, whether or not a watch is open, unless it is silent.
+    fn count(&self) {
+        if !self.0.silent.get() {
+            let (after, generation) = (self.0.counted.get(), self.0.generation.get());
+            self.0.counted.set(generation);
+            self.tell(&self.list(after, false).1);
+        }
+    }
+
+    /// A new process of its co-ordinator has started: all that the agent has counts as told to it.
+    pub fn process_started(&self) {
+        self.0.counted.set(0);
+        self.count();
+    }
+
+    /// From now on, for calls that come while it is silent.
+    pub fn calls_while_silent(&self, calls: CallsWhileSilent) {
+        self.0.calls_while_silent.set(calls);
+    }
+
     /// The version that it has, and the latest that it has told.
     pub fn generation(&self) -> u64 {
         self.0.generation.get()
@@ -107,9 +146,10 @@
         self.0.told.get()
     }
 
-    /// Says nothing until it is told to speak again.
+    /// Says nothing until it is told to speak again; what it has by then counts as told at once.
     pub fn silence(&self, silent: bool) {
         self.0.silent.set(silent);
+        self.count();
         self.0.changed.notify_waiters();
     }
 
@@ -136,8 +176,12 @@
         (text, lines)
     }
 
-    fn tells(&self, generation: u64, lines: &[Line]) {
+    /// A version has been written to the co-ordinator.
+    fn written(&self, generation: u64) {
         self.0.told.set(self.0.told.get().max(generation));
+    }
+
+    fn tell(&self, lines: &[Line]) {
         for line in lines {
             let (node, replica) = (self.0.node, line.id.as_str().into());
             self.0.recorder.tell(What::Told { node, replica, ready: line.lifecycle == "ready" });
@@ -162,7 +206,18 @@
             Ok(_) => {}
         }
     };
+    let index = head.split("index=").nth(1).and_then(|r| r.split([' ', '&']).next());
+    let index = index.and_then(|i| i.parse::<u64>().ok());
     let era = agent.0.era.get();
+    let lost = match agent.0.calls_while_silent.get() {
+        CallsWhileSilent::Kept => false,
+        CallsWhileSilent::ListsLost => index.is_none(),
+        CallsWhileSilent::Lost => true,
+    };
+    if lost && agent.0.silent.get() {
+        while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+        return;
+    }
     while agent.0.silent.get() {
         // Whoever has gone meanwhile is told nothing.
         tokio::select! {
@@ -173,12 +228,11 @@
             () = agent.0.changed.notified() => {}
         }
     }
-    let index = head.split("index=").nth(1).and_then(|r| r.split([' ', '&']).next());
-    let Some(mut index) = index.and_then(|i| i.parse::<u64>().ok()) else {
-        let (generation, (list, lines)) = (agent.generation(), agent.list(0, true));
+    let Some(mut index) = index else {
+        let (generation, (list, _)) = (agent.generation(), agent.list(0, true));
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
         if stream.write_all(answer.as_bytes()).await.is_ok() {
-            agent.tells(generation, &lines);
+            agent.written(generation);
         }
         let _ = stream.shutdown().await;
         // To its end, so that nothing is reset.
@@ -193,17 +247,16 @@
         let changed = agent.0.changed.notified();
         if !agent.0.silent.get() {
             let text = if agent.0.generation.get() > index {
-                let (list, lines) = agent.list(index, false);
+                let (list, _) = agent.list(index, false);
                 index = agent.0.generation.get();
-                Some((list, lines))
+                list
             } else {
-                None
+                String::new()
             };
-            let (text, lines) = text.unwrap_or_default();
             if stream.write_all(chunk(&text).as_bytes()).await.is_err() {
                 return;
             }
-            agent.tells(index, &lines);
+            agent.written(index);
         }
         // A heartbeat, or sooner if there is something to tell, or the end of the other side.
         let mut rest = Vec::new();
--- a/crates/woadreach-standin/src/lib.rs
+++ b/crates/woadreach-standin/src/lib.rs
@@ -12,7 +12,7 @@
 mod wire;
 
 pub use client::{Ask, Caller, Calls, Retry};
-pub use discovery::{Agent, Line, discovery};
+pub use discovery::{Agent, CallsWhileSilent, Line, discovery};
 pub use recorder::Recorder;
 pub use replica::{Behaviour, Replica, replica};
 pub use wire::{Frame, Message, Part, answer_frame, frame, parts_of, request, response};
--- a/crates/woadreachd/src/config.rs
+++ b/crates/woadreachd/src/config.rs
@@ -9,10 +9,15 @@
 use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
 
+/// Taken where the settings state no grace for drains, in seconds.
+const DRAIN_GRACE: f64 = 0.5;
+
 /// What the configuration says.
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: String,
+    /// How often discovery is called anew while no call is answered, in seconds.
+    pub discovery_interval: f64,
     pub sockets: usize,
     pub known: Option<events::List>,
     pub settings: woadreach::api::Settings,
@@ -87,6 +92,9 @@
     let config = Config {
         listen: listen.parse().map_err(|_| format!("listen is not an address: {listen}"))?,
         discovery: text_of("discovery", "PROXY_DISCOVERY", &given.discovery)?,
+        discovery_interval: discovery::schedule::interval(
+            number("/guarantees/drainGraceMs").map_or(DRAIN_GRACE, |grace| grace / 1000.0),
+        ),
         sockets: limit("sockets")? as usize,
         known,
         settings: woadreach_host::settings(seed, set)?,
--- a/crates/woadreachd/src/discovery.rs
+++ b/crates/woadreachd/src/discovery.rs
@@ -1,14 +1,25 @@
 //! What discovery tells: reads its list and its changes, and hands them to the core in order. Owns its own
-//! connections, two at most; must never decide what a list means, nor forget one while discovery is silent.
+//! connections, two and two spare ones at most; must never decide what a list means, nor forget one while discovery is silent.
+//! When it is called is decided in [`schedule`], and which list is taken in [`version`].
 
-use crate::events::{Entry, Lifecycle, List, Lists};
+mod lines;
+mod parse;
+pub mod schedule;
+mod version;
+
+pub use parse::list;
+
+use crate::events::{Lifecycle, Lists};
 use crate::http;
-use crate::json::{Bad, Reader};
 use crate::sockets::{Permit, Side, Sockets};
-use std::future::Future;
+use lines::Lines;
+use schedule::{Action, Need, Request, Schedule, Slot};
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
+use std::task::Poll;
 use tokio::sync::watch;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
+use version::{Judgement, Version};
 use woadreach::plants::planted;
 use woadreach_net::{Net, Stream};
 
@@ -17,86 +28,23 @@
 /// for so long a watch is dead, half a second for lines that are late; that leaves time for two more calls
 /// one after the other.
 const SILENT: f64 = 2.5;
-/// A call that has not been answered in whole for so long has a second one opened beside it: the agent is on
-/// this machine and answers at once, or not at all.
-const HUNG: f64 = 1.2;
-/// The longest that a call is waited for while others are tried beside it: an agent that needs longer to put
-/// its list together is of no use.
-const PATIENT: f64 = 10.0;
-/// Between two calls of which the first failed: the agent is on this machine, so a call is cheap.
-const AGAIN: f64 = 0.2;
 /// The longest line or list: a bound on what a broken agent can make us hold; 500 bytes an entry for 16,000.
 const LONGEST: usize = 8 * 1024 * 1024;
-
-/// A list or a line of a watch; an entry that cannot be used is left out, with a log line.
-pub fn list(text: &[u8]) -> Result<List, Bad> {
-    let mut list = List { generation: 0, full: false, entries: Vec::new() };
-    let mut seen = (false, false);
-    Reader::whole(text, |r| {
-        r.object(|key, r| {
-            match key {
-                "generation" => (list.generation, seen.0) = (r.whole_number()?, true),
-                "reset" => list.full = r.boolean()?,
-                "instances" => {
-                    seen.1 = true;
-                    r.array(|r| {
-                        let text = r.skip()?;
-                        match entry(text) {
-                            Ok(entry) => list.entries.push(entry),
-                            Err(Bad(why)) => {
-                                warn!("entry skipped ({why}): {}", String::from_utf8_lossy(text))
-                            }
-                        }
-                        Ok(())
-                    })?;
-                }
-                _ => r.skip().map(|_| ())?,
-            }
-            Ok(())
-        })
-    })?;
-    if seen == (true, true) { Ok(list) } else { Err(Bad("no generation or no instances")) }
-}
-
-fn entry(text: &[u8]) -> Result<Entry, Bad> {
-    let (mut id, mut address, mut lifecycle, mut cell) = (None, None, None, None);
-    let (mut zone, mut started_at) = (String::new(), 0.0);
-    Reader::whole(text, |r| {
-        r.object(|key, r| {
-            match key {
-                "instanceId" => id = Some(r.string()?.into_owned()),
-                "hostPort" => address = Some(r.string()?.parse().map_err(|_| Bad("bad address"))?),
-                "zone" => zone = r.string()?.into_owned(),
-                "cell" => cell = Some(r.whole_number()?),
-                "lifecycle" => {
-                    lifecycle = Some(match &*r.string()? {
-                        "ready" => Lifecycle::Ready,
-                        "draining" => Lifecycle::Draining,
-                        "gone" => Lifecycle::Gone,
-                        _ => return Err(Bad("unknown lifecycle")),
-                    });
-                }
-                "startedAtMs" => started_at = r.number()? / 1000.0,
-                _ => r.skip().map(|_| ())?,
-            }
-            Ok(())
-        })
-    })?;
-    let id = id.filter(|i: &String| !i.is_empty()).ok_or(Bad("no instanceId"))?;
-    Ok(Entry {
-        id,
-        address: address.ok_or(Bad("no hostPort"))?,
-        zone,
-        cell: cell.ok_or(Bad("no cell"))?,
-        lifecycle: lifecycle.ok_or(Bad("no lifecycle"))?,
-        started_at,
-    })
-}
+/// Why a call or a watch ended that brought nothing whole for too long.
+const SILENCE: &str = "silent";
 
 /// What has been asked of the agent, answered so far as to be of use.
-enum Answered<N: Net> {
+enum Answer<N: Net> {
     List(Vec<u8>),
-    Watch(Call<N>),
+    /// With its first object, where that was waited for; an empty one says that nothing has changed.
+    Watch(Call<N>, Option<Vec<u8>>),
+}
+
+/// How much of a watch has to come before it counts as an answer.
+#[derive(Clone, Copy, PartialEq)]
+enum Proof {
+    Head,
+    FirstObject,
 }
 
 /// A connection to the agent, and what has been read on it and not yet used.
@@ -105,6 +53,7 @@
     bytes: Vec<u8>,
     body: http::Body,
     text: Vec<u8>,
+    lines: Lines,
     _permit: Permit,
 }
 
@@ -125,29 +74,44 @@
         self.bytes.drain(..taken);
         Ok(ended)
     }
+
+    /// The next object of a watch that has come whole, an empty one for an empty line.
+    fn object(&mut self) -> Option<Vec<u8>> {
+        while let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.text.drain(..=end).collect();
+            if let Some(object) = self.lines.whole(line) {
+                return Some(object);
+            }
+        }
+        None
+    }
 }
 
 /// Runs for as long as the process: the whole list once, then changes after the last version. A new place
 /// is turned to at once, and its whole list taken: what was on its way from the old one is lost.
+///
+/// `interval` is how often a new call is made while none is answered (see [`schedule::interval`]).
 pub async fn follow<N: Net>(
     net: N,
     mut place: watch::Receiver<String>,
     known: Option<u64>,
+    interval: f64,
     sockets: Sockets,
     lists: Lists,
 ) {
-    let mut state = State { generation: known, whole: true, lists };
+    let mut state = State { version: Version::new(known), need: Need::Resume, lists };
     let mut last = String::new();
     loop {
         let address = place.borrow_and_update().clone();
+        let agent = Agent { net: &net, address: &address, sockets: &sockets };
         let ended = tokio::select! {
             biased;
             Ok(()) = place.changed() => {
-                state.whole = true;
+                state.need = Need::Resume;
                 last.clear();
                 continue;
             }
-            ended = turn(&net, &address, &mut state, &sockets) => ended,
+            ended = agent.turn(&mut state, interval) => ended,
         };
         match ended {
             // The whole list has come: changes next.
@@ -163,199 +127,198 @@
             }
         }
         // Cut short by a new place, which is looked at first.
-        let _ = net.timeout(AGAIN, place.wait_for(|p| *p != address)).await;
+        let retry = schedule::RETRY.min(interval);
+        let _ = net.timeout(retry, place.wait_for(|p| *p != address)).await;
     }
 }
 
-/// The version that is held, and whether only a whole list will do.
-struct State {
-    generation: Option<u64>,
-    whole: bool,
-    lists: Lists,
+/// The agent of discovery at one address.
+struct Agent<'a, N: Net> {
+    net: &'a N,
+    address: &'a str,
+    sockets: &'a Sockets,
 }
 
-/// The whole list, or a watch for as long as it lives.
-async fn turn<N: Net>(net: &N, address: &str, state: &mut State, sockets: &Sockets) -> Result<(), String> {
-    let index = state.generation.filter(|_| !state.whole);
-    let mut call = match tries(net, address, index, sockets).await? {
-        Answered::List(text) => return state.tell(&text, true),
-        Answered::Watch(call) => call,
-    };
-    let ended = watched(net, &mut call, state).await;
-    if ended == Err(SILENCE.into()) {
-        // What it missed is asked for as a whole: a new watch may be as dead as this one, which shows late.
-        state.whole = true;
-    }
-    ended
-}
+/// A call that is open: its end, once it has one.
+type Open<'a, N> = Pin<Box<dyn Future<Output = Result<Answer<N>, String>> + 'a>>;
 
-const SILENCE: &str = "silent";
-
-/// Danger: an agent that hangs, or gives its answer in drops, holds up the one call that would have told of
-/// a drain. Whatever it does, a new call is opened every `HUNG` while the first is still waited for; the
-/// first whole answer counts. Covers calls that were lost while discovery was down, and agents that only
-/// answer those. Harm: a second connection to the agent.
-async fn tries<N: Net>(
-    net: &N,
-    address: &str,
-    index: Option<u64>,
-    sockets: &Sockets,
-) -> Result<Answered<N>, String> {
-    type Try<'a, N> = Pin<Box<dyn Future<Output = Result<Answered<N>, String>> + 'a>>;
-    let call = || -> Try<'_, N> { Box::pin(ask(net, address, index, sockets)) };
-    let (mut patient, mut until) = (call(), net.now() + PATIENT);
-    let (mut fresh, mut next): (Option<Try<'_, N>>, f64) = (None, net.now() + HUNG);
-    loop {
-        let beside = async {
-            match &mut fresh {
-                Some(fresh) => fresh.await,
-                None => std::future::pending().await,
-            }
+impl<N: Net> Agent<'_, N> {
+    /// The whole list, or a watch for as long as it lives.
+    async fn turn(&self, state: &mut State, interval: f64) -> Result<(), String> {
+        let need = if state.version.generation().is_none() { Need::WholeList } else { state.need };
+        let (mut call, first) = match self.answer(need, state.version.generation(), interval).await? {
+            Answer::List(text) => return state.tell(&text, true),
+            Answer::Watch(call, first) => (call, first),
         };
-        tokio::select! {
-            biased;
-            ended = &mut patient => match (ended, fresh.take()) {
-                (Err(why), Some(fresh)) => {
-                    debug!("discovery: {why}, another call is open");
-                    (patient, until) = (fresh, net.now() + PATIENT);
-                }
-                (ended, _) => return ended,
-            },
-            ended = beside => match ended {
-                Err(why) => {
-                    debug!("discovery: {why}, an earlier call is open");
-                    (fresh, next) = (None, net.now() + AGAIN);
+        let ended = self.watched(&mut call, first, state).await;
+        if ended == Err(SILENCE.into()) {
+            // What it missed may come by a list or by a new watch; one that is as dead shows late.
+            state.need = Need::Resume;
+        }
+        ended
+    }
+
+    /// Carries out the schedule of calls up to the first whole answer; its end closes all others.
+    async fn answer(&self, need: Need, held: Option<u64>, interval: f64) -> Result<Answer<N>, String> {
+        let mut schedule = Schedule::new(self.net.now(), need, interval);
+        let mut open: [Option<Open<'_, N>>; Slot::ALL.len()] = Default::default();
+        loop {
+            let until = match schedule.next(self.net.now()) {
+                Action::GiveUp => return Err(SILENCE.into()),
+                Action::Open(slot, request) => {
+                    debug!("discovery: call {slot:?} for {request:?}");
+                    // The one before it goes first, and its descriptor with it.
+                    open[slot as usize] = None;
+                    let side = if slot.is_spare() { Side::DiscoverySpare } else { Side::Discovery };
+                    let index = held.filter(|_| request == Request::Watch);
+                    let proof = if slot == Slot::Resume { Proof::FirstObject } else { Proof::Head };
+                    open[slot as usize] = Some(Box::pin(self.ask(side, index, proof)));
+                    continue;
                 }
-                ended => return ended,
-            },
-            () = net.sleep_until(next.min(until)) => {
-                if net.now() >= until {
-                    return Err(SILENCE.into());
+                Action::WaitUntil(time) => time,
+            };
+            let Ok((slot, ended)) = self.net.timeout_at(until, first_to_end(&mut open)).await else {
+                continue;
+            };
+            let why = match ended {
+                Ok(answer) => {
+                    debug!("discovery: call {slot:?} is answered");
+                    return Ok(answer);
                 }
-                // The one before it goes first, and its descriptor with it.
-                drop(fresh.take());
-                (fresh, next) = (Some(call()), net.now() + HUNG);
+                Err(why) => why,
+            };
+            open[slot as usize] = None;
+            if !schedule.failed(self.net.now(), slot) {
+                return Err(why);
             }
+            debug!("discovery: call {slot:?}: {why}, another is open");
         }
     }
-}
 
-/// One call, up to the whole list, or to the head of the watch that follows a version.
-async fn ask<N: Net>(
-    net: &N,
-    address: &str,
-    index: Option<u64>,
-    sockets: &Sockets,
-) -> Result<Answered<N>, String> {
-    let permit = sockets.permit(Side::Discovery).ok_or("no descriptor")?;
-    let failed = |e: std::io::Error| e.to_string();
-    let mut stream = net.connect(net.lookup(address).await.map_err(failed)?).await.map_err(failed)?;
-    let query = index.map_or(String::new(), |g| format!("?stream=1&index={g}"));
-    let close = if index.is_some() { "" } else { "Connection: close\r\n" };
-    let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n{close}\r\n");
-    stream.write_all(request.as_bytes()).await.map_err(failed)?;
-    let mut bytes = Vec::new();
-    let head = loop {
-        if let Some(head) = http::head(&bytes).map_err(|e| format!("{e:?}"))? {
-            break head;
+    /// One call, up to the whole list, or so far into the watch that follows a version as its proof asks.
+    async fn ask(&self, side: Side, index: Option<u64>, proof: Proof) -> Result<Answer<N>, String> {
+        let permit = self.sockets.permit(side).ok_or("no descriptor")?;
+        let failed = |e: std::io::Error| e.to_string();
+        let (net, address) = (self.net, self.address);
+        let mut stream = net.connect(net.lookup(address).await.map_err(failed)?).await.map_err(failed)?;
+        let query = index.map_or(String::new(), |g| format!("?stream=1&index={g}"));
+        let close = if index.is_some() { "" } else { "Connection: close\r\n" };
+        let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n{close}\r\n");
+        stream.write_all(request.as_bytes()).await.map_err(failed)?;
+        let mut bytes = Vec::new();
+        let head = loop {
+            if let Some(head) = http::head(&bytes).map_err(|e| format!("{e:?}"))? {
+                break head;
+            }
+            if stream.read(&mut bytes).await.map_err(failed)? == 0 {
+                return Err("connection ended".into());
+            }
+        };
+        if head.status() != "200" {
+            return Err(format!("status {}", head.status()));
         }
-        if stream.read(&mut bytes).await.map_err(failed)? == 0 {
-            return Err("connection ended".into());
+        bytes.drain(..head.length);
+        let body = http::Body::of_answer(head.stream_framing().map_err(|e| format!("{e:?}"))?);
+        let (text, lines) = Default::default();
+        let mut call = Call { stream, bytes, body, text, lines, _permit: permit };
+        if index.is_some() && proof == Proof::Head {
+            return Ok(Answer::Watch(call, None));
         }
-    };
-    if head.status() != "200" {
-        return Err(format!("status {}", head.status()));
-    }
-    bytes.drain(..head.length);
-    let body = http::Body::of_answer(head.stream_framing().map_err(|e| format!("{e:?}"))?);
-    let mut call = Call { stream, bytes, body, text: Vec::new(), _permit: permit };
-    if index.is_some() {
-        return Ok(Answered::Watch(call));
-    }
-    let mut ended = call.take()?;
-    while !ended {
-        ended = call.more().await?;
+        let mut ended = call.take()?;
+        loop {
+            if index.is_some()
+                && let Some(object) = call.object()
+            {
+                return Ok(Answer::Watch(call, Some(object)));
+            }
+            if ended {
+                break;
+            }
+            ended = call.more().await?;
+        }
+        if index.is_some() { Err("watch ended".into()) } else { Ok(Answer::List(call.text)) }
     }
-    Ok(Answered::List(call.text))
-}
 
-/// Tells of each line of a watch until it ends, or says nothing whole for too long.
-///
-/// Danger: half a line, or one that comes in drops and never ends, passes for a watch that lives. Only a
-/// whole line, with changes or without, renews its time. Covers resets in the middle of a line. Harm: a line
-/// that takes longer than that to come is asked for anew, as a whole list.
-async fn watched<N: Net>(net: &N, call: &mut Call<N>, state: &mut State) -> Result<(), String> {
-    let mut lines = Lines::default();
-    let mut until = net.now() + SILENT;
-    let mut ended = call.take()?;
-    loop {
-        while let Some(end) = call.text.iter().position(|b| *b == b'\n') {
-            let line: Vec<u8> = call.text.drain(..=end).collect();
-            match lines.whole(line) {
-                Some(object) if object.is_empty() => {}
-                Some(object) => state.tell(&object, false)?,
-                None => continue,
+    /// Tells of each object of a watch until it ends, or says nothing whole for too long.
+    ///
+    /// Danger: half a line, or one that comes in drops and never ends, passes for a watch that lives. Only a
+    /// whole object, with changes or without, renews its time. Covers resets in the middle of a line. Harm:
+    /// a line that takes longer than that to come is asked for anew, as a whole list.
+    async fn watched(
+        &self,
+        call: &mut Call<N>,
+        first: Option<Vec<u8>>,
+        state: &mut State,
+    ) -> Result<(), String> {
+        let mut next = first;
+        let mut until = self.net.now() + SILENT;
+        let mut ended = call.take()?;
+        loop {
+            while let Some(object) = next.take().or_else(|| call.object()) {
+                state.alive();
+                if !object.is_empty() {
+                    state.tell(&object, false)?;
+                }
+                until = self.net.now() + SILENT;
             }
-            until = net.now() + SILENT;
-        }
-        if ended {
-            return Err("watch ended".into());
+            if ended {
+                return Err("watch ended".into());
+            }
+            ended = self.net.timeout_at(until, call.more()).await.map_err(|_| SILENCE.to_string())??;
         }
-        ended = net.timeout_at(until, call.more()).await.map_err(|_| SILENCE.to_string())??;
     }
 }
 
-/// What a watch has told of an object that is written over several lines: the first holds its bracket alone.
-#[derive(Default)]
-struct Lines {
-    begun: Vec<u8>,
-    depth: usize,
-    text: bool,
-    escaped: bool,
-}
-
-impl Lines {
-    /// The object that this line ends, an empty one for an empty line between two; none while it goes on. One
-    /// that begins where another has not ended shows that something was lost: both are given, and are no
-    /// JSON.
-    fn whole(&mut self, line: Vec<u8>) -> Option<Vec<u8>> {
-        let text = line.trim_ascii();
-        let within = self.depth > 0 && line[0] != b'{' && !text.is_empty();
-        let broken = !within && text != b"{";
-        for b in &line {
-            match b {
-                _ if self.escaped => self.escaped = false,
-                b'\\' if self.text => self.escaped = true,
-                b'"' => self.text = !self.text,
-                b'{' | b'[' if !self.text => self.depth += 1,
-                b'}' | b']' if !self.text => self.depth = self.depth.saturating_sub(1),
-                _ => {}
+/// The first of the open calls that ends, in the order of their slots.
+async fn first_to_end<N: Net>(
+    open: &mut [Option<Open<'_, N>>; Slot::ALL.len()],
+) -> (Slot, Result<Answer<N>, String>) {
+    poll_fn(|cx| {
+        for (slot, call) in Slot::ALL.into_iter().zip(open.iter_mut()) {
+            if let Some(call) = call
+                && let Poll::Ready(ended) = call.as_mut().poll(cx)
+            {
+                return Poll::Ready((slot, ended));
             }
         }
-        self.begun.extend(line);
-        if self.depth > 0 && !broken && self.begun.len() <= LONGEST {
-            return None;
-        }
-        let object = std::mem::take(self).begun;
-        Some(object.trim_ascii().to_vec())
-    }
+        Poll::Pending
+    })
+    .await
+}
+
+/// The version that is held, and what would bring it up to date.
+struct State {
+    version: Version,
+    need: Need,
+    lists: Lists,
 }
 
 impl State {
+    /// A watch has told something whole: nothing before it is missed.
+    fn alive(&mut self) {
+        self.need = Need::Changes;
+    }
+
     fn tell(&mut self, text: &[u8], full: bool) -> Result<(), String> {
         // What is not JSON has lost something: only a whole list makes up for it.
-        self.whole = true;
-        let mut list = list(text).map_err(|e| e.0)?;
+        self.need = Need::WholeList;
+        let mut list = list(text).map_err(|e| {
+            self.version.doubt();
+            e.0
+        })?;
         list.full |= full;
-        // So has what stands behind what is held.
-        if !list.full && self.generation.is_some_and(|held| list.generation < held) {
-            return Err(format!("version {} after a later one", list.generation));
+        let (held, generation) = (self.version.generation().unwrap_or_default(), list.generation);
+        match self.version.judge(&list) {
+            Judgement::Take => {}
+            Judgement::TakeOtherEntries => info!("discovery: version {generation} again, with other entries"),
+            Judgement::TakeOlder => info!("discovery: version {generation} taken in place of {held}"),
+            Judgement::IgnoreOlder => return Err(format!("list {generation} ignored, {held} is held")),
+            Judgement::Lost => return Err(format!("version {generation} after a later one")),
         }
         if planted("discovery-no-drains") && !list.full {
             list.entries.retain(|e| e.lifecycle != Lifecycle::Draining);
         }
-        self.whole = false;
-        self.generation = Some(list.generation);
+        self.need = Need::Changes;
         debug!("list {} full={} entries={}", list.generation, list.full, list.entries.len());
         self.lists.send(list).map_err(|_| "the core has ended".to_string())
     }
--- a/crates/woadreachd/src/events.rs
+++ b/crates/woadreachd/src/events.rs
@@ -103,7 +103,7 @@
     Ended,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Lifecycle {
     Ready,
     Draining,
--- a/crates/woadreachd/src/lib.rs
+++ b/crates/woadreachd/src/lib.rs
@@ -79,7 +79,8 @@
     let ready = front.clone();
     let mut core = net.spawn(core.run(queue, list_queue, move || ready.ready.set(true)));
     let (place, places) = watch::channel(config.discovery);
-    drop(net.spawn(discovery::follow(net.clone(), places, generation, sockets, lists)));
+    let interval = config.discovery_interval;
+    drop(net.spawn(discovery::follow(net.clone(), places, generation, interval, sockets, lists)));
     drop(net.spawn(config::reload(hangup, given, config.file, place)));
     let serving = net.spawn(front.serve(listener));
     info!("listening on {address}");
--- a/crates/woadreachd/src/sockets.rs
+++ b/crates/woadreachd/src/sockets.rs
@@ -19,6 +19,8 @@
     Clients,
     Replicas,
     Discovery,
+    /// Calls of discovery beyond its own two, where there is room.
+    DiscoverySpare,
 }
 
 struct Budget {
@@ -52,7 +54,7 @@
         let room = b.clients.get() + b.replicas.get() < b.limit;
         let may = match side {
             Side::Clients => room && b.clients.get() < b.limit / 4 * 3,
-            Side::Replicas => room,
+            Side::Replicas | Side::DiscoverySpare => room,
             Side::Discovery => b.discovery.get() < DISCOVERY,
         };
         if !may {
@@ -88,7 +90,7 @@
     fn count(&self, side: Side) -> &Cell<usize> {
         match side {
             Side::Clients => &self.clients,
-            Side::Replicas => &self.replicas,
+            Side::Replicas | Side::DiscoverySpare => &self.replicas,
             Side::Discovery => &self.discovery,
         }
     }
--- a/crates/woadreachd/tests/scene/mod.rs
+++ b/crates/woadreachd/tests/scene/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::common::*;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// Shards 0 and 2 are in cell 0, shards 1 and 3 in cell 1. `browse` may be answered in half, `pay` may not
 /// run twice, `deep` fetches from two shards in a second step.
@@ -71,13 +72,20 @@
     watch_from(discovery, 42)
 }
 
+/// Accepts the watch after this version. Calls that were opened beside the one that was answered come before it;
+/// each of them has to be closed.
 pub fn watch_from(discovery: &StandIn, generation: u64) -> Wire {
-    let mut call = discovery.accept();
     let first = format!("GET /registry/instances?stream=1&index={generation} HTTP/1.1");
-    let head = call.head();
-    assert!(head.starts_with(&first), "{head}");
-    call.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    call
+    let start = Instant::now();
+    loop {
+        let mut call = discovery.accept();
+        let head = call.head();
+        if head.starts_with(&first) {
+            call.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            return call;
+        }
+        assert!(call.ended() && start.elapsed() < PATIENCE, "{head}");
+    }
 }
 
 pub fn tell(watch: &mut Wire, line: &str) {
