--- /dev/null
+++ b/crates/woadreach-admission/src/admission.rs
@@ -0,0 +1,187 @@
+//! The inputs of the module, each in one function.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use woadreach::decide::held_queue::HeldQueue;
+
+use crate::action::Action;
+use crate::call::{Call, CallId};
+use crate::fleet::{Fleet, ReplicaKey};
+use crate::in_hand::{AttemptState, CallInHand};
+use crate::outcome::{Outcome, ServerLoad};
+use crate::pace::Programs;
+use crate::routes::Routes;
+use crate::service::Service;
+use crate::spec::{ReplicaSpec, ServiceSpec};
+use crate::timers::Timers;
+
+/// Decides for one process; see the crate's page.
+pub struct Admission {
+    pub(crate) random: oorandom::Rand64,
+    pub(crate) zone: String,
+    pub(crate) edges: usize,
+    pub(crate) services: BTreeMap<Arc<str>, Service>,
+    pub(crate) fleet: Fleet,
+    pub(crate) routes: Routes,
+    pub(crate) programs: Programs,
+    pub(crate) calls: BTreeMap<CallId, CallInHand>,
+    pub(crate) held: HeldQueue<ReplicaKey, CallId>,
+    /// Calls that no replica may take for now.
+    pub(crate) waiting: BTreeSet<CallId>,
+    pub(crate) timers: Timers,
+    /// Calls whose place changed with the list of replicas: looked at on the next wake.
+    pub(crate) displaced: BTreeSet<CallId>,
+}
+
+impl Admission {
+    /// `zone` is this process's own.
+    pub fn new(seed: u64, zone: String) -> Self {
+        Admission {
+            random: oorandom::Rand64::new(u128::from(seed)),
+            zone,
+            edges: 1,
+            services: BTreeMap::new(),
+            fleet: Fleet::default(),
+            routes: Routes::default(),
+            programs: Programs::default(),
+            calls: BTreeMap::new(),
+            held: HeldQueue::default(),
+            waiting: BTreeSet::new(),
+            timers: Timers::default(),
+            displaced: BTreeSet::new(),
+        }
+    }
+
+    /// All services of the configuration in force, and among how many edges their connections are shared.
+    pub fn configure(&mut self, _now: f64, services: &[ServiceSpec], edges: usize) {
+        self.edges = edges;
+        let named: BTreeSet<&str> = services.iter().map(|spec| &*spec.name).collect();
+        self.services.retain(|name, _| named.contains(&**name));
+        for spec in services {
+            match self.services.get_mut(&spec.name) {
+                Some(service) => service.configure(spec, edges),
+                None => {
+                    self.services.insert(spec.name.clone(), Service::new(spec, edges));
+                }
+            }
+        }
+        self.displaced.extend(self.waiting.iter());
+    }
+
+    /// All replicas there are; one that is not named has left. What this changes for calls in hand is decided
+    /// on the next wake.
+    pub fn replicas(&mut self, now: f64, listed: &[ReplicaSpec]) {
+        for left in self.fleet.update(now, listed) {
+            self.routes.forget(left);
+        }
+        self.displaced.extend(self.waiting.iter());
+        for (id, call) in &self.calls {
+            if call.waits_at().is_some_and(|replica| !self.fleet.get(replica).is_some_and(|r| r.is_usable()))
+            {
+                self.displaced.insert(*id);
+            }
+        }
+    }
+
+    /// A client's try has been read whole.
+    pub fn arrive(&mut self, now: f64, call: Call) -> Vec<Action> {
+        let id = call.id;
+        let service = self.choose_service(&call);
+        let route = self.routes.key(&call.route, call.target_latency);
+        self.programs.arrived(now, &call);
+        if let Some(service) = self.services.get_mut(&service) {
+            service.arrived(now, call.priority);
+        }
+        self.calls.insert(id, CallInHand::new(call, route, service));
+        let mut actions = Vec::new();
+        match self.refused_on_arrival(now, id) {
+            Some(retry_after) => self.refuse(now, id, retry_after, &mut actions),
+            None => self.decide(now, id, &mut actions),
+        }
+        actions
+    }
+
+    /// An attempt ended.
+    pub fn outcome(
+        &mut self,
+        now: f64,
+        id: CallId,
+        attempt: u32,
+        outcome: Outcome,
+        load: Option<ServerLoad>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(call) = self.calls.get_mut(&id) else { return actions };
+        let Some(sent) = call.attempts.get_mut(attempt as usize) else { return actions };
+        if sent.state != AttemptState::Out {
+            return actions;
+        }
+        sent.state = AttemptState::Ended(outcome);
+        let replica = sent.replica;
+        self.observe_end(now, id, attempt, outcome, load);
+        if outcome == Outcome::Answered {
+            let freed = self.abort_all(id, &mut actions);
+            self.end(now, id, true);
+            freed.into_iter().for_each(|replica| self.release_held(now, replica, &mut actions));
+        } else {
+            self.decide_after_failure(now, id, outcome, &mut actions);
+        }
+        self.release_held(now, replica, &mut actions);
+        actions
+    }
+
+    /// The first event of a stream, or the head of any other answer, came.
+    pub fn first_event(&mut self, now: f64, id: CallId, attempt: u32, load: Option<ServerLoad>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(sent) = call.attempts.get_mut(attempt as usize) else { return };
+        if sent.state == AttemptState::Out && !sent.begun {
+            sent.begun = true;
+            self.timers.set(&mut call.timer, id, None);
+            self.observe_begin(now, id, attempt, load);
+        }
+    }
+
+    /// The client has gone: nothing is owed any more, and no outcome is expected for what is out.
+    pub fn cancelled(&mut self, now: f64, id: CallId) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.calls.contains_key(&id) {
+            return actions;
+        }
+        self.observe_given_up(now, id);
+        let released = self.abort_all(id, &mut actions);
+        self.end(now, id, false);
+        for replica in released {
+            self.release_held(now, replica, &mut actions);
+        }
+        actions
+    }
+
+    /// The time that `next_wake` named has come.
+    pub fn wake(&mut self, now: f64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let displaced = std::mem::take(&mut self.displaced);
+        for id in displaced.into_iter().chain(self.timers.due(now)) {
+            self.decide(now, id, &mut actions);
+        }
+        actions
+    }
+
+    /// When something is to be decided without further input.
+    pub fn next_wake(&self, now: f64) -> Option<f64> {
+        if self.displaced.is_empty() { self.timers.next() } else { Some(now) }
+    }
+
+    /// Draws one of the call's services by weight.
+    fn choose_service(&mut self, call: &Call) -> Arc<str> {
+        let total: u64 = call.clusters.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut drawn = if total > 0 { self.random.rand_range(0..total) } else { 0 };
+        for (service, weight) in &call.clusters {
+            if drawn < u64::from(*weight) {
+                return service.clone();
+            }
+            drawn -= u64::from(*weight);
+        }
+        call.clusters.first().map(|(service, _)| service.clone()).unwrap_or_else(|| Arc::from(""))
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/src/client/write.rs
@@ -0,0 +1,59 @@
+//! Writes to quorums of a program's groups.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::{Instant, timeout_at};
+
+use super::exchange::EncodedRequest;
+use super::peers::Delivery;
+use super::{StorageClient, Unavailable};
+use crate::message::Operation;
+use crate::operation::Write;
+
+impl StorageClient {
+    /// Sends a write to all machines of the groups at once and waits for a quorum. The others are tried on in
+    /// the background.
+    pub(super) async fn write(
+        &self,
+        program: &str,
+        operation: Operation,
+        within: Duration,
+    ) -> Result<Write, Unavailable> {
+        let deadline = Instant::now() + within;
+        let mut views = self.shared.view.subscribe();
+        let view = views.borrow_and_update().clone();
+        let mut write = Write::new(&view, program.to_owned(), operation, self.shared.tolerated);
+        let (sender, mut answers) = unbounded_channel();
+        self.send_to_all(&write, &sender);
+        while !write.is_durable() {
+            tokio::select! {
+                biased;
+                Some((epoch, disk, answer)) = answers.recv() => write.answered(epoch, disk, answer),
+                changed = timeout_at(deadline, views.changed()) => {
+                    changed.map_err(|_| Unavailable)?.map_err(|_| Unavailable)?;
+                    let view = views.borrow_and_update().clone();
+                    write.restart(&view);
+                    self.send_to_all(&write, &sender);
+                }
+            }
+        }
+        Ok(write)
+    }
+
+    /// Writes without waiting.
+    pub(super) fn write_in_background(&self, program: String, operation: Operation, within: Duration) {
+        let client = self.clone();
+        tokio::spawn(async move {
+            let _ = client.write(&program, operation, within).await;
+        });
+    }
+
+    fn send_to_all(&self, write: &Write, sender: &super::peers::Sender) {
+        let request = EncodedRequest::new(write.epoch(), write.operation());
+        for member in write.members() {
+            let delivery = Delivery::new(write.epoch(), request.clone(), sender.clone());
+            self.deliver(member, delivery);
+        }
+    }
+}
