--- a/crates/woadreach-chain/src/election.rs
+++ b/crates/woadreach-chain/src/election.rs
@@ -176,6 +176,7 @@
             active_epoch: if view.chain.contains(&member) { view.epoch } else { 0 },
             stamp: Stamp::default(),
             fit: if member == self.id { self.is_fit() } else { self.peers.is_fit(member) },
+            place: self.place_of(member),
         };
         let voters: Vec<Candidate> =
             view.voters.iter().copied().filter(|&voter| is_present(voter)).map(candidate).collect();
@@ -194,7 +195,13 @@
                 && self.peers.is_fit(member)
         });
         ready
-            .map(|member| Candidate { member, active_epoch: 0, stamp: Stamp::default(), fit: true })
+            .map(|member| Candidate {
+                member,
+                active_epoch: 0,
+                stamp: Stamp::default(),
+                fit: true,
+                place: self.place_of(member),
+            })
             .collect()
     }
 
@@ -253,6 +260,7 @@
                 active_epoch: report.active_epoch,
                 stamp: report.stamp,
                 fit: report.fit,
+                place: self.place_of(member),
             })
             .collect();
         let learners: Vec<Candidate> =
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -35,7 +35,7 @@
 pub use durable::{Accepted, Durable, Record, RecordError};
 pub use member::{Input, Member, MemberOptions, Output, Status};
 pub use message::{Body, DecodeError, Envelope, Ping};
-pub use plan::{Candidate, PlanError, Policy, next_view};
+pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
 #[cfg(feature = "plants")]
 pub use plants::Plant;
 pub use requests::{Reply, Request, RequestId};
--- a/crates/woadreach-chain/src/member.rs
+++ b/crates/woadreach-chain/src/member.rs
@@ -19,7 +19,7 @@
 use crate::election::Election;
 use crate::message::{Barrier, Body, Envelope, Ping, Write};
 use crate::peers::{Peers, SILENCE};
-use crate::plan::Policy;
+use crate::plan::{Place, Policy, Tolerance};
 use crate::replication::Replication;
 use crate::requests::{Reply, Request, RequestId, WaitingRequests};
 use crate::state::{Command, ControlState, Stamp, Verdict};
@@ -39,8 +39,10 @@
     pub address: SocketAddrV4,
     /// Internal addresses of the seeds.
     pub seeds: Vec<SocketAddrV4>,
-    /// How many members may be lost at once.
-    pub fault_tolerance: usize,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
+    /// Where this machine stands.
+    pub place: Place,
     /// Seed of the random waits.
     pub random_seed: u64,
 }
@@ -100,6 +102,7 @@
     pub(crate) id: MemberId,
     pub(crate) seeds: Vec<SocketAddrV4>,
     pub(crate) policy: Policy,
+    place: Place,
     pub(crate) durable: Durable,
     pub(crate) peers: Peers,
     pub(crate) proposer: Proposer,
@@ -138,7 +141,8 @@
         Member {
             id,
             seeds: options.seeds,
-            policy: Policy::tolerating(options.fault_tolerance),
+            policy: Policy::tolerating(options.tolerance),
+            place: options.place,
             peers: Peers::new(id, now),
             proposer,
             election: Election::new(now),
@@ -292,6 +296,10 @@
         self.is_disk_healthy && !self.is_leaving
     }
 
+    pub(crate) fn place_of(&self, member: MemberId) -> Place {
+        if member == self.id { self.place } else { self.peers.place(member) }
+    }
+
     fn hears_voter(&self, now: Duration, voter: MemberId) -> bool {
         if self.durable.view.epoch == 0 {
             return voter.address == self.id.address || self.peers.is_bootstrapping(now, voter.address);
@@ -304,6 +312,7 @@
             fit: self.is_fit(),
             leaving: self.is_leaving,
             bootstrap: self.durable.bootstrap,
+            place: self.place,
             committed: self.published.stamp,
             hears: self.peers.heard_lately(now),
         })
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::agreement::{Ballot, Report};
 use crate::durable::Accepted;
+use crate::plan::Place;
 use crate::state::{Command, ControlState, Stamp};
 use crate::view::{MemberId, View};
 
@@ -31,6 +32,8 @@
     pub leaving: bool,
     /// Whether the sender may vote in epoch 0.
     pub bootstrap: bool,
+    /// Where the sender stands.
+    pub place: Place,
     /// Stamp of the newest committed state that the sender knows.
     pub committed: Stamp,
     /// Members that the sender has heard lately.
--- a/crates/woadreach-chain/src/peers.rs
+++ b/crates/woadreach-chain/src/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::message::Ping;
-use crate::state::Stamp;
+use crate::plan::Place;
 use crate::view::MemberId;
 
 /// A member that has been silent for so long is suspected.
@@ -25,7 +25,7 @@
     fit: bool,
     leaving: bool,
     bootstrap: bool,
-    committed: Stamp,
+    place: Place,
     /// When each other member was last among those that this one hears.
     hears: BTreeMap<MemberId, Duration>,
 }
@@ -64,13 +64,13 @@
             fit: true,
             leaving: false,
             bootstrap: false,
-            committed: Stamp::default(),
+            place: ping.place,
             hears: BTreeMap::new(),
         });
         peer.fit = ping.fit;
         peer.leaving = ping.leaving;
         peer.bootstrap = ping.bootstrap;
-        peer.committed = ping.committed;
+        peer.place = ping.place;
         for &member in ping.hears.iter().take(PEER_LIMIT) {
             peer.hears.insert(member, now);
         }
@@ -160,6 +160,11 @@
         self.table.get(&member).is_none_or(|peer| peer.fit && !peer.leaving)
     }
 
+    /// Where `member` stands, if it has said so.
+    pub fn place(&self, member: MemberId) -> Place {
+        self.table.get(&member).map(|peer| peer.place).unwrap_or_default()
+    }
+
     /// Members heard lately, this one among them.
     pub fn heard_lately(&self, now: Duration) -> Vec<MemberId> {
         let others = self.table.iter().filter(|(_, peer)| is_recent(now, peer.last_heard));
--- a/crates/woadreach-chain/src/plan.rs
+++ b/crates/woadreach-chain/src/plan.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 
 use snafu::Snafu;
+use speedy::{Readable, Writable};
 
 use crate::state::Stamp;
 use crate::view::{MemberId, View};
@@ -24,6 +25,34 @@
     pub stamp: Stamp,
     /// Whether it may be in a chain (neither leaving nor unable to sync).
     pub fit: bool,
+    pub place: Place,
+}
+
+/// Where a machine stands, as digests of the names of its zone and region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct Place {
+    pub zone: u32,
+    pub region: u32,
+}
+
+impl Place {
+    /// The place of these names.
+    pub fn named(zone: &str, region: &str) -> Place {
+        Place { zone: digest(zone), region: digest(region) }
+    }
+}
+
+/// Digest of a name (FNV-1a, 32 bits).
+fn digest(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// What may be lost at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tolerance {
+    pub machines: usize,
+    pub zones: usize,
+    pub regions: usize,
 }
 
 /// How many members a view wants.
@@ -33,12 +62,30 @@
     pub replicas: usize,
     /// Members without which the chain commits nothing: `f + 1`.
     pub minimum: usize,
+    /// Whether members should stand in different zones.
+    pub spread_zones: bool,
+    /// Whether members should stand in different regions.
+    pub spread_regions: bool,
 }
 
 impl Policy {
-    /// The policy that bears the loss of `faults` members.
-    pub fn tolerating(faults: usize) -> Policy {
-        Policy { replicas: 2 * faults + 1, minimum: faults + 1 }
+    /// The policy that bears these losses. Members spread over zones or regions, so that the loss of one of those
+    /// is the loss of no more members than the policy bears.
+    pub fn tolerating(tolerance: Tolerance) -> Policy {
+        let faults = tolerance.machines.max(tolerance.zones).max(tolerance.regions);
+        Policy {
+            replicas: 2 * faults + 1,
+            minimum: faults + 1,
+            spread_zones: tolerance.zones > 0,
+            spread_regions: tolerance.regions > 0,
+        }
+    }
+
+    /// How many of `chosen` a machine at `place` would be lost together with; fewer is better.
+    fn crowding(&self, place: Place, chosen: &[Candidate]) -> (usize, usize) {
+        let in_region = chosen.iter().filter(|other| other.place.region == place.region).count();
+        let in_zone = chosen.iter().filter(|other| other.place == place).count();
+        (if self.spread_regions { in_region } else { 0 }, if self.spread_zones { in_zone } else { 0 })
     }
 }
 
@@ -88,20 +135,33 @@
     ordered.sort_by_key(|voter| (position(voter.member), voter.member));
     ordered.extend_from_slice(learners);
 
-    let mut chain = vec![base.member];
+    let mut chain = vec![*base];
     let mut extend = |fit: bool, length: usize| {
-        for candidate in ordered.iter().filter(|candidate| candidate.fit == fit) {
-            let member = candidate.member;
-            let wanted = chain.len() < length && !chain.contains(&member);
-            if wanted && chain.iter().all(|&other| linked(member, other)) {
-                chain.push(member);
-            }
+        while chain.len() < length {
+            let Some(next) = next_member(&ordered, fit, &chain, policy, linked) else { return };
+            chain.push(next);
         }
     };
     extend(true, policy.replicas);
     // Members that leave or sync slowly are better than a chain that commits nothing.
     extend(false, policy.minimum);
-    Ok(chain)
+    Ok(chain.into_iter().map(|candidate| candidate.member).collect())
+}
+
+/// The first of `ordered` that reaches everyone in `chain`, those at less crowded places before others.
+fn next_member(
+    ordered: &[Candidate],
+    fit: bool,
+    chain: &[Candidate],
+    policy: Policy,
+    linked: &dyn Fn(MemberId, MemberId) -> bool,
+) -> Option<Candidate> {
+    let outside = ordered.iter().filter(|candidate| {
+        candidate.fit == fit && chain.iter().all(|other| other.member != candidate.member)
+    });
+    let reaching =
+        outside.filter(|candidate| chain.iter().all(|other| linked(candidate.member, other.member)));
+    reaching.min_by_key(|candidate| policy.crowding(candidate.place, chain)).copied()
 }
 
 fn next_voters(
--- a/crates/woadreach-chain/tests/plants.rs
+++ b/crates/woadreach-chain/tests/plants.rs
@@ -11,7 +11,7 @@
 fn is_found(bug: PlantedBug, runs: u64) -> bool {
     (1..=runs).any(|seed| {
         let length = Duration::from_secs(12);
-        let run = Run { seed, nodes: 3, fault_tolerance: 1, length, bug: Some(bug) };
+        let run = Run { seed, nodes: 3, zones: 0, fault_tolerance: 1, length, bug: Some(bug) };
         !play(run).violations.is_empty()
     })
 }
--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -43,6 +43,8 @@
 pub struct Run {
     pub seed: u64,
     pub nodes: usize,
+    /// Number of zones of which one may be lost; 0 if zones don't matter.
+    pub zones: usize,
     pub fault_tolerance: usize,
     pub length: Duration,
     pub bug: Option<PlantedBug>,
@@ -58,7 +60,7 @@
 
 /// Plays a run and checks it.
 pub fn play(run: Run) -> Finding {
-    let mut world = World::new(run.seed, run.nodes, run.fault_tolerance, run.bug);
+    let mut world = World::new(run.seed, run.nodes, run.zones, run.fault_tolerance, run.bug);
     let first = Duration::from_millis(1500) + world.random_duration(PAUSE);
     world.schedule(first, Event::Fault);
     let end = world.now + run.length;
@@ -145,9 +147,7 @@
 
 fn inject(world: &mut World, kind: Fault, length: Duration) {
     world.trace(|| format!("fault {kind:?} for {length:?}"));
-    let count = 1 + world.pick(world.fault_tolerance);
-    let first = world.pick(world.nodes.len());
-    let struck: Vec<usize> = (0..count).map(|offset| (first + offset) % world.nodes.len()).collect();
+    let struck = draw_machines(world, kind);
     match kind {
         Fault::KillAll => {
             for node in 0..world.nodes.len() {
@@ -174,6 +174,17 @@
     }
 }
 
+/// As many machines as may be lost, or a whole zone of them, which keeps its disks.
+fn draw_machines(world: &mut World, kind: Fault) -> Vec<usize> {
+    let first = world.pick(world.nodes.len());
+    if world.zones > 0 && kind != Fault::Wipe && world.chance(0.6) {
+        let zone = first % world.zones;
+        return (0..world.nodes.len()).filter(|node| node % world.zones == zone).collect();
+    }
+    let count = 1 + world.pick(world.fault_tolerance);
+    (0..count).map(|offset| (first + offset) % world.nodes.len()).collect()
+}
+
 /// Cuts, slow disks and losses of messages end.
 pub fn end_lasting_faults(world: &mut World) {
     world.cuts.clear();
--- a/crates/woadreach-chain/tests/simulation/operator.rs
+++ b/crates/woadreach-chain/tests/simulation/operator.rs
@@ -9,7 +9,7 @@
 
 /// Interval of the operators' clock.
 const STEP: Duration = Duration::from_millis(40);
-/// An operator asks another machine after so long without an answer.
+/// Patience of the operators unless a test sets another.
 const PATIENCE: Duration = Duration::from_millis(300);
 /// An operator gives an order up after this time.
 const GIVE_UP: Duration = Duration::from_secs(4);
@@ -49,6 +49,8 @@
 pub struct Operators {
     operators: Vec<Operator>,
     pub is_stopped: bool,
+    /// An operator asks another machine after so long without an answer.
+    pub patience: Duration,
     next_generation: u64,
     next_digest: u64,
 }
@@ -56,7 +58,7 @@
 impl Operators {
     pub fn new(count: usize) -> Operators {
         let operators = vec![Operator::default(); count];
-        Operators { operators, is_stopped: false, next_generation: 0, next_digest: 0 }
+        Operators { operators, is_stopped: false, patience: PATIENCE, next_generation: 0, next_digest: 0 }
     }
 }
 
@@ -74,7 +76,7 @@
                 world.operators.operators[index].pending = None;
                 world.operators.operators[index].wants_read = true;
             }
-            Some(pending) if now - pending.asked > PATIENCE => ask(world, index),
+            Some(pending) if now - pending.asked > world.operators.patience => ask(world, index),
             Some(_) => {}
         }
     }
--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use woadreach_chain::{
-    Durable, Envelope, Input, Member, MemberOptions, Output, Reply, Request, RequestId, View,
+    Durable, Envelope, Input, Member, MemberOptions, Output, Place, Reply, Request, RequestId, Tolerance,
+    View,
 };
 
 use super::disk::SimulatedDisk;
@@ -116,6 +117,8 @@
     pub operators: Operators,
     pub bug: Option<PlantedBug>,
     pub fault_tolerance: usize,
+    /// Number of zones of which one may be lost; 0 if zones don't matter.
+    pub zones: usize,
     /// No further fault strikes.
     pub are_faults_over: bool,
     is_traced: bool,
@@ -124,7 +127,14 @@
 }
 
 impl World {
-    pub fn new(seed: u64, nodes: usize, fault_tolerance: usize, bug: Option<PlantedBug>) -> World {
+    /// `nodes` machines in `zones` zones (0: zones don't matter).
+    pub fn new(
+        seed: u64,
+        nodes: usize,
+        zones: usize,
+        fault_tolerance: usize,
+        bug: Option<PlantedBug>,
+    ) -> World {
         let mut world = World {
             now: Duration::from_secs(1),
             nodes: (0..nodes).map(new_node).collect(),
@@ -135,6 +145,7 @@
             operators: Operators::new(2),
             bug,
             fault_tolerance,
+            zones,
             are_faults_over: false,
             is_traced: std::env::var_os("WOADREACH_TRACE").is_some(),
             queue: BinaryHeap::new(),
@@ -396,7 +407,12 @@
         let options = MemberOptions {
             address: self.nodes[node].address,
             seeds,
-            fault_tolerance: self.fault_tolerance,
+            tolerance: Tolerance {
+                machines: self.fault_tolerance,
+                zones: usize::from(self.zones > 0),
+                regions: 0,
+            },
+            place: self.place(node),
             random_seed: self.random.rand_u64(),
         };
         let disk = self.nodes[node].disk.as_ref().expect("made above");
@@ -414,6 +430,10 @@
         self.input(node, Input::Tick);
     }
 
+    fn place(&self, node: usize) -> Place {
+        if self.zones == 0 { Place::default() } else { Place { zone: (node % self.zones) as u32, region: 0 } }
+    }
+
     pub fn freeze(&mut self, node: usize, length: Duration) {
         if self.is_running(node) {
             self.nodes[node].frozen_until = Some(self.now + length);
--- a/crates/woadreach-chain/tests/world.rs
+++ b/crates/woadreach-chain/tests/world.rs
@@ -13,12 +13,12 @@
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-fn play_runs(nodes: usize, fault_tolerance: usize, seconds: u64) {
+fn play_runs(nodes: usize, zones: usize, fault_tolerance: usize, seconds: u64) {
     let first = number("WOADREACH_SEED", 1);
     let mut acknowledged = 0;
     for seed in first..first + number("WOADREACH_RUNS", 400) {
         let length = Duration::from_secs(seconds);
-        let finding = play(Run { seed, nodes, fault_tolerance, length, bug: None });
+        let finding = play(Run { seed, nodes, zones, fault_tolerance, length, bug: None });
         assert!(finding.violations.is_empty(), "seed {seed}: {:?}\n{}", finding.violations, finding.history);
         acknowledged += finding.acknowledged;
     }
@@ -27,15 +27,20 @@
 
 #[test]
 fn three_machines_bear_one_loss() {
-    play_runs(3, 1, 12);
+    play_runs(3, 0, 1, 12);
 }
 
 #[test]
 fn four_machines_bear_one_loss() {
-    play_runs(4, 1, 12);
+    play_runs(4, 0, 1, 12);
 }
 
 #[test]
 fn five_machines_bear_two_losses() {
-    play_runs(5, 2, 12);
+    play_runs(5, 0, 2, 12);
+}
+
+#[test]
+fn seven_machines_bear_the_loss_of_a_zone() {
+    play_runs(7, 3, 1, 12);
 }
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use woadreach_chain::{Input, MemberOptions};
+use woadreach_chain::{Input, MemberOptions, Place, Tolerance};
 use woadreach_discovery::CoreDiscovery;
 use woadreach_journal::{Journal, JournalError, JournalOptions, Recovered};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
@@ -122,7 +122,12 @@
     Ok(MemberOptions {
         address: version_four("ip", settings.internal_address())?,
         seeds: seeds?,
-        fault_tolerance: settings.fault_tolerance.machines,
+        tolerance: Tolerance {
+            machines: settings.fault_tolerance.machines,
+            zones: settings.fault_tolerance.zones,
+            regions: settings.fault_tolerance.regions,
+        },
+        place: Place::named(&settings.zone, &settings.region),
         random_seed: random_number(),
     })
 }
