--- /dev/null
+++ b/crates/woadreach-control/tests/durable_log.rs
@@ -0,0 +1,51 @@
+//! Recovery of a member from numbered records.
+
+use quickcheck::quickcheck;
+use woadreach_chain::{Blob, Command, Durable, PutConfiguration, Record, Stamp, View};
+use woadreach_control::durable_log::{encode_record, encode_snapshot, recover};
+
+fn write(number: u64) -> Record {
+    let put = PutConfiguration {
+        base: number - 1,
+        generation: number,
+        digest: [number as u8; 16],
+        body: Blob::from(vec![number as u8]),
+    };
+    Record::Write { stamp: Stamp { epoch: 1, number }, command: Command::PutConfiguration(put) }
+}
+
+fn empty() -> Durable {
+    Durable::new(1, true, View::default())
+}
+
+#[test]
+fn records_after_the_snapshot_are_applied() {
+    let records: Vec<Vec<u8>> = (1..=3).map(|number| encode_record(number, &write(number))).collect();
+    let recovered = recover(&encode_snapshot(0, &empty()), &records).expect("own records");
+    assert_eq!(recovered.number, 3);
+    assert_eq!(recovered.durable.state.generation(), 3);
+}
+
+#[test]
+fn records_that_the_snapshot_holds_are_skipped() {
+    let mut durable = empty();
+    durable.apply(&write(1));
+    durable.apply(&write(2));
+    let records: Vec<Vec<u8>> = (1..=3).map(|number| encode_record(number, &write(number))).collect();
+    let recovered = recover(&encode_snapshot(2, &durable), &records).expect("own records");
+    assert_eq!((recovered.number, recovered.durable.state.generation()), (3, 3));
+    assert_eq!(recovered.durable.state.taken.len(), 3);
+}
+
+#[test]
+fn nothing_after_a_gap_is_used() {
+    let records = [1, 2, 4, 5].map(|number| encode_record(number, &write(number)));
+    let recovered = recover(&encode_snapshot(0, &empty()), &records).expect("own records");
+    assert_eq!((recovered.number, recovered.durable.state.generation()), (2, 2));
+}
+
+quickcheck! {
+    fn foreign_bytes_are_an_error_or_a_prefix(snapshot: Vec<u8>, records: Vec<Vec<u8>>) -> bool {
+        recover(&snapshot, &records).is_err() || recover(&encode_snapshot(0, &empty()), &[]).is_ok()
+    }
+}
