A replica that restarts in another cell leaves its old one

Cause: a new process under the same id lost the number of its cell before the entry of the old cell was removed, so the old cell kept it as a holder; once it was forgotten, the next search on a shard of that cell would have ended the process by an index that is gone.

Change: the cell outlives the reset. Test: a_restart_in_another_cell_leaves_the_old_one, which fails without it (the part was placed on the replica that had moved).

--- a/src/decide/balancer.rs
+++ b/src/decide/balancer.rs
@@ -141,7 +141,8 @@
                 // have their turn as their shares add up to, not as many as chance brings.
                 let of = line.replica.0.bytes().fold(0, |h, b| (h * 31 + u64::from(b)) % 997);
                 let cold_phase = self.set.me.map_or(lot, |me| (me + of) as f64 * GOLDEN);
-                *r = Replica { running, ready_at: line.ready_at, cold_phase, ..Replica::default() };
+                let (ready_at, cell) = (line.ready_at, r.cell);
+                *r = Replica { running, ready_at, cold_phase, cell, ..Replica::default() };
                 self.unloaded.forget(&line.replica);
             }
             (r.open, r.zone) = (line.open || planted("module-drain"), Some(line.zone));
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -35,6 +35,26 @@
     assert_eq!((0..20).any(|seed| chosen(seed) == id("a")), ties);
 }
 
+/// A replica that restarts and takes another cell's shards leaves its old cell.
+#[test]
+fn a_restart_in_another_cell_leaves_the_old_one() {
+    let mut b = balancer(Settings { cells: 2, ..settings() }, &[]);
+    b.list(false, &[Listed { cell: CellId(1), ..line("a", true, Some(1.0)) }]);
+    b.list(false, &[line("a", true, Some(2.0))]);
+    let of_the_old_cell = |b: &mut Balancer, n| {
+        let mut search = search(n, 1, 9.0, 3.0);
+        search.parts[0].shard = ShardId(1);
+        b.place(9.0, &mut search).send
+    };
+    assert_eq!(of_the_old_cell(&mut b, 1), []);
+    assert_eq!(b.place(9.0, &mut search(2, 1, 9.0, 3.0)).send.len(), 1);
+    let mut gone = balancer(Settings { cells: 2, ..settings() }, &[]);
+    gone.list(false, &[Listed { cell: CellId(1), ..line("a", true, Some(1.0)) }]);
+    gone.list(false, &[line("a", true, Some(2.0))]);
+    gone.list(true, &[]);
+    assert_eq!(of_the_old_cell(&mut gone, 3), []);
+}
+
 /// Full at two own parts out: a third waits; an answer lets the search with the earliest deadline go.
 #[rstest]
 #[case::after_full(Ending::Full)]
