Decisions split by concern: thirteen small files, state and facts beside them

Change: src/decide/ has a file a concern (admission, candidates, health, hedging, hold, latency_limits, outlier_detector, part_budget, placement, repeats, retry_budget, search_steps, slow_start); they are the policy. What decides nothing left it: the replicas as listed with what is in flight there (src/fleet.rs, from list, holders, forget and the records of parts in flight), the state for searches and its construction (src/balancer.rs), the windows of unloaded latencies (src/unloaded_latency.rs, by numbers that decide::part_budget names), the ordered queue of held calls (src/held_queue.rs); plain types and accessors went to src/api.rs. Dangers and harms stand in one table of docs/design.md. LatencyLimits and RetryBudget are parts for any proxy as well, with tables of cases in tests/parts.rs. Names: docs/naming.md.

The plan in hand is state too, which took it out of fourteen signatures.

--- a/crates/woadreach-host/src/hand.rs
+++ b/crates/woadreach-host/src/hand.rs
@@ -127,7 +127,7 @@
     /// The client has left.
     pub fn left(&mut self, now: f64, search: SearchId, sink: &mut impl Sink) {
         if let Some(held) = self.searches.get_mut(&search) {
-            let plan = self.balancer.left(&mut held.search);
+            let plan = self.balancer.client_left(&mut held.search);
             self.carry_out(now, Some(search), plan, sink);
         }
     }
--- a/crates/woadreach-host/src/watch.rs
+++ b/crates/woadreach-host/src/watch.rs
@@ -4,7 +4,6 @@
 
 use serde_json::Value;
 use woadreach::api::*;
-use woadreach::decide::balancer::proven_unrun;
 
 /// What the new shape would allow. Read from the settings' `watch` object, each key optional: an absent one
 /// allows what the settings in force allow, so nothing is counted for it.
@@ -57,7 +56,7 @@
         if self.second_copies == Some(false) && before.iter().any(|s| s.ending.is_none()) {
             counts.second_copy += 1;
         }
-        if once && before.iter().any(|s| !proven_unrun(s)) {
+        if once && before.iter().any(|s| !s.proven_unrun()) {
             counts.repeat_once += 1;
         }
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -86,6 +86,13 @@
     pub budget: Option<BudgetRule>,
 }
 
+impl Settings {
+    /// The shortest latency target of all query types (seconds).
+    pub fn shortest_target(&self) -> f64 {
+        self.query_types.iter().map(|t| t.latency_target).fold(f64::INFINITY, f64::min)
+    }
+}
+
 /// A line of the list. `ready_at`: the most recent start, if it was not long ago.
 #[derive(Clone, Debug)]
 pub struct Listed {
@@ -140,6 +147,37 @@
     NeverSent,
 }
 
+/// How many calls are looked at, and the least failures among them that eject.
+#[derive(Clone, Copy, Debug)]
+pub struct EjectionRule {
+    /// Latest calls that count.
+    pub window: usize,
+    /// Least failures; they must also be half of the calls.
+    pub least: usize,
+}
+
+/// The end of a call, as far as it tells of health. `C` is a class of calls, such as the query type.
+#[derive(Clone, Copy, Debug)]
+pub struct Observation<C> {
+    /// When it ended (seconds).
+    pub at: f64,
+    /// When it was sent.
+    pub sent_at: f64,
+    /// Its class.
+    pub class: C,
+    /// Failed, or far later than usual.
+    pub failed: bool,
+}
+
+/// A change in the health of a replica or zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Out of use, but for trials.
+    Ejected,
+    /// Back in use.
+    Restored,
+}
+
 /// How one sub-request ended.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -157,6 +195,13 @@
     pub ending: Option<Ending>,
 }
 
+impl SubRequest {
+    /// Proven never to have run: refused unseen, no connection, or never sent.
+    pub fn proven_unrun(&self) -> bool {
+        matches!(self.ending, Some(Ending::Full | Ending::Unreachable | Ending::NeverSent))
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Part {
     pub id: PartId,
@@ -169,6 +214,23 @@
     pub subs: Vec<SubRequest>,
 }
 
+impl Part {
+    /// Whether one of its sub-requests is in flight.
+    pub fn in_flight(&self) -> bool {
+        self.subs.iter().any(|s| s.ending.is_none())
+    }
+
+    /// Its sub-requests in flight, with their numbers.
+    pub fn waiting(&self) -> impl Iterator<Item = (usize, &SubRequest)> {
+        self.subs.iter().enumerate().filter(|(_, s)| s.ending.is_none())
+    }
+
+    /// Whether it was ever sent to this replica.
+    pub fn tried(&self, replica: &ReplicaId) -> bool {
+        self.subs.iter().any(|s| s.replica == *replica)
+    }
+}
+
 /// A search in hand: the caller keeps it, the module reads and updates it.
 #[derive(Clone, Debug)]
 pub struct Search {
@@ -210,6 +272,32 @@
     }
 }
 
+impl Search {
+    /// The parts of the step in hand, with their places in `parts`.
+    pub fn step_parts(&self) -> impl Iterator<Item = (usize, &Part)> {
+        self.parts.iter().enumerate().filter(|(_, p)| p.step == self.step)
+    }
+
+    /// The weight of those that are answered.
+    pub fn answered_weight(&self) -> f64 {
+        self.step_parts().filter(|(_, p)| p.answered).map(|(_, p)| p.weight).sum()
+    }
+
+    /// Notes how a sub-request of one of its parts ended.
+    pub fn ended(&mut self, outcome: &Outcome) {
+        let part = self.parts.iter_mut().find(|p| p.id == outcome.part);
+        if let Some((part, i)) = part.map(|p| (p, outcome.nth)).filter(|(p, i)| *i < p.subs.len()) {
+            part.subs[i].ending = Some(outcome.ending);
+            part.answered |= outcome.ending == Ending::Answered;
+        }
+    }
+
+    /// Its queuing deadline; an early one before it is set.
+    pub fn queuing_deadline(&self) -> f64 {
+        self.queue_by.unwrap_or(self.arrived)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reply {
     /// From the parts that came; `whole` if none that counts is missing.
--- a/src/decide/candidates.rs
+++ b/src/decide/candidates.rs
@@ -4,7 +4,7 @@
 pub struct Candidates<R>(Vec<R>);
 
 impl<R: Clone> Candidates<R> {
-    /// Starts from all replicas that could serve the call.
+    /// All replicas that could serve the call.
     pub fn new(replicas: impl Iterator<Item = R>) -> Self {
         Candidates(replicas.collect())
     }
--- a/src/decide/hold.rs
+++ b/src/decide/hold.rs
@@ -6,13 +6,9 @@
     /// Calls may leave.
     #[default]
     Open,
-    /// Calls wait while over `above` are in flight, until `answers` more have come.
-    Held {
-        /// What was in flight at the full or timed-out answer.
-        above: usize,
-        /// As many as were in flight: by then the queue that answered full has turned over.
-        answers: usize,
-    },
+    /// Calls wait while over `above` are in flight, until `answers` more have come: its queue turned over.
+    #[allow(missing_docs)]
+    Held { above: usize, answers: usize },
 }
 
 impl Hold {
--- a/src/decide/outlier_detector.rs
+++ b/src/decide/outlier_detector.rs
@@ -1,6 +1,6 @@
-//! Outlier ejection with trials: a replica, or the way to a zone, whose latest calls failed is out of use
-//! until four trials in a row succeed (docs/design.md, exception 3).
+//! Outlier ejection: a replica or zone whose latest calls failed is out of use until trials succeed.
 
+pub use crate::api::{Change, EjectionRule, Observation};
 use crate::samples::push;
 use std::collections::VecDeque;
 
@@ -9,37 +9,6 @@
 const TRIALS: usize = 4; // successes in a row that end an ejection
 const LONGEST_GAP: f64 = 4.0; // seconds between trials
 
-/// How many calls are looked at, and the least failures among them that eject.
-#[derive(Clone, Copy, Debug)]
-pub struct EjectionRule {
-    /// Latest calls that count.
-    pub window: usize,
-    /// Least failures; they must also be half of the calls.
-    pub least: usize,
-}
-
-/// The end of a call, as far as it tells of health. `C` is a class of calls, such as the query type.
-#[derive(Clone, Copy, Debug)]
-pub struct Observation<C> {
-    /// When it ended (seconds).
-    pub at: f64,
-    /// When it was sent.
-    pub sent_at: f64,
-    /// Its class.
-    pub class: C,
-    /// Failed, or far later than usual.
-    pub failed: bool,
-}
-
-/// A change of state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// Out of use, but for trials.
-    Ejected,
-    /// Back in use.
-    Restored,
-}
-
 struct Ejection<C> {
     only: Option<C>, // all classes if none
     since: f64,
@@ -79,8 +48,7 @@
             return Some(Change::Ejected);
         };
         // What it was sent before it may answer. Where another class fares as badly all are out.
-        if let Some(only) = ejection.only.filter(|only| *only != call.class || call.sent_at < ejection.since)
-        {
+        if let Some(only) = ejection.only.filter(|o| *o != call.class || call.sent_at < ejection.since) {
             ejection.only = ejection.only.filter(|_| only == call.class || !bad(&own, rule.least));
             return None;
         }
@@ -129,8 +97,7 @@
         fresh.clone().count() >= CLASS_LEAST && fresh.all(|c| c.failed)
     }
 
-    /// Whether the last call failed where traffic is sparse, under four calls: two failures take long to see
-    /// there. The harm: bad luck costs a sound replica a while of sparse traffic.
+    /// Whether the last call failed where traffic is sparse: two failures take long to see there.
     pub fn failed_last(&self, now: f64) -> bool {
         let mut fresh = self.seen.iter().rev().take_while(|c| c.at > now - AGE);
         fresh.clone().count() < 4 && fresh.next().is_some_and(|c| c.failed)
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,151 @@
+//! The replicas that the list names, by cell, and what of ours is in flight at each: facts, no decisions.
+
+use crate::api::*;
+use crate::plants::planted;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A sub-request in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlight {
+    /// When it was sent (seconds).
+    pub sent_at: f64,
+    /// Sent while nothing else of ours was in flight at its replica.
+    pub alone: bool,
+    /// The query type of its search.
+    pub query_type: QueryTypeId,
+    /// Sub-requests sent there later that were answered before it.
+    pub passed: usize,
+    /// Cancelled by this co-ordinator, so that its part can go elsewhere.
+    pub called_off: bool,
+}
+
+/// A replica, and the `state` in which the decisions keep what they know of it.
+#[derive(Debug, Default)]
+pub struct Replica<S> {
+    /// May be sent new work.
+    pub open: bool,
+    /// Its zone, once listed.
+    pub zone: Option<ZoneId>,
+    cell: u64,
+    /// The most recent start of its process, if that was not long ago.
+    pub ready_at: Option<f64>,
+    /// Sub-requests in flight, by part and number.
+    pub in_flight: BTreeMap<(PartId, usize), InFlight>,
+    /// Answers since the start of its process.
+    pub answers: usize,
+    /// When the last of them came.
+    pub answered_at: f64,
+    /// What the decisions keep of it.
+    pub state: S,
+}
+
+impl<S> Replica<S> {
+    /// A sub-request leaves for it.
+    pub fn sent(&mut self, now: f64, part: PartId, nth: usize, query_type: QueryTypeId) {
+        let alone = self.in_flight.is_empty();
+        let call = InFlight { sent_at: now, alone, query_type, passed: 0, called_off: false };
+        self.in_flight.insert((part, nth), call);
+    }
+
+    /// A sub-request has ended; `None` if it was not in flight.
+    pub fn ended(&mut self, now: f64, part: PartId, nth: usize, answered: bool) -> Option<InFlight> {
+        let call = self.in_flight.remove(&(part, nth))?;
+        if answered {
+            self.in_flight.values_mut().filter(|c| c.sent_at < call.sent_at).for_each(|c| c.passed += 1);
+            self.answers += 1;
+            self.answered_at = now;
+        }
+        Some(call)
+    }
+
+    /// The age of the oldest sub-request in flight (seconds), or 0.
+    pub fn oldest(&self, now: f64) -> f64 {
+        self.in_flight.values().map(|c| now - c.sent_at).fold(0.0, f64::max)
+    }
+
+    /// How many sub-requests are in flight for over `age` seconds with nothing answered since they were sent.
+    pub fn unanswered(&self, now: f64, age: f64) -> usize {
+        let overdue = |c: &&InFlight| c.sent_at + age < now && self.answered_at < c.sent_at;
+        self.in_flight.values().filter(overdue).count()
+    }
+}
+
+/// All replicas. Those of each cell are kept apart, so that an event costs by the holders of its shards and
+/// not by the fleet.
+#[derive(Debug)]
+pub struct Fleet<S> {
+    replicas: BTreeMap<ReplicaId, Replica<S>>,
+    cells: BTreeMap<u64, BTreeSet<ReplicaId>>,
+    cell_count: u64,
+    span: u64,
+}
+
+impl<S: Default> Fleet<S> {
+    /// A fleet of which nothing is known; a shard is held by `span` cells of `cells` from its own on.
+    pub fn new(cells: u64, span: u64) -> Self {
+        Fleet { replicas: BTreeMap::new(), cells: BTreeMap::new(), cell_count: cells.max(1), span }
+    }
+
+    /// Takes in lines of the list; a `full` one names all replicas. `started` gives a new process its state.
+    /// Returns the replicas that are gone.
+    pub fn list(
+        &mut self,
+        full: bool,
+        lines: &[Listed],
+        mut started: impl FnMut(&Listed) -> S,
+    ) -> Vec<ReplicaId> {
+        if full {
+            self.replicas.values_mut().for_each(|r| r.open = false);
+        }
+        for line in lines {
+            let replica = self.replicas.entry(line.replica.clone()).or_default();
+            if line.open && replica.ready_at != line.ready_at {
+                // A new process, also that of a machine that comes back under its id.
+                replica.ready_at = line.ready_at;
+                (replica.answers, replica.answered_at, replica.state) = (0, 0.0, started(line));
+            }
+            (replica.open, replica.zone) = (line.open || planted("module-drain"), Some(line.zone));
+            let cell = line.cell.0 % self.cell_count;
+            self.cells.entry(replica.cell).or_default().remove(&line.replica);
+            self.cells.entry(cell).or_default().insert(line.replica.clone());
+            replica.cell = cell;
+        }
+        let named = lines.iter().map(|l| l.replica.clone());
+        let ids: Vec<_> = if full { self.replicas.keys().cloned().collect() } else { named.collect() };
+        ids.into_iter().filter(|id| self.forget(id)).collect()
+    }
+
+    /// Forgets a replica that is not open and has nothing in flight; true if it did. Where replicas are
+    /// replaced all day, all there ever were would be kept otherwise.
+    pub fn forget(&mut self, id: &ReplicaId) -> bool {
+        let Some(gone) = self.replicas.get(id).filter(|r| !r.open && r.in_flight.is_empty()) else {
+            return false;
+        };
+        self.cells.entry(gone.cell).or_default().remove(id);
+        self.replicas.remove(id);
+        true
+    }
+
+    /// A replica that has not been forgotten.
+    pub fn get(&self, id: &ReplicaId) -> Option<&Replica<S>> {
+        self.replicas.get(id)
+    }
+
+    /// The same, to be changed.
+    pub fn get_mut(&mut self, id: &ReplicaId) -> Option<&mut Replica<S>> {
+        self.replicas.get_mut(id)
+    }
+
+    /// All replicas, by id.
+    pub fn iter(&self) -> impl Iterator<Item = (&ReplicaId, &Replica<S>)> {
+        self.replicas.iter()
+    }
+
+    /// The open replicas that hold a shard.
+    pub fn holders(&self, shard: ShardId) -> impl Iterator<Item = (&ReplicaId, &Replica<S>)> {
+        let cells = (0..self.span.min(self.cell_count))
+            .map(move |j| (shard.0 % self.cell_count + j) % self.cell_count);
+        let ids = cells.filter_map(|cell| self.cells.get(&cell)).flatten();
+        ids.filter_map(|id| self.replicas.get(id).map(|r| (id, r))).filter(|(_, r)| r.open)
+    }
+}
--- a/src/decide/held_queue.rs
+++ b/src/held_queue.rs
@@ -1,4 +1,5 @@
-//! The calls that are held back from their replicas, each replica's earliest queuing deadline first.
+//! The calls that are held back from their replicas, each replica's in the order of their deadlines: a data
+//! structure that decides nothing; `decide::hold` says when one may leave.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -31,6 +31,23 @@
     samples.get(at.max(1) - 1).or(samples.last()).copied()
 }
 
+/// The smallest time at which a product of shares reaches `p`: of each of `distributions` the share of its
+/// samples at or under that time, and that of `rest` to the power of `count`. `None` without samples.
+pub fn product_quantile(
+    mut distributions: Vec<Vec<f64>>,
+    mut rest: Vec<f64>,
+    count: usize,
+    p: f64,
+) -> Option<f64> {
+    distributions.iter_mut().chain([&mut rest]).for_each(|s| s.sort_by(f64::total_cmp));
+    let mut times: Vec<f64> = distributions.iter().chain([&rest]).flatten().copied().collect();
+    times.sort_by(f64::total_cmp);
+    let share = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
+    let of_rest = |t: f64| share(&rest, t).powi(count as i32);
+    let product = |t: f64| distributions.iter().map(|s| share(s, t)).product::<f64>() * of_rest(t);
+    times.get(times.partition_point(|t| product(*t) < p)).copied()
+}
+
 /// How many groups of at most `of` these times make, where only equal ones go together.
 pub fn groups(times: impl Iterator<Item = f64>, of: usize) -> usize {
     let mut times: Vec<f64> = times.collect();
--- a/src/decide/unloaded_latency.rs
+++ b/src/unloaded_latency.rs
@@ -1,15 +1,10 @@
-//! Unloaded latencies: those of calls that found nothing else of ours in flight at their replica.
+//! Unloaded latencies: those of calls that found nothing else of ours in flight at their replica. Windows and
+//! quantiles alone; `decide::part_budget` says how many samples count, and for how long.
 
-use crate::samples::{Sample, push, quantile, since};
+use crate::decide::part_budget::{FLEET_SAMPLES, LEAST_SAMPLES, OWN_SAMPLES, SAMPLE_AGE};
+use crate::samples::{Sample, product_quantile, push, quantile, since};
 use std::collections::{BTreeMap, VecDeque};
 
-const AGE: f64 = 20.0; // seconds for which a sample counts
-const OWN: usize = 32; // samples of one replica: turn over in seconds, have a 0.97 quantile
-const FLEET: usize = 256; // samples of the fleet average
-/// With fewer samples of its own a replica counts as average: a quantile says nothing of so few, and swollen
-/// samples push queuing deadlines below zero, so that such calls jump every queue.
-const LEAST: usize = 8;
-
 /// A moving window of unloaded latencies (seconds) for each replica, and one of the fleet.
 pub struct UnloadedLatency<R> {
     replicas: BTreeMap<R, VecDeque<Sample>>,
@@ -17,18 +12,21 @@
     start: f64,
 }
 
-impl<R: Ord + Clone> UnloadedLatency<R> {
+impl<R: Ord> UnloadedLatency<R> {
     /// `start`: the quantile (seconds) that stands in before the first sample.
     pub fn new(start: f64) -> Self {
         UnloadedLatency { replicas: BTreeMap::new(), fleet: VecDeque::new(), start }
     }
 
     /// Records the latency of an answered call; that of an ejected replica is kept out of the fleet's.
-    pub fn record(&mut self, now: f64, replica: &R, latency: f64, ejected: bool) {
+    pub fn record(&mut self, now: f64, replica: &R, latency: f64, ejected: bool)
+    where
+        R: Clone,
+    {
         let own = self.replicas.entry(replica.clone()).or_default();
-        push(own, Sample { at: now, value: latency }, OWN);
+        push(own, Sample { at: now, value: latency }, OWN_SAMPLES);
         if !ejected {
-            push(&mut self.fleet, latency, FLEET);
+            push(&mut self.fleet, latency, FLEET_SAMPLES);
         }
     }
 
@@ -44,8 +42,8 @@
 
     /// A replica's own samples; none if it counts as average.
     pub fn own(&self, now: f64, replica: &R) -> Option<Vec<f64>> {
-        let own = since(self.replicas.get(replica)?, now - AGE);
-        (own.len() >= LEAST).then_some(own)
+        let own = since(self.replicas.get(replica)?, now - SAMPLE_AGE);
+        (own.len() >= LEAST_SAMPLES).then_some(own)
     }
 
     /// Samples to judge a replica by; `None` for one that counts as average, such as an ejected one.
@@ -58,18 +56,10 @@
         quantile(self.samples(now, replica), p).unwrap_or(self.start)
     }
 
-    /// The smallest time by which calls at all these replicas are answered with probability `p` or more, by
-    /// the product of their unloaded distributions.
+    /// The smallest time by which all these replicas have answered with probability `p` or more.
     pub fn product_quantile(&self, now: f64, replicas: &[Option<&R>], p: f64) -> f64 {
-        let own = |replica: &Option<&R>| replica.and_then(|r| self.own(now, r));
-        let mut own: Vec<Vec<f64>> = replicas.iter().filter_map(own).collect();
-        let average = (replicas.len() - own.len()) as i32;
-        let mut fleet = self.fleet();
-        own.iter_mut().chain([&mut fleet]).for_each(|s| s.sort_by(f64::total_cmp));
-        let mut times: Vec<f64> = own.iter().chain([&fleet]).flatten().copied().collect();
-        times.sort_by(f64::total_cmp);
-        let by = |s: &Vec<f64>, t: f64| s.partition_point(|x| *x <= t) as f64 / s.len().max(1) as f64;
-        let product = |t: f64| own.iter().map(|s| by(s, t)).product::<f64>() * by(&fleet, t).powi(average);
-        times.get(times.partition_point(|t| product(*t) < p)).copied().unwrap_or(self.start)
+        let own: Vec<_> = replicas.iter().filter_map(|r| r.and_then(|r| self.own(now, r))).collect();
+        let average = replicas.len() - own.len();
+        product_quantile(own, self.fleet(), average, p).unwrap_or(self.start)
     }
 }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -1,12 +1,12 @@
 //! Tables of cases for the parts of `decide` that know nothing of searches, as a second proxy uses them.
 
+mod common;
 use rstest::rstest;
-use woadreach::decide::candidates::Candidates;
-use woadreach::decide::held_queue::HeldQueue;
-use woadreach::decide::hold::Hold;
-use woadreach::decide::outlier_detector::{Change, EjectionRule, Observation, OutlierDetector};
-use woadreach::decide::part_budget::PartBudget;
-use woadreach::decide::unloaded_latency::UnloadedLatency;
+use woadreach::api::{BudgetRule, Settings};
+use woadreach::decide::{
+    Candidates, Change, EjectionRule, HeldQueue, Hold, LatencyLimits, Observation, OutlierDetector,
+    PartBudget, RetryBudget, UnloadedLatency,
+};
 
 const RULE: EjectionRule = EjectionRule { window: 8, least: 2 };
 
@@ -199,3 +199,47 @@
     detector.observe(RULE, call(4.0, 0, false));
     assert!(!detector.all_failed(0.0) && !detector.failed_last(4.0));
 }
+
+#[test]
+fn limits_follow_the_answers() {
+    let (unloaded, budget) = (latencies(&[("a", 10)]), PartBudget::default());
+    let mut limits = LatencyLimits::new(3.0);
+    assert_eq!((limits.late_after, limits.hedge_after, limits.overloaded), (1.0, 1.0, false));
+    (0..19).for_each(|_| limits.answered(1.0, 0.4));
+    limits.update(&unloaded, &budget);
+    assert_eq!(limits.late_after, 1.0, "too few answers to tell");
+    limits.answered(1.0, 0.4);
+    limits.update(&unloaded, &budget);
+    assert_eq!(limits.late_after, 1.0, "2.5 medians");
+    assert_eq!(limits.hedge_after, 1.25, "2.5 unloaded medians");
+    assert_eq!((limits.rate(1.5), limits.rate(3.0)), (10.0, 0.0));
+}
+
+/// Overload begins where the lower quartile is over 1.5 times the unloaded one, and is told once.
+#[rstest]
+#[case::just_as_unloaded(0.3, false)]
+#[case::half_as_much_again(0.449, false)]
+#[case::more(0.46, true)]
+fn overload(#[case] latency: f64, #[case] overloaded: bool) {
+    let unloaded = latencies(&[("a", 10)]);
+    let mut limits = LatencyLimits::new(3.0);
+    (0..4).for_each(|_| limits.answered(1.0, latency));
+    assert_eq!(limits.see_overload(1.0, &unloaded), overloaded);
+    assert_eq!((limits.overloaded, limits.see_overload(1.0, &unloaded)), (overloaded, false));
+    assert_eq!(limits.see_overload(5.1, &unloaded), overloaded, "ended: its answers are too old");
+}
+
+#[rstest]
+#[case::no_rule(None, 100)]
+#[case::free_ones_only(Some((2.0, 0.0)), 2)]
+#[case::free_ones_and_a_share(Some((1.0, 0.25)), 3)]
+fn retry_budget(#[case] rule: Option<(f64, f64)>, #[case] sent: usize) {
+    let budget = rule.map(|(free, share)| BudgetRule { free, share, window: 10.0 });
+    let mut retries = RetryBudget::new(&Settings { budget, ..common::settings() });
+    retries.taken(0.0, 8);
+    let may = (0..100).take_while(|_| retries.has_room(1.0).then(|| retries.sent(1.0)).is_some()).count();
+    assert_eq!(may, sent);
+    let again = retries.has_room(10.9);
+    assert_eq!(again, rule.is_none(), "still in the window, and what was taken is not");
+    assert!(retries.has_room(11.1));
+}
