--- /dev/null
+++ b/crates/woadreach-discovery/src/core.rs
@@ -0,0 +1,271 @@
+//! Driver of discovery on a core machine: heartbeats, batches between core machines, and long-polls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior};
+use woadreach_rpc::{Client, Router, ServiceId};
+use woadreach_settings::NodeSettings;
+
+use crate::committed::CommittedState;
+use crate::core_state::{CoreIdentity, CoreState};
+use crate::exchange::{CHANGE_DELAY, Urgency};
+use crate::messages::{
+    BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
+    encode,
+};
+use crate::registry::{Ack, HeartbeatError, RegistryCounters};
+use crate::replica::Heartbeat;
+use crate::server::has_news;
+
+/// How often silence is looked at and batches are sent.
+const TICK: Duration = Duration::from_millis(250);
+/// How long a replica's departure waits for the other core machines to be told.
+const URGENT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a core machine waits for another's registry.
+const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest wait of a poll.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(2);
+/// Pause before peers are asked for their registries again.
+const REGISTRY_RETRY: Duration = Duration::from_millis(500);
+
+/// Discovery on a core machine.
+pub struct CoreDiscovery {
+    incarnation: u64,
+    started: Instant,
+    rpc: Client,
+    committed: Arc<dyn CommittedState>,
+    state: Mutex<CoreState>,
+    revision: watch::Sender<u64>,
+    flush: Notify,
+    pull: Notify,
+}
+
+impl CoreDiscovery {
+    /// Discovery of the process that `settings` describe. `incarnation` differs between starts and is not 0.
+    /// [`run`](Self::run) has to be spawned, and [`handlers`](Self::handlers) to be served.
+    pub fn new(
+        settings: &NodeSettings,
+        incarnation: u64,
+        rpc: Client,
+        committed: Arc<dyn CommittedState>,
+    ) -> Arc<Self> {
+        let identity = CoreIdentity {
+            incarnation,
+            address: settings.internal_address(),
+            seeds: settings.seed_internal_addresses(),
+            heartbeat: settings.heartbeat,
+            reuse_after: settings.bounds.reuse_after,
+        };
+        Arc::new(Self {
+            incarnation,
+            started: Instant::now(),
+            rpc,
+            committed,
+            state: Mutex::new(CoreState::new(Duration::ZERO, identity)),
+            revision: watch::channel(0).0,
+            flush: Notify::new(),
+            pull: Notify::new(),
+        })
+    }
+
+    /// Adds the handler of discovery to the machine's services.
+    pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
+        let discovery = Arc::clone(self);
+        router.route(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
+    }
+
+    /// Sends batches and watches for silence until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        tokio::join!(self.exchange_batches(), self.pull_registries());
+    }
+
+    /// Takes a replica's heartbeat. A departure is acknowledged after the other core machines have been told.
+    pub async fn heartbeat(&self, id: &str, heartbeat: Heartbeat) -> Result<(), HeartbeatError> {
+        let ack = self.state.lock().heartbeat(self.now(), id, heartbeat)?;
+        self.after_change(id, ack).await;
+        Ok(())
+    }
+
+    /// Takes a replica's word that it ends, and tells the other core machines before it returns.
+    pub async fn leave(&self, id: &str) -> Result<(), HeartbeatError> {
+        let ack = self.state.lock().leave(self.now(), id)?;
+        self.after_change(id, ack).await;
+        Ok(())
+    }
+
+    /// What the registry took and refused since the start.
+    pub fn counters(&self) -> RegistryCounters {
+        self.state.lock().registry().counters()
+    }
+
+    /// Counts a heartbeat that could not be read.
+    pub fn count_unreadable(&self) {
+        self.state.lock().count_unreadable();
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    async fn after_change(&self, id: &str, ack: Ack) {
+        match ack {
+            Ack::Unchanged => {}
+            Ack::Changed => self.flush.notify_one(),
+            Ack::Leaving => {
+                self.publish();
+                self.tell_peers(id).await;
+            }
+        }
+    }
+
+    /// Wakes the polls if the registry has news, and the puller if a peer knows more.
+    fn publish(&self) {
+        let revision = self.state.lock().registry().version().revision;
+        self.wake_puller();
+        self.revision.send_if_modified(|published| {
+            let modified = *published != revision;
+            *published = revision;
+            modified
+        });
+    }
+
+    fn wake_puller(&self) {
+        if self.state.lock().has_incomplete_peers() {
+            self.pull.notify_one();
+        }
+    }
+
+    async fn tell_peers(&self, id: &str) {
+        let (batch, peers) = {
+            let state = self.state.lock();
+            (state.urgent_batch(id), state.peers(self.now(), &self.committed.view()))
+        };
+        let body = encode(&Request::Urgent(batch));
+        let mut calls = JoinSet::new();
+        for peer in peers {
+            let (rpc, body) = (self.rpc.clone(), body.clone());
+            calls.spawn(async move { rpc.call(peer, ServiceId::DISCOVERY, body, URGENT_TIMEOUT).await });
+        }
+        while calls.join_next().await.is_some() {}
+    }
+
+    async fn exchange_batches(&self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    self.state.lock().tick(self.now(), &self.committed.view());
+                    self.publish();
+                }
+                () = self.flush.notified() => {
+                    tokio::time::sleep(CHANGE_DELAY).await;
+                    self.publish();
+                }
+            }
+            self.send_batch();
+        }
+    }
+
+    fn send_batch(&self) {
+        let now = self.now();
+        let (batch, peers) = {
+            let mut state = self.state.lock();
+            let Some(batch) = state.next_batch(now) else { return };
+            (batch, state.peers(now, &self.committed.view()))
+        };
+        let body = encode(&Request::Batch(batch));
+        for peer in peers {
+            self.rpc.send(peer, ServiceId::DISCOVERY, body.clone());
+        }
+    }
+
+    /// Asks the peers that know more for their registries.
+    async fn pull_registries(&self) {
+        loop {
+            let peers = self.state.lock().take_incomplete_peers();
+            let mut warm_peer = false;
+            for peer in peers {
+                warm_peer |= self.pull_registry(peer).await == Some(false);
+            }
+            let warming = {
+                let view = self.committed.view();
+                self.state.lock().peers_asked(self.now(), &view, warm_peer)
+            };
+            self.publish();
+            if warming {
+                tokio::time::sleep(REGISTRY_RETRY).await;
+            } else {
+                self.pull.notified().await;
+            }
+        }
+    }
+
+    /// Takes in the registry of `peer`. Returns whether that machine is warming itself, or nothing if it fails.
+    async fn pull_registry(&self, peer: SocketAddr) -> Option<bool> {
+        loop {
+            let known = self.state.lock().version_of_peer(peer);
+            let body = encode(&Request::Registry(known));
+            let answer = self.rpc.call(peer, ServiceId::DISCOVERY, body, REGISTRY_TIMEOUT).await.ok()?;
+            let response: RegistryResponse = decode(&answer).ok()?;
+            let (warming, more) = (response.warming, response.more);
+            self.state.lock().take_registry(self.now(), peer, response);
+            if !more {
+                return Some(warming);
+            }
+        }
+    }
+
+    async fn handle(self: Arc<Self>, body: Bytes) -> Vec<u8> {
+        match decode::<Request>(&body) {
+            Ok(Request::Poll(request)) => self.poll(request).await,
+            Ok(Request::Configuration) => {
+                let configuration = self.committed.configuration();
+                encode(&ConfigurationResponse {
+                    configuration: configuration
+                        .map(|(version, body)| VersionedBytes { version, bytes: body.to_vec() }),
+                })
+            }
+            Ok(Request::Batch(batch) | Request::Urgent(batch)) => {
+                let urgency = self.state.lock().receive(self.now(), batch);
+                match urgency {
+                    Urgency::Unchanged => self.wake_puller(),
+                    Urgency::Soon => self.flush.notify_one(),
+                    Urgency::Now => self.publish(),
+                }
+                encode(&BatchResponse { incarnation: self.incarnation })
+            }
+            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(known)),
+            Err(error) => {
+                tracing::warn!(%error, "discovery request refused");
+                Vec::new()
+            }
+        }
+    }
+
+    async fn poll(&self, request: PollRequest) -> Vec<u8> {
+        let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_POLL_WAIT);
+        let deadline = Instant::now() + wait;
+        let mut registry_changed = self.revision.subscribe();
+        let mut committed_changed = self.committed.changed();
+        loop {
+            registry_changed.borrow_and_update();
+            committed_changed.borrow_and_update();
+            let response = self.state.lock().respond(&request, self.committed.as_ref());
+            if has_news(&request, &response) || Instant::now() >= deadline {
+                return encode(&response);
+            }
+            tokio::select! {
+                _ = registry_changed.changed() => {}
+                Ok(()) = committed_changed.changed() => {}
+                () = tokio::time::sleep_until(deadline) => {}
+            }
+        }
+    }
+}
