Proxy: what has not left has not run; a stream goes on only from a known place

Cause: a send that failed on a connection counted as perhaps run even if no byte had been written; the client's own Last-Event-Id filtered a first replica's answer, which must be passed on whole; a stream of events without ids could have been joined from two runs. Now written bytes are counted per connection, only resumption filters, and a stream without ids is cut. Bodies in hand are bounded by the process's memory; answers get time to leave before exit.

--- a/crates/woadreach-proxy/src/attempt.rs
+++ b/crates/woadreach-proxy/src/attempt.rs
@@ -130,7 +130,6 @@
     request: &OutgoingRequest,
     order: &SendOrder,
 ) -> (AttemptResult, Option<ServerLoad>) {
-    let mut outgoing = build(request, order);
     for _ in 0..STALE_CONNECTIONS {
         let Some(mut pooled) = pool.take(&order.replica, order.address, order.most_connections) else {
             return (failed(Outcome::NeverSent), None);
@@ -143,10 +142,10 @@
             }
         };
         let was_new = connection.is_new();
-        match connection.send(outgoing).await {
+        match connection.send(build(request, order)).await {
             Ok(response) => return receive(pooled, request, response).await,
-            Err(SendFailure::NotSent(_)) if was_new => return (failed(Outcome::Unreachable), None),
-            Err(SendFailure::NotSent(unsent)) => outgoing = *unsent,
+            Err(SendFailure::NotSent) if was_new => return (failed(Outcome::Unreachable), None),
+            Err(SendFailure::NotSent) => {}
             Err(SendFailure::Broken) => {
                 return (failed(Outcome::Broken { sent: true, events: 0 }), None);
             }
--- a/crates/woadreach-proxy/src/client_side.rs
+++ b/crates/woadreach-proxy/src/client_side.rs
@@ -9,7 +9,7 @@
 use crate::request_headers::end_to_end_headers;
 
 /// Pieces that wait for a client that reads slowly, at most; then the replica is not read on.
-const WAITING_PIECES: usize = 8;
+const WAITING_PIECES: usize = 4;
 
 /// The client has gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/woadreach-proxy/src/command_line.rs
+++ b/crates/woadreach-proxy/src/command_line.rs
@@ -25,7 +25,9 @@
 pub fn command() -> Command {
     Command::new("woadreach-proxy")
         .version(env!("CARGO_PKG_VERSION"))
-        .about("Data plane of the woadreach serving tier: takes clients' requests and passes them to replicas")
+        .about(
+            "Data plane of the woadreach serving tier: takes clients' requests and passes them to replicas",
+        )
         .after_help(format!(
             "The settings file is named by {SETTINGS_VARIABLE}. Logs go to standard error.\n\
              Exit codes: 0 stopped by SIGTERM, 1 failure, 2 bad settings or arguments.\n\n\
--- a/crates/woadreach-proxy/src/event_stream.rs
+++ b/crates/woadreach-proxy/src/event_stream.rs
@@ -50,6 +50,40 @@
     }
 }
 
+/// How far a client is in a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StreamPosition {
+    /// Nothing has been passed on.
+    #[default]
+    Start,
+    /// The event with this id was passed on last.
+    After(u64),
+    /// An event without an id was passed on: nobody can go on from there.
+    Unknown,
+}
+
+impl StreamPosition {
+    /// Notes events that are passed on.
+    pub fn advance(&mut self, events: &[Event]) {
+        if *self == StreamPosition::Unknown || events.is_empty() {
+            return;
+        }
+        let all_have_ids = events.iter().all(|event| event.id.is_some());
+        *self = match events.last().and_then(|event| event.id) {
+            Some(id) if all_have_ids => StreamPosition::After(id),
+            _ => StreamPosition::Unknown,
+        };
+    }
+
+    /// The `Last-Event-Id` for another replica.
+    pub fn resume_after(self) -> Option<u64> {
+        match self {
+            StreamPosition::After(id) => Some(id),
+            StreamPosition::Start | StreamPosition::Unknown => None,
+        }
+    }
+}
+
 /// Splits a body into events.
 #[derive(Debug, Default)]
 pub struct EventReader {
--- a/crates/woadreach-proxy/src/proxy.rs
+++ b/crates/woadreach-proxy/src/proxy.rs
@@ -14,6 +14,9 @@
 use woadreach_discovery::ControlSnapshot;
 use woadreach_storage::StorageClient;
 
+/// Part of the process's memory that the bodies of requests being read may fill.
+const BODIES_SHARE_OF_MEMORY: u64 = 5;
+
 /// Edges among which the connections of replicas are shared while their number is not known.
 const ASSUMED_EDGES: usize = 6;
 
@@ -33,12 +36,15 @@
     pub lifecycle: Lifecycle,
     /// Bytes of requests' bodies in hand.
     pub body_bytes: AtomicUsize,
+    /// Bytes of requests' bodies that may be in hand.
+    pub most_body_bytes: usize,
     knowledge: Mutex<Arc<Knowledge>>,
 }
 
 impl Proxy {
     /// A data plane that knows nothing yet.
-    pub fn new(seed: u64, zone: &str, turns: StorageClient) -> Self {
+    pub fn new(seed: u64, zone: &str, memory_mb: u64, turns: StorageClient) -> Self {
+        let most_body_bytes = memory_mb * 1024 * 1024 / BODIES_SHARE_OF_MEMORY;
         let clock = Clock::start();
         Proxy {
             clock,
@@ -48,6 +54,7 @@
             counters: Counters::default(),
             lifecycle: Lifecycle::default(),
             body_bytes: AtomicUsize::new(0),
+            most_body_bytes: most_body_bytes as usize,
             knowledge: Mutex::default(),
         }
     }
--- a/crates/woadreach-proxy/src/replica_connection.rs
+++ b/crates/woadreach-proxy/src/replica_connection.rs
@@ -6,10 +6,15 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -23,7 +28,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const PROBES: u32 = 2;
 /// Bytes of an answer's head and of one read, at most.
-const READ_BUFFER: usize = 64 * 1024;
+const READ_BUFFER: usize = 32 * 1024;
 
 /// Why no connection came up.
 #[derive(Debug, Snafu)]
@@ -53,9 +58,10 @@
 }
 
 /// What became of a request that was given to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
-    /// No byte of it left; the request is given back.
-    NotSent(Box<Request<Full<Bytes>>>),
+    /// No byte of it left.
+    NotSent,
     /// It may have left, and no answer came.
     Broken,
 }
@@ -64,6 +70,7 @@
 pub struct ReplicaConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    written: Arc<AtomicU64>,
     idle_since: Instant,
     expires: Option<Instant>,
     requests: u64,
@@ -76,8 +83,9 @@
         let stream =
             connected.ok_or(ConnectError::TimedOut { address })?.context(RefusedSnafu { address })?;
         set_options(&stream).context(RefusedSnafu { address })?;
-        let handshake =
-            Builder::new().max_buf_size(READ_BUFFER).writev(false).handshake(TokioIo::new(stream));
+        let written = Arc::new(AtomicU64::new(0));
+        let socket = CountingSocket { socket: TokioIo::new(stream), written: written.clone() };
+        let handshake = Builder::new().max_buf_size(READ_BUFFER).writev(false).handshake(socket);
         let (sender, connection) = handshake.await.context(HandshakeSnafu { address })?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -85,7 +93,8 @@
             }
         });
         let driver = driver.abort_handle();
-        Ok(ReplicaConnection { sender, driver, idle_since: Instant::now(), expires: None, requests: 0 })
+        let idle_since = Instant::now();
+        Ok(ReplicaConnection { sender, driver, written, idle_since, expires: None, requests: 0 })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -94,12 +103,17 @@
         request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, SendFailure> {
         if self.sender.ready().await.is_err() {
-            return Err(SendFailure::NotSent(Box::new(request)));
+            return Err(SendFailure::NotSent);
         }
         self.requests += 1;
-        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
-            Some(request) => SendFailure::NotSent(Box::new(request)),
-            None => SendFailure::Broken,
+        let written_before = self.written.load(Ordering::Relaxed);
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| {
+            let nothing_left = self.written.load(Ordering::Relaxed) == written_before;
+            match error.take_message().is_some() || nothing_left {
+                true => SendFailure::NotSent,
+                false => SendFailure::Broken,
+            }
         })
     }
 
@@ -131,6 +145,44 @@
     }
 }
 
+/// A socket that counts the bytes written to it: a request of which none was written has not run.
+struct CountingSocket {
+    socket: TokioIo<TcpStream>,
+    written: Arc<AtomicU64>,
+}
+
+impl Read for CountingSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl Write for CountingSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.socket).poll_write(context, bytes);
+        if let Poll::Ready(Ok(length)) = result {
+            self.written.fetch_add(length as u64, Ordering::Relaxed);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
+
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -28,8 +28,6 @@
 use tokio::time::Instant;
 use woadreach_config::ClientLimits;
 
-/// Bytes of bodies that are in hand at once, at most.
-const MOST_BODY_BYTES: usize = 48 * 1024 * 1024;
 /// Advice to a client when nothing can be served yet, in seconds.
 const RETRY_SOON: f64 = 0.25;
 
@@ -195,7 +193,7 @@
     fn grow(&mut self, bytes: usize) -> Result<(), Rejection> {
         self.bytes += bytes;
         let all = self.proxy.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        if all > MOST_BODY_BYTES { Err(Rejection::NotReady) } else { Ok(()) }
+        if all > self.proxy.most_body_bytes { Err(Rejection::NotReady) } else { Ok(()) }
     }
 }
 
--- a/crates/woadreach-proxy/src/request_task.rs
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -9,7 +9,7 @@
 use crate::client_request::ClientRequest;
 use crate::client_side::{ClientSide, passed_on};
 use crate::dispatcher::Command;
-use crate::event_stream::EventReader;
+use crate::event_stream::{EventReader, StreamPosition};
 use crate::own_answer::{plain, refusal};
 use crate::proxy::Proxy;
 use crate::replica_answer::is_promise;
@@ -62,7 +62,7 @@
     stream: Option<ActiveStream>,
     /// Head that the client's answer has, once a stream has begun.
     stream_head: Option<Parts>,
-    last_event_id: Option<u64>,
+    position: StreamPosition,
     turn: PreparedTurn,
     last_failure: Option<ReplicaAnswer>,
     deadline: Pin<Box<Sleep>>,
@@ -79,7 +79,6 @@
         let progress = RequestProgress::new(client.is_repeatable());
         let deadline = Box::pin(sleep_until(client.give_up));
         let turn = PreparedTurn::new(&client);
-        let last_event_id = client.facts.last_event_id;
         RequestTask {
             proxy,
             client,
@@ -92,7 +91,7 @@
             running: Vec::new(),
             stream: None,
             stream_head: None,
-            last_event_id,
+            position: StreamPosition::Start,
             turn,
             last_failure: None,
             deadline,
@@ -191,10 +190,7 @@
             TaskEvent::Attempt(report) => self.take_report(*report),
             TaskEvent::StreamData(data) => self.take_data(data).await,
             TaskEvent::StreamEnded => self.finish_stream().await,
-            TaskEvent::StreamBroke => {
-                self.drop_broken_stream();
-                None
-            }
+            TaskEvent::StreamBroke => self.drop_broken_stream(),
             TaskEvent::ClientLeft => Some(self.end_without_client()),
             TaskEvent::DeadlineReached => Some(self.fail(FailReason::TimedOut)),
         }
@@ -235,7 +231,7 @@
             most_connections: connection_share(max_conns, self.proxy.edges()),
             deadline: (Instant::now() + duration(timeout)).min(self.client.give_up),
             priority,
-            resume_after: self.last_event_id,
+            resume_after: self.position.resume_after(),
         };
         let handle = self.attempts.spawn(attempt(self.proxy.pool.clone(), outgoing, order));
         self.running.push((number, handle));
@@ -278,14 +274,12 @@
     async fn take_data(&mut self, data: Bytes) -> Option<RequestEnd> {
         let active = self.stream.as_mut()?;
         let Ok(mut batch) = active.reader.push(data) else {
-            self.drop_broken_stream();
-            return None;
+            return self.drop_broken_stream();
         };
-        if let Some(last_id) = self.last_event_id {
+        if let StreamPosition::After(last_id) = self.position {
             batch.skip_through(last_id);
         }
-        self.last_event_id =
-            batch.events.iter().filter_map(|event| event.id).next_back().or(self.last_event_id);
+        self.position.advance(&batch.events);
         if batch.bytes.is_empty() {
             return None;
         }
@@ -325,11 +319,13 @@
         Some(self.end(RequestEnd::Answered))
     }
 
-    fn drop_broken_stream(&mut self) {
-        let Some(active) = self.stream.take() else { return };
+    /// The stream ended early. It goes on elsewhere if the decisions want that and its place is known.
+    fn drop_broken_stream(&mut self) -> Option<RequestEnd> {
+        let active = self.stream.take()?;
         self.change(|progress| progress.attempt_ended(false));
         let outcome = Outcome::Broken { sent: true, events: self.turn.ledger.events() };
         self.proxy.dispatcher.outcome(self.id, active.attempt, outcome, None);
+        (self.position == StreamPosition::Unknown).then(|| self.fail(FailReason::MayHaveRun))
     }
 
     fn pass_on(&mut self, answer: ReplicaAnswer, end: RequestEnd) -> RequestEnd {
--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -20,6 +20,8 @@
 const NOTICE_TIME: Duration = Duration::from_millis(2800);
 /// How long before the end of the grace period the process ends whatever is left.
 const LAST_MARGIN: Duration = Duration::from_millis(400);
+/// How long answers that have been handed over may take to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// How often the state line is written.
 const STATE_LINE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -59,7 +61,7 @@
     let rpc = Client::new(ClientOptions::default());
     let turns = StorageClient::new(rpc.clone(), settings.zone.clone(), settings.fault_tolerance.machines);
     let seed = RandomState::new().hash_one(&settings.node);
-    let proxy = Arc::new(Proxy::new(seed, &settings.zone, turns));
+    let proxy = Arc::new(Proxy::new(seed, &settings.zone, settings.limits.memory_mb, turns));
     let snapshots = ControlWatch::spawn(&settings, rpc);
     let front = Front::new(proxy.clone(), &settings.limits);
 
@@ -99,6 +101,7 @@
     proxy.lifecycle.enter(Phase::Closing);
     let rest = whole.saturating_sub(NOTICE_TIME);
     let drained = tokio::time::timeout(rest, proxy.lifecycle.drained()).await;
+    tokio::time::sleep(FLUSH_TIME).await;
     tracing::info!(drained = drained.is_ok(), "stopped");
 }
 
--- a/crates/woadreach-proxy/tests/requests.rs
+++ b/crates/woadreach-proxy/tests/requests.rs
@@ -229,6 +229,30 @@
     });
 }
 
+#[test]
+fn a_connection_that_ends_without_notice_fails_no_request() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok"), Step::Close]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        for _ in 0..5 {
+            assert_eq!(ask(tier.front, &post("/unsafe/", "x")).await.status(), 200);
+        }
+        assert_eq!((replica.received().len(), replica.connections()), (5, 5));
+    });
+}
+
+#[test]
+fn a_replica_that_is_not_there_has_run_nothing() {
+    on_one_thread(async {
+        let there = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let gone = Replica::nowhere().await;
+        let tier = Tier::start(&[("i-1", &gone), ("i-2", &there)]).await;
+        for _ in 0..6 {
+            assert_eq!(ask(tier.front, &post("/unsafe/", "x")).await.status(), 200);
+        }
+    });
+}
+
 #[test]
 fn a_client_that_leaves_stops_the_replicas_work() {
     on_one_thread(async {
--- a/crates/woadreach-proxy/tests/support/replica.rs
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -74,6 +74,18 @@
         replica
     }
 
+    /// An address where nobody listens.
+    pub async fn nowhere() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Replica {
+            address: listener.local_addr().expect("an address"),
+            received: Arc::default(),
+            count: Arc::new(watch::Sender::new(0)),
+            closed: Arc::new(watch::Sender::new(0)),
+            connections: Arc::new(watch::Sender::new(0)),
+        }
+    }
+
     /// The requests that came.
     pub fn received(&self) -> Vec<Received> {
         self.received.lock().clone()
