Proxy: a closing process ends only when no client connection is left

Now idle connections are closed first and the end waits until none is left and no request is in hand, with no wait after that look. Two tests: requests that come while the process closes, and a head that is arriving.

--- a/crates/woadreach-proxy/src/front.rs
+++ b/crates/woadreach-proxy/src/front.rs
@@ -59,6 +59,12 @@
         self.connections.lock().len()
     }
 
+    /// Whether the head of a request is arriving on any connection.
+    pub fn is_reading(&self) -> bool {
+        let connections = self.connections.lock();
+        connections.values().any(|track| track.activity().0 == Activity::ReadingHead)
+    }
+
     /// Accepts connections; never returns.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut number = 0;
--- a/crates/woadreach-proxy/src/lib.rs
+++ b/crates/woadreach-proxy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod request_state;
 pub mod request_task;
 pub mod run;
+pub mod shutdown;
 pub mod token_ledger;
 pub mod turn_store;
 
--- a/crates/woadreach-proxy/src/lifecycle.rs
+++ b/crates/woadreach-proxy/src/lifecycle.rs
@@ -1,7 +1,7 @@
 //! From start to exit: readiness, and the order of a planned stop.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,16 +18,11 @@
 pub struct Lifecycle {
     phase: watch::Sender<Phase>,
     requests: AtomicUsize,
-    drained: Notify,
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Lifecycle {
-            phase: watch::Sender::new(Phase::Serving),
-            requests: AtomicUsize::new(0),
-            drained: Notify::new(),
-        }
+        Lifecycle { phase: watch::Sender::new(Phase::Serving), requests: AtomicUsize::new(0) }
     }
 }
 
@@ -60,24 +55,11 @@
 
     /// Notes that a request's answer has been handed to its connection, or its connection has ended.
     pub fn request_ended(&self) {
-        if self.requests.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.drained.notify_waiters();
-        }
+        self.requests.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Requests being read or answered.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
-
-    /// Returns when no request is being read or answered.
-    pub async fn drained(&self) {
-        loop {
-            let drained = self.drained.notified();
-            if self.requests() == 0 {
-                return;
-            }
-            drained.await;
-        }
-    }
 }
--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -1,9 +1,9 @@
 //! Starts the parts of the data plane and stops them in order.
 
 use crate::front::Front;
-use crate::lifecycle::Phase;
 use crate::proxy::Proxy;
 use crate::readiness;
+use crate::shutdown::stop;
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -16,12 +16,6 @@
 use woadreach_settings::NodeSettings;
 use woadreach_storage::StorageClient;
 
-/// How long the platform takes to notice that the process is not ready any more: two missed calls and some.
-const NOTICE_TIME: Duration = Duration::from_millis(2800);
-/// How long before the end of the grace period the process ends whatever is left.
-const LAST_MARGIN: Duration = Duration::from_millis(400);
-/// How long answers that have been handed over may take to leave the process.
-const FLUSH_TIME: Duration = Duration::from_millis(150);
 /// How often the state line is written.
 const STATE_LINE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -69,7 +63,7 @@
     tokio::spawn(axum::serve(ready_listener, readiness::router(proxy.clone())).into_future());
     tracing::info!(node = %settings.node, zone = %settings.zone, front = %front_address, "serving");
     signals.wait_for_stop().await;
-    stop(&proxy, settings.bounds.grace_period).await;
+    stop(&proxy, &front, settings.bounds.grace_period).await;
     Ok(())
 }
 
@@ -92,19 +86,6 @@
     tokio::spawn(write_state(proxy.clone(), front.clone()));
 }
 
-/// A planned stop: not ready at once, served on until the platform has noticed, every request answered.
-async fn stop(proxy: &Proxy, grace_period: Duration) {
-    tracing::info!(requests = proxy.lifecycle.requests(), "leaving");
-    let whole = grace_period.saturating_sub(LAST_MARGIN);
-    proxy.lifecycle.enter(Phase::Leaving);
-    tokio::time::sleep(NOTICE_TIME.min(whole)).await;
-    proxy.lifecycle.enter(Phase::Closing);
-    let rest = whole.saturating_sub(NOTICE_TIME);
-    let drained = tokio::time::timeout(rest, proxy.lifecycle.drained()).await;
-    tokio::time::sleep(FLUSH_TIME).await;
-    tracing::info!(drained = drained.is_ok(), "stopped");
-}
-
 async fn write_state(proxy: Arc<Proxy>, front: Arc<Front>) {
     let mut interval = tokio::time::interval(STATE_LINE_INTERVAL);
     interval.tick().await;
--- a/crates/woadreach-proxy/tests/requests.rs
+++ b/crates/woadreach-proxy/tests/requests.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
+use std::sync::Arc;
 use support::replica::{Replica, Step, head, not_executed, success};
 use support::tier::Tier;
 use support::{Client, ask, on_one_thread};
+use tokio::sync::Notify;
 use woadreach_proxy::lifecycle::Phase;
+use woadreach_proxy::shutdown::close_connections;
 
 fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\n\r\n")
@@ -329,9 +332,53 @@
         let seen = client.answer().await;
         assert_eq!((seen.status(), seen.header("connection")), (200, Some("close")));
         assert!(client.is_closed().await);
-        tier.proxy.lifecycle.enter(Phase::Closing);
-        tier.connections.sweep_once();
+        support::wait_for("the end", close_connections(&tier.proxy, &tier.connections)).await;
         assert!(idle.is_closed().await);
-        support::wait_for("no request in hand", tier.proxy.lifecycle.drained()).await;
+    });
+}
+
+#[test]
+fn a_closing_process_answers_every_request_that_still_comes() {
+    on_one_thread(async {
+        let go_on = Arc::new(Notify::new());
+        let gate = go_on.clone();
+        let replica = Replica::start(move |number, request| match number {
+            0 => vec![Step::Await(gate.clone()), success(request, "first")],
+            _ => vec![success(request, "later")],
+        })
+        .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut first = Client::connect(tier.front).await;
+        first.send(post("/unsafe/", "x").as_bytes()).await;
+        replica.wait_for_requests(1).await;
+        let (proxy, connections) = (tier.proxy.clone(), tier.connections.clone());
+        let closing = tokio::spawn(async move { close_connections(&proxy, &connections).await });
+        for _ in 0..3 {
+            assert_eq!(ask(tier.front, &post("/unsafe/", "x")).await.text(), "later");
+            assert!(!closing.is_finished(), "a request is in hand");
+        }
+        go_on.notify_one();
+        assert_eq!(first.answer().await.text(), "first");
+        support::wait_for("the end", closing).await.expect("no panic");
+    });
+}
+
+#[test]
+fn a_closing_process_waits_for_a_connection_that_is_being_opened() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut client = Client::connect(tier.front).await;
+        // The head has begun to arrive: the connection is not idle any more.
+        client.send(b"GET /safe/ HTTP/1.1\r\nHost: tier.example\r\n").await;
+        while tier.connections.open_connections() == 0 || !tier.connections.is_reading() {
+            tokio::task::yield_now().await;
+        }
+        let (proxy, connections) = (tier.proxy.clone(), tier.connections.clone());
+        let closing = tokio::spawn(async move { close_connections(&proxy, &connections).await });
+        tokio::task::yield_now().await;
+        client.send(b"Request-Id: r1\r\n\r\n").await;
+        assert_eq!(client.answer().await.status(), 200);
+        support::wait_for("the end", closing).await.expect("no panic");
     });
 }
--- a/crates/woadreach-proxy/tests/support/replica.rs
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// A request as it came.
 #[derive(Clone, Debug)]
@@ -31,6 +31,8 @@
     Write(Vec<u8>),
     /// End the connection.
     Close,
+    /// Wait until told to go on.
+    Await(Arc<Notify>),
     /// Say nothing until the caller closes the connection.
     Hang,
 }
@@ -127,6 +129,7 @@
                         }
                     }
                     Step::Close => return,
+                    Step::Await(notify) => notify.notified().await,
                     Step::Hang => {
                         let mut byte = [0];
                         let _ = stream.read(&mut byte).await;
