--- a/crates/woadreach-storage/src/client/mod.rs
+++ b/crates/woadreach-storage/src/client/mod.rs
@@ -176,7 +176,13 @@
         let reservation = given.and_then(|tokens| Some((self.take_reservation(&turn.key())?, tokens)));
         let settlement = reservation.map(|(reservation, given)| Settlement { reservation, given });
         let operation = Operation::PutTurns { program: program.clone(), turns: records.clone(), settlement };
-        self.write(&program, operation, PUT_WITHIN).await?;
+        if self.write(&program, operation, PUT_WITHIN).await.is_err() {
+            // Nothing tells whether the settlement arrives: the caller may settle once more.
+            if let Some(settlement) = settlement {
+                self.shared.open.lock().entry(turn.key()).or_default().push(settlement.reservation);
+            }
+            return Err(Unavailable);
+        }
         let now = self.now();
         let mut cache = self.shared.cache.lock();
         for stored in records.into_iter().filter_map(TurnRecord::into_turn) {
--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -42,6 +42,10 @@
         return Some(with_next(view, wanted));
     }
     let next = view.next.as_ref()?;
+    // A change that was called off needs no pulls: every write has reached the present machines too.
+    if same_members(next, &view.current) && view.retiring.is_empty() {
+        return Some(end_of_joint_epoch(view, next));
+    }
     let pulled = |member: &StorageMember| {
         let sighting = announcements.sighting(&member.node);
         sighting.is_some_and(|seen| seen.member.disk == member.disk && seen.pulled_epoch == view.epoch)
@@ -114,7 +118,7 @@
 ) {
     let stays = |member: &&StorageMember| wanted.iter().any(|other| other.node == member.node);
     let places = view.current.iter().filter(stays).count();
-    let changing = !same_members(wanted, &view.current);
+    let changing = view.next.is_some() || !same_members(wanted, &view.current);
     let patience = if changing { REPLACEABLE_AFTER } else { DROPPED_AFTER };
     let mut silent: Vec<(Duration, String)> =
         wanted.iter().map(|member| (silence(member), member.node.clone())).collect();
