--- a/crates/woadreach-storage/src/server/mod.rs
+++ b/crates/woadreach-storage/src/server/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -65,6 +66,8 @@
     pull_due: watch::Sender<PullDue>,
     pulled: watch::Sender<u64>,
     upkeep: Mutex<Upkeep>,
+    /// The last record was refused; told once.
+    disk_refuses: AtomicBool,
 }
 
 /// Why a pull is due.
@@ -96,6 +99,7 @@
             pull_due: watch::Sender::new(PullDue { epoch, missed: 1 }),
             pulled: watch::Sender::new(0),
             upkeep: Mutex::new(Upkeep::new(started, &options.node)),
+            disk_refuses: AtomicBool::new(false),
         };
         Ok(Server { shared: Arc::new(shared) })
     }
@@ -183,9 +187,14 @@
     fn complete(&self, pending: Pending, synced: Result<Synced, JournalError>) -> Response {
         let mut member = self.shared.member.lock();
         let response = match &synced {
-            Ok(receipt) => member.complete(pending, receipt),
+            Ok(receipt) => {
+                self.shared.disk_refuses.store(false, Ordering::Relaxed);
+                member.complete(pending, receipt)
+            }
             Err(error) => {
-                tracing::warn!(%error, "a record was not stored");
+                if !self.shared.disk_refuses.swap(true, Ordering::Relaxed) {
+                    tracing::warn!(%error, "the disk takes no records");
+                }
                 member.failed()
             }
         };
--- /dev/null
+++ b/crates/woadreach-storage/tests/codecs.rs
@@ -0,0 +1,214 @@
+//! Codecs: what is written is read back, and nothing else is read.
+
+use bytes::Bytes;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::time::Duration;
+use woadreach_storage::budget::Reservation;
+use woadreach_storage::message::{
+    Answer, Fence, Operation, ProgramDigest, ProgramRecords, Request, Response, Settlement, decode, encode,
+};
+use woadreach_storage::record::{Record, SnapshotWriter, snapshot_records};
+use woadreach_storage::turn::TurnRecord;
+use woadreach_storage::{StorageMember, StorageView, Turn, TurnKey};
+
+/// Anything that is sent or stored.
+#[derive(Debug, Clone, PartialEq)]
+struct Any<T>(T);
+
+fn text(random: &mut Gen) -> String {
+    String::arbitrary(random)
+}
+
+fn list<T>(random: &mut Gen, make: impl Fn(&mut Gen) -> T) -> Vec<T> {
+    (0..usize::arbitrary(random) % 4).map(|_| make(random)).collect()
+}
+
+fn turn(random: &mut Gen) -> TurnRecord {
+    TurnRecord {
+        program: text(random),
+        session: text(random),
+        request_id: text(random),
+        previous: bool::arbitrary(random).then(|| text(random)),
+        retention_ms: u64::arbitrary(random),
+        content: Vec::arbitrary(random),
+    }
+}
+
+fn reservation(random: &mut Gen) -> Reservation {
+    Reservation {
+        id: u64::arbitrary(random),
+        tokens: u64::arbitrary(random),
+        settled: bool::arbitrary(random),
+    }
+}
+
+fn settlement(random: &mut Gen) -> Settlement {
+    Settlement { reservation: u64::arbitrary(random), given: u64::arbitrary(random) }
+}
+
+fn member(random: &mut Gen) -> StorageMember {
+    let (ip, port) = (u32::arbitrary(random), u16::arbitrary(random));
+    let address = (std::net::Ipv4Addr::from(ip), port).into();
+    StorageMember { node: text(random), disk: u64::arbitrary(random), address, zone: text(random) }
+}
+
+fn view(random: &mut Gen) -> StorageView {
+    StorageView {
+        epoch: u64::arbitrary(random),
+        current: list(random, member),
+        next: bool::arbitrary(random).then(|| list(random, member)),
+        retiring: list(random, text).into_iter().collect(),
+        retired: list(random, text).into_iter().collect(),
+    }
+}
+
+fn program(random: &mut Gen) -> ProgramRecords {
+    ProgramRecords {
+        program: text(random),
+        reservations: list(random, reservation),
+        turns: list(random, turn),
+        remaining_ms: u64::arbitrary(random),
+    }
+}
+
+impl Arbitrary for Any<Request> {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let operation = match u8::arbitrary(random) % 8 {
+            0 => Operation::Reserve {
+                program: text(random),
+                reservation: u64::arbitrary(random),
+                most: u64::arbitrary(random),
+            },
+            1 => Operation::Settle { program: text(random), settlement: settlement(random) },
+            2 => Operation::PutTurns {
+                program: text(random),
+                turns: list(random, turn),
+                settlement: bool::arbitrary(random).then(|| settlement(random)),
+            },
+            3 => Operation::ReadChain { program: text(random), request_id: text(random) },
+            4 => Operation::Find { request_id: text(random) },
+            5 => Operation::Digests { node: text(random), after: Option::arbitrary(random) },
+            6 => Operation::Fetch { programs: list(random, text) },
+            _ => Operation::NewView { view: view(random) },
+        };
+        let fence = Fence { epoch: u64::arbitrary(random), disk: u64::arbitrary(random) };
+        Any(Request { fence, operation })
+    }
+}
+
+impl Arbitrary for Any<Response> {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let digest =
+            |random: &mut Gen| ProgramDigest { program: text(random), digest: u64::arbitrary(random) };
+        let answer = match u8::arbitrary(random) % 10 {
+            0 => Answer::Reserved { reservations: list(random, reservation) },
+            1 => Answer::Stored,
+            2 => Answer::Chain { turns: list(random, turn) },
+            3 => Answer::Found { programs: list(random, text) },
+            4 => Answer::DigestPage { digests: list(random, digest), more: bool::arbitrary(random) },
+            5 => Answer::Records { programs: list(random, program) },
+            6 => Answer::Stale { view: view(random) },
+            7 => Answer::Behind,
+            8 => Answer::WrongDisk,
+            _ => Answer::Failed,
+        };
+        Any(Response { epoch: u64::arbitrary(random), answer })
+    }
+}
+
+impl Arbitrary for Any<Record> {
+    fn arbitrary(random: &mut Gen) -> Self {
+        Any(match u8::arbitrary(random) % 3 {
+            0 => Record::Identity { disk: u64::arbitrary(random) },
+            1 => Record::View(view(random)),
+            _ => Record::Program(program(random)),
+        })
+    }
+}
+
+quickcheck! {
+    fn requests_are_read_back(request: Any<Request>) -> bool {
+        decode(&encode(&request.0)) == Some(request.0)
+    }
+
+    fn responses_are_read_back(response: Any<Response>) -> bool {
+        decode(&encode(&response.0)) == Some(response.0)
+    }
+
+    fn records_are_read_back(record: Any<Record>) -> bool {
+        decode(&encode(&record.0)) == Some(record.0)
+    }
+
+    fn a_cut_message_is_not_read(request: Any<Request>, cut: usize) -> bool {
+        let bytes = encode(&request.0);
+        decode::<Request>(&bytes[..cut % bytes.len()]).is_none()
+    }
+
+    fn a_longer_message_is_not_read(request: Any<Request>, rest: Vec<u8>) -> bool {
+        let mut bytes = encode(&request.0);
+        bytes.extend_from_slice(&rest);
+        rest.is_empty() || decode::<Request>(&bytes).is_none()
+    }
+
+    fn any_bytes_are_read_without_panic(bytes: Vec<u8>) -> bool {
+        let versioned = [vec![1], bytes.clone()].concat();
+        let _ = (decode::<Request>(&bytes), decode::<Request>(&versioned));
+        let _ = (decode::<Response>(&versioned), decode::<Record>(&versioned));
+        let _ = (snapshot_records(&bytes), StorageView::decode(&versioned));
+        true
+    }
+
+    fn a_flipped_bit_gives_no_panic(response: Any<Response>, at: usize) -> bool {
+        let mut bytes = encode(&response.0);
+        let bit = at % (bytes.len() * 8);
+        bytes[bit / 8] ^= 1 << (bit % 8);
+        let _ = decode::<Response>(&bytes);
+        true
+    }
+
+    fn snapshots_are_read_back(records: Vec<Any<Record>>) -> bool {
+        let mut snapshot = SnapshotWriter::new(0);
+        for record in &records {
+            snapshot.push(&record.0);
+        }
+        let bytes = snapshot.finish();
+        let found = snapshot_records(&bytes).unwrap();
+        let found: Vec<Option<Record>> = found.into_iter().map(decode).collect();
+        found == records.into_iter().map(|record| Some(record.0)).collect::<Vec<_>>()
+    }
+
+    fn turns_are_read_back(input: Vec<u8>, events: Vec<Vec<u8>>, previous: Option<String>) -> bool {
+        let turn = Turn {
+            program: "program".to_owned(),
+            session: "session".to_owned(),
+            request_id: "request".to_owned(),
+            previous: previous.map(|request_id| TurnKey { program: "program".to_owned(), request_id }),
+            input: Bytes::from(input),
+            events: events.into_iter().map(Bytes::from).collect(),
+            retention: Duration::from_millis(60_500),
+        };
+        turn.to_record("program").into_turn() == Some(turn)
+    }
+
+    fn turns_with_damaged_content_give_no_panic(content: Vec<u8>) -> bool {
+        let record = TurnRecord {
+            program: String::new(),
+            session: String::new(),
+            request_id: String::new(),
+            previous: None,
+            retention_ms: 0,
+            content,
+        };
+        let _ = record.into_turn();
+        true
+    }
+}
+
+/// A length that promises more than there is must not be allocated for.
+#[test]
+fn a_promised_length_is_not_allocated() {
+    let mut bytes = encode(&Response { epoch: 0, answer: Answer::Found { programs: Vec::new() } });
+    let length = bytes.len();
+    bytes[length - 4..].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(decode::<Response>(&bytes), None);
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/placement.rs
@@ -0,0 +1,74 @@
+//! Groups and quorums.
+
+use quickcheck::quickcheck;
+use woadreach_storage::StorageMember;
+use woadreach_storage::placement::{group, group_size, read_quorum, write_quorum};
+
+fn machines(count: u64, zones: u64) -> Vec<StorageMember> {
+    let member = |number: u64| StorageMember {
+        node: format!("store-{number}"),
+        disk: number + 1,
+        address: ([10, 0, 0, number as u8], 7_000).into(),
+        zone: format!("zone-{}", number % zones),
+    };
+    (0..count).map(member).collect()
+}
+
+fn names(members: &[StorageMember], program: &str, tolerated: usize) -> Vec<String> {
+    group(members, program, tolerated).iter().map(|member| member.node.clone()).collect()
+}
+
+quickcheck! {
+    fn groups_have_different_machines_of_different_zones(program: String, count: u8, zones: u8) -> bool {
+        let (count, zones) = (u64::from(count % 12) + 1, u64::from(zones % 5) + 1);
+        let members = machines(count, zones);
+        let chosen = group(&members, &program, 1);
+        let mut zones_of: Vec<&str> = chosen.iter().map(|member| member.zone.as_str()).collect();
+        zones_of.sort_unstable();
+        zones_of.dedup();
+        let mut nodes = names(&members, &program, 1);
+        nodes.sort();
+        nodes.dedup();
+        let zones_there = zones.min(count) as usize;
+        nodes.len() == group_size(count as usize, 1) && zones_of.len() == zones_there.min(nodes.len())
+    }
+
+    fn a_new_disk_keeps_its_place(program: String, count: u8) -> bool {
+        let members = machines(u64::from(count % 8) + 2, 3);
+        let mut wiped = members.clone();
+        wiped[0].disk = 99;
+        names(&members, &program, 1) == names(&wiped, &program, 1)
+    }
+
+    fn the_order_of_the_view_does_not_matter(program: String, count: u8) -> bool {
+        let members = machines(u64::from(count % 8) + 2, 3);
+        let reversed: Vec<StorageMember> = members.iter().rev().cloned().collect();
+        names(&members, &program, 1) == names(&reversed, &program, 1)
+    }
+}
+
+#[test]
+fn every_read_meets_every_write_and_a_write_outlives_the_tolerated_losses() {
+    for tolerated in 0..4 {
+        for members in tolerated + 1..12 {
+            let group = group_size(members, tolerated);
+            let (write, read) = (write_quorum(group, tolerated), read_quorum(group, tolerated));
+            assert!(write > tolerated && write <= group);
+            assert!(write + read > group);
+            assert!(write * 2 > group, "two writes meet");
+            assert!(members <= 2 * tolerated || group - tolerated >= write, "losses leave a write quorum");
+        }
+    }
+}
+
+#[test]
+fn programs_spread_over_the_machines() {
+    let members = machines(4, 4);
+    let mut held = [0; 4];
+    for program in 0..4_000 {
+        for member in group(&members, &format!("{program:x}"), 1) {
+            held[member.disk as usize - 1] += 1;
+        }
+    }
+    assert!(held.iter().all(|count| (2_700..3_300).contains(count)), "{held:?}");
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/plan.rs
@@ -0,0 +1,230 @@
+//! Changes of the membership, case by case.
+
+use std::time::{Duration, Instant};
+
+use woadreach_storage::announce::{Announcement, Announcements};
+use woadreach_storage::view::{RetireError, plan, retire};
+use woadreach_storage::{StorageMember, StorageView};
+
+const STEP: Duration = Duration::from_millis(100);
+
+fn member(number: u8, disk: u64) -> StorageMember {
+    StorageMember {
+        node: format!("store-{number}"),
+        disk,
+        address: ([10, 0, 0, number], 7_000).into(),
+        zone: format!("zone-{number}"),
+    }
+}
+
+/// A core that commits what it plans, and machines that announce themselves every 500 ms.
+struct Tier {
+    now: Instant,
+    view: StorageView,
+    heard: Announcements,
+    /// Machines that announce themselves, and whether they pull.
+    machines: Vec<(StorageMember, bool)>,
+    tolerated: usize,
+}
+
+impl Tier {
+    fn new(count: u8, tolerated: usize) -> Tier {
+        let now = Instant::now();
+        let machines = (0..count).map(|number| (member(number, u64::from(number) + 1), true)).collect();
+        let (view, heard) = (StorageView::default(), Announcements::new(now));
+        let mut tier = Tier { now, view, heard, machines, tolerated };
+        tier.pass(Duration::from_millis(1_500));
+        tier
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            for (member, pulls) in &self.machines {
+                let pulled_epoch = if *pulls { self.view.epoch } else { 0 };
+                let announcement = Announcement { member: member.clone(), pulled_epoch };
+                self.heard.heard(self.now, announcement);
+            }
+            if let Some(view) = plan(self.now, &self.view, &self.heard, self.tolerated) {
+                assert_eq!(view.epoch, self.view.epoch + 1);
+                self.view = view;
+            }
+            self.now += STEP;
+        }
+    }
+
+    fn stop(&mut self, number: u8) {
+        self.machines.retain(|(member, _)| member.node != format!("store-{number}"));
+    }
+
+    fn start(&mut self, number: u8, disk: u64) {
+        self.machines.push((member(number, disk), true));
+    }
+
+    fn current(&self) -> Vec<u64> {
+        let mut disks: Vec<u64> = self.view.current.iter().map(|member| member.disk).collect();
+        disks.sort_unstable();
+        disks
+    }
+
+    fn settled(&self) -> bool {
+        self.view.next.is_none()
+    }
+}
+
+#[test]
+fn the_first_view_takes_all_that_announce_themselves() {
+    let tier = Tier::new(4, 1);
+    assert_eq!((tier.view.epoch, tier.current()), (1, vec![1, 2, 3, 4]));
+}
+
+#[test]
+fn the_first_view_needs_more_machines_than_may_be_lost() {
+    let mut tier = Tier::new(1, 1);
+    tier.pass(Duration::from_secs(20));
+    assert_eq!(tier.view.epoch, 0);
+    tier.start(1, 2);
+    tier.pass(Duration::from_secs(6));
+    assert_eq!(tier.current(), [1, 2]);
+}
+
+#[test]
+fn a_short_absence_changes_nothing() {
+    let mut tier = Tier::new(4, 1);
+    tier.stop(0);
+    tier.pass(Duration::from_secs(5));
+    tier.start(0, 1);
+    tier.pass(Duration::from_secs(5));
+    assert_eq!(tier.view.epoch, 1);
+}
+
+#[test]
+fn a_machine_that_stays_away_is_dropped_if_a_full_group_stays() {
+    for (count, left) in [(4, vec![2, 3, 4]), (3, vec![1, 2, 3])] {
+        let mut tier = Tier::new(count, 1);
+        tier.stop(0);
+        tier.pass(Duration::from_secs(10));
+        assert!(tier.settled());
+        assert_eq!(tier.current(), left);
+    }
+}
+
+#[test]
+fn a_new_disk_takes_the_place_of_the_old_one_at_once() {
+    let mut tier = Tier::new(3, 1);
+    tier.stop(1);
+    tier.start(1, 12);
+    tier.pass(STEP);
+    assert_eq!(tier.view.epoch, 2);
+    assert!(!tier.settled());
+    tier.pass(STEP * 3);
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [1, 3, 12]);
+}
+
+#[test]
+fn the_joint_epoch_lasts_until_everyone_has_pulled() {
+    let mut tier = Tier::new(3, 1);
+    tier.machines[0].1 = false;
+    tier.start(3, 4);
+    tier.pass(Duration::from_secs(5));
+    assert!(!tier.settled());
+    tier.machines[0].1 = true;
+    tier.pass(STEP * 2);
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_replacement_takes_the_place_of_a_silent_machine_soon() {
+    let mut tier = Tier::new(3, 1);
+    tier.stop(0);
+    tier.pass(Duration::from_secs(1));
+    tier.start(3, 4);
+    tier.pass(Duration::from_millis(1_000));
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [2, 3, 4]);
+}
+
+#[test]
+fn a_change_that_is_called_off_ends_without_the_silent_machine() {
+    let mut tier = Tier::new(3, 1);
+    tier.stop(0);
+    tier.start(3, 4);
+    tier.pass(STEP);
+    assert!(!tier.settled());
+    tier.stop(3);
+    tier.start(0, 1);
+    tier.pass(Duration::from_secs(3));
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [1, 2, 3]);
+}
+
+#[test]
+fn an_observer_that_was_frozen_drops_nobody() {
+    let mut tier = Tier::new(4, 1);
+    tier.now += Duration::from_secs(30);
+    tier.stop(0);
+    tier.pass(Duration::from_millis(1_400));
+    assert_eq!(tier.view.epoch, 1);
+    // Nor does one that hears nobody at all.
+    assert_eq!(plan(tier.now + Duration::from_secs(30), &tier.view, &tier.heard, 1), None);
+}
+
+#[test]
+fn a_machine_is_emptied_by_a_joint_epoch() {
+    let mut tier = Tier::new(4, 1);
+    tier.view = retire(&tier.view, "store-2", 1).unwrap();
+    tier.machines[0].1 = false;
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.view.retiring.contains("store-2"), "not before everyone has pulled");
+    assert_eq!(retire(&tier.view, "store-2", 1), Ok(tier.view.clone()), "a repeated order changes nothing");
+    tier.machines[0].1 = true;
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.view.retired.contains("store-2") && tier.view.retiring.is_empty());
+    assert_eq!(tier.current(), [1, 2, 4]);
+    tier.pass(Duration::from_secs(3));
+    assert_eq!(tier.current(), [1, 2, 4], "an emptied machine that still announces itself stays out");
+}
+
+#[test]
+fn an_order_for_a_machine_that_dies_succeeds_too() {
+    let mut tier = Tier::new(4, 1);
+    tier.view = retire(&tier.view, "store-2", 1).unwrap();
+    tier.stop(2);
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.view.retired.contains("store-2"));
+}
+
+#[test]
+fn an_order_waits_while_too_few_others_are_heard() {
+    let mut tier = Tier::new(3, 1);
+    tier.stop(0);
+    tier.pass(Duration::from_secs(2));
+    tier.view = retire(&tier.view, "store-2", 1).unwrap();
+    tier.pass(Duration::from_secs(10));
+    assert!(tier.view.retiring.contains("store-2"));
+    tier.start(0, 1);
+    tier.pass(Duration::from_secs(2));
+    assert!(tier.view.retired.contains("store-2"));
+}
+
+#[test]
+fn orders_that_leave_too_few_are_refused() {
+    let tier = Tier::new(3, 1);
+    assert_eq!(retire(&tier.view, "store-9", 1), Err(RetireError::Unknown));
+    let one = retire(&tier.view, "store-0", 1).unwrap();
+    assert_eq!(retire(&one, "store-1", 1), Err(RetireError::TooFew));
+    let four = retire(&Tier::new(4, 1).view, "store-0", 1).unwrap();
+    let two = retire(&four, "store-1", 1).unwrap();
+    assert_eq!(retire(&two, "store-2", 1), Err(RetireError::TooFew));
+}
+
+#[test]
+fn two_orders_at_once_both_succeed() {
+    let mut tier = Tier::new(4, 1);
+    tier.view = retire(&retire(&tier.view, "store-0", 1).unwrap(), "store-1", 1).unwrap();
+    tier.pass(Duration::from_secs(2));
+    assert_eq!(tier.current(), [3, 4]);
+    assert_eq!(tier.view.retired.len(), 2);
+}
