Proxy: kept turns and budgets through a storage machine on loopback; a request's task by concern

Five tests with a storage machine on real files: the chain's body, turns not answered whole, budgets, no storage. The task's streaming and its ends get files of their own.

--- a/crates/woadreach-proxy/src/request_task.rs
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -3,16 +3,19 @@
 //! The task carries out what the decisions say, reports what came of it, and passes the answer on. Every change of
 //! state goes through [`RequestProgress`]; see there for the table.
 
+mod ending;
+mod streaming;
+
+use self::ending::RETRY_SOON;
 use crate::answer_body::AnswerBody;
 use crate::attempt::{AttemptReport, AttemptResult, OpenStream, OutgoingRequest, ReplicaAnswer};
 use crate::attempt::{SendOrder, attempt, connection_share, duration};
 use crate::client_request::ClientRequest;
-use crate::client_side::{ClientSide, passed_on};
+use crate::client_side::ClientSide;
 use crate::dispatcher::Command;
 use crate::event_stream::{EventReader, StreamPosition};
-use crate::own_answer::{plain, refusal};
+use crate::own_answer::plain;
 use crate::proxy::Proxy;
-use crate::replica_answer::is_promise;
 use crate::request_state::{RequestEnd, RequestProgress, RequestState};
 use crate::turn_store::{PreparedTurn, TurnError};
 use bytes::Bytes;
@@ -27,9 +30,6 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 use woadreach_admission::{CallId, FailReason, Outcome};
 
-/// Advice to a client whose request could not be tried, in seconds.
-const RETRY_SOON: f64 = 0.2;
-
 /// A stream that is being passed on.
 struct ActiveStream {
     attempt: u32,
@@ -271,130 +271,6 @@
         }
     }
 
-    async fn take_data(&mut self, data: Bytes) -> Option<RequestEnd> {
-        let active = self.stream.as_mut()?;
-        let Ok(mut batch) = active.reader.push(data) else {
-            return self.drop_broken_stream();
-        };
-        if let StreamPosition::After(last_id) = self.position {
-            batch.skip_through(last_id);
-        }
-        self.position.advance(&batch.events);
-        if batch.bytes.is_empty() {
-            return None;
-        }
-        let head = self.stream_head.as_ref()?;
-        let passed = tokio::select! {
-            passed = self.side.stream(head, batch.bytes) => passed.is_ok(),
-            () = self.deadline.as_mut() => return Some(self.fail(FailReason::TimedOut)),
-        };
-        if !passed {
-            return Some(self.end_without_client());
-        }
-        self.turn.take_events(batch.events);
-        None
-    }
-
-    async fn finish_stream(&mut self) -> Option<RequestEnd> {
-        let active = self.stream.take()?;
-        let attempt = active.attempt;
-        let rest = active.reader.into_rest();
-        active.open.release();
-        self.change(|progress| progress.attempt_ended(false));
-        self.proxy.dispatcher.outcome(self.id, attempt, Outcome::Answered, None);
-        let head = self.stream_head.clone()?;
-        if self.side.stream(&head, rest).await.is_err() {
-            return Some(self.end_without_client());
-        }
-        self.change(RequestProgress::committing);
-        let committed = tokio::select! {
-            committed = self.turn.commit(&self.proxy.turns, &self.client) => committed,
-            () = self.deadline.as_mut() => Err(TurnError::Unavailable),
-        };
-        if committed.is_err() {
-            self.side.cut();
-            return Some(self.end(RequestEnd::Aborted));
-        }
-        self.side.finish().await;
-        Some(self.end(RequestEnd::Answered))
-    }
-
-    /// The stream ended early. It goes on elsewhere if the decisions want that and its place is known.
-    fn drop_broken_stream(&mut self) -> Option<RequestEnd> {
-        let active = self.stream.take()?;
-        self.change(|progress| progress.attempt_ended(false));
-        let outcome = Outcome::Broken { sent: true, events: self.turn.ledger.events() };
-        self.proxy.dispatcher.outcome(self.id, active.attempt, outcome, None);
-        (self.position == StreamPosition::Unknown).then(|| self.fail(FailReason::MayHaveRun))
-    }
-
-    fn pass_on(&mut self, answer: ReplicaAnswer, end: RequestEnd) -> RequestEnd {
-        if !self.side.is_unanswered() {
-            self.side.cut();
-            return self.end(RequestEnd::Aborted);
-        }
-        self.side.answer(passed_on(&answer.head, AnswerBody::Whole(Some(answer.body))));
-        self.end(end)
-    }
-
-    fn refuse(&mut self, retry_after: f64) -> RequestEnd {
-        self.end_with(RequestEnd::Refused, refusal(retry_after))
-    }
-
-    fn fail(&mut self, reason: FailReason) -> RequestEnd {
-        if !self.side.is_unanswered() {
-            self.side.cut();
-            return self.end(RequestEnd::Aborted);
-        }
-        if reason == FailReason::ReplicaError
-            && let Some(answer) = self
-                .last_failure
-                .take_if(|answer| self.client.is_repeatable() || !is_promise(answer.head.status))
-        {
-            return self.pass_on(answer, RequestEnd::ReplicaFailure);
-        }
-        let end = match reason {
-            FailReason::TimedOut => RequestEnd::TimedOut,
-            FailReason::MayHaveRun | FailReason::ReplicaError => RequestEnd::MayHaveRun,
-        };
-        let answer = match reason {
-            FailReason::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            _ => plain(StatusCode::BAD_GATEWAY, "no whole answer of a replica"),
-        };
-        self.end_with(end, answer)
-    }
-
-    fn end_without_client(&mut self) -> RequestEnd {
-        self.side.cut();
-        self.end(RequestEnd::ClientGone)
-    }
-
-    /// Ends with an answer of our own, or with the one that the request's state permits instead.
-    fn end_with(&mut self, wanted: RequestEnd, answer: Response<AnswerBody>) -> RequestEnd {
-        if !self.side.is_unanswered() {
-            self.side.cut();
-            return self.end(RequestEnd::Aborted);
-        }
-        let end = self.end(wanted);
-        let answer = match end {
-            permitted if permitted == wanted => answer,
-            RequestEnd::Refused => refusal(RETRY_SOON),
-            _ => plain(StatusCode::BAD_GATEWAY, "no whole answer of a replica"),
-        };
-        self.side.answer(answer);
-        end
-    }
-
-    fn end(&mut self, wanted: RequestEnd) -> RequestEnd {
-        match self.progress.end(wanted) {
-            Ok(end) => end,
-            Err(error) => {
-                tracing::error!(%error, "a request ended twice");
-                wanted
-            }
-        }
-    }
-
     fn change(
         &mut self,
         change: impl FnOnce(&mut RequestProgress) -> Result<(), crate::request_state::StateError>,
--- /dev/null
+++ b/crates/woadreach-proxy/tests/kept.rs
@@ -0,0 +1,155 @@
+//! Kept turns and budgets through a data plane on loopback, with a storage machine on real files.
+
+mod support;
+
+use std::sync::Arc;
+use support::replica::{Received, Replica, Step, chunk, stream_end, stream_head};
+use support::tier::{Tier, snapshot};
+use support::{Client, Seen, ask, on_one_thread};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use woadreach_discovery::ControlSnapshot;
+use woadreach_rpc::{ClientOptions, Router, serve};
+use woadreach_storage::StorageView;
+use woadreach_storage::server::{Server, ServerOptions};
+
+const TWO_EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+/// Starts a storage machine and tells the tier of it.
+async fn with_storage(tier: &Tier, replicas: &[(&str, &Replica)]) -> TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let options = ServerOptions {
+        node: "store-1".to_owned(),
+        address: listener.local_addr().expect("an address"),
+        zone: "a".to_owned(),
+        tolerated: 0,
+        disk_bytes: 50 << 20,
+    };
+    let rpc = woadreach_rpc::Client::new(ClientOptions::default());
+    let server = Server::open(folder.path(), rpc, options).await.expect("a disk");
+    let current = vec![server.announcement().member];
+    let view = StorageView { epoch: 1, current, ..StorageView::default() };
+    let router = server.routes(Router::new());
+    tokio::spawn(async move { tokio::join!(serve(listener, router), server.run()) });
+    let known = ControlSnapshot { storage_view: Some(Arc::new(view)), ..snapshot(replicas) };
+    tier.proxy.learn(&known);
+    folder
+}
+
+fn turn(id: &str, input: &str, headers: &str) -> String {
+    format!(
+        "POST /kept/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: {id}\r\nProgram: 3fa81c\r\nSession: 77d20b\r\n\
+         Token-Usage: 10,2\r\n{headers}Content-Length: {}\r\n\r\n{input}",
+        input.len()
+    )
+}
+
+fn whole(request: &Received) -> Vec<Step> {
+    vec![stream_head(request), chunk(TWO_EVENTS.as_bytes()), stream_end()]
+}
+
+/// A tier of one replica with a storage machine, asked these requests one after the other.
+async fn conversation(
+    script: impl Fn(usize, &Received) -> Vec<Step> + Send + Sync + 'static,
+    requests: &[String],
+) -> (Vec<Seen>, Vec<Received>) {
+    let replica = Replica::start(script).await;
+    let tier = Tier::start(&[("i-1", &replica)]).await;
+    let _folder = with_storage(&tier, &[("i-1", &replica)]).await;
+    let mut seen = Vec::new();
+    for request in requests {
+        seen.push(ask(tier.front, request).await);
+    }
+    (seen, replica.received())
+}
+
+#[test]
+fn a_replica_gets_the_chain_before_the_new_input() {
+    on_one_thread(async {
+        let requests = [
+            turn("a1", "first?", ""),
+            turn("a2", "second?", "Previous: a1\r\n"),
+            turn("a3", "third?", "Previous: a2\r\n"),
+            turn("b2", "other?", "Previous: a1\r\n"),
+        ];
+        let (seen, received) = conversation(|_, request| whole(request), &requests).await;
+        assert!(seen.iter().all(|seen| seen.status() == 200 && seen.whole && seen.text() == TWO_EVENTS));
+        let bodies: Vec<String> =
+            received.iter().map(|request| String::from_utf8_lossy(&request.body).into_owned()).collect();
+        let expected = [
+            "first?",
+            "first?one\ntwo\nsecond?",
+            "first?one\ntwo\nsecond?one\ntwo\nthird?",
+            "first?one\ntwo\nother?",
+        ];
+        assert_eq!(bodies, expected);
+    });
+}
+
+#[test]
+fn a_turn_that_was_not_answered_whole_is_no_turn() {
+    on_one_thread(async {
+        let script = |number: usize, request: &Received| match number {
+            0 => vec![stream_head(request), chunk(b"id: 1\ndata: one\n\n"), Step::Close],
+            _ => whole(request),
+        };
+        let requests = [
+            turn("a1", "first?", ""),
+            turn("a2", "second?", "Previous: a1\r\n"),
+            turn("a3", "third?", "Previous: ffff\r\n"),
+        ];
+        let (seen, received) = conversation(script, &requests).await;
+        assert!(!seen[0].whole);
+        assert_eq!((seen[1].status(), seen[2].status()), (404, 404));
+        assert_eq!(received.len(), 1, "what goes on from nothing is not run");
+    });
+}
+
+#[test]
+fn a_budget_counts_what_was_given_and_refuses_what_does_not_fit() {
+    on_one_thread(async {
+        let budget = "Budget: 5\r\n";
+        let requests = [
+            turn("a1", "1", budget),
+            turn("a2", "2", budget),
+            turn("a3", "3", budget),
+            turn("a4", "4", "Budget: 6\r\n"),
+        ];
+        let (seen, received) = conversation(|_, request| whole(request), &requests).await;
+        let statuses: Vec<u16> = seen.iter().map(Seen::status).collect();
+        assert_eq!(statuses, [200, 200, 402, 200]);
+        assert_eq!(received.len(), 3, "a turn that was answered 402 is not run");
+    });
+}
+
+#[test]
+fn a_turn_that_broke_off_counts_for_what_it_gave() {
+    on_one_thread(async {
+        let script = |number: usize, request: &Received| match number {
+            0 => vec![stream_head(request), chunk(b"id: 1\ndata: one\n\n"), Step::Close],
+            _ => whole(request),
+        };
+        // The first gives one token of its two; one and two and two fit into five.
+        let requests = [1, 2, 3, 4].map(|number| turn(&format!("a{number}"), "x", "Budget: 5\r\n"));
+        let (seen, _) = conversation(script, &requests).await;
+        let statuses: Vec<u16> = seen[1..].iter().map(Seen::status).collect();
+        assert_eq!(statuses, [200, 200, 402]);
+    });
+}
+
+#[test]
+fn without_storage_nothing_is_run_and_nothing_is_denied() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| whole(request)).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut client = Client::connect(tier.front).await;
+        for request in [turn("a1", "x", "Budget: 5\r\n"), turn("a2", "x", "Previous: a1\r\n")] {
+            client.send(request.as_bytes()).await;
+            let seen = client.answer().await;
+            assert_eq!(seen.status(), 503, "neither 402 nor 404 without a word of the storage machines");
+            assert!(seen.header("retry-after").is_some());
+        }
+        assert!(replica.received().is_empty());
+    });
+}
--- a/crates/woadreach-proxy/tests/support/tier.rs
+++ b/crates/woadreach-proxy/tests/support/tier.rs
@@ -41,7 +41,7 @@
 impl Tier {
     /// A data plane that knows the configuration and these replicas, by id.
     pub async fn start(replicas: &[(&str, &Replica)]) -> Self {
-        let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 1);
+        let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 0);
         let proxy = Arc::new(Proxy::new(1, "a", 256, storage));
         proxy.learn(&snapshot(replicas));
         let limits = ProcessLimits {
