--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -1,9 +1,9 @@
 //! Starts the parts of the data plane and stops them in order.
 
 use crate::front::Front;
-use crate::lifecycle::Phase;
 use crate::proxy::Proxy;
 use crate::readiness;
+use crate::shutdown::stop;
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -16,10 +16,6 @@
 use woadreach_settings::NodeSettings;
 use woadreach_storage::StorageClient;
 
-/// How long the platform takes to notice that the process is not ready any more: two missed calls and some.
-const NOTICE_TIME: Duration = Duration::from_millis(2800);
-/// How long before the end of the grace period the process ends whatever is left.
-const LAST_MARGIN: Duration = Duration::from_millis(400);
 /// How often the state line is written.
 const STATE_LINE_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -60,7 +56,7 @@
     let rpc = Client::new(ClientOptions::default());
     let turns = StorageClient::new(rpc.clone(), settings.zone.clone(), settings.fault_tolerance.machines);
     let seed = RandomState::new().hash_one(&settings.node);
-    let proxy = Arc::new(Proxy::new(seed, &settings.zone, turns));
+    let proxy = Arc::new(Proxy::new(seed, &settings.zone, settings.limits.memory_mb, turns));
     let sampler = Sampler::new(&settings, NodeRole::Proxy, seed);
     tokio::spawn(woadreach_rpc::serve(internal_listener, sampler.handlers(Router::new())));
     tokio::spawn(sampler.clone().run());
@@ -71,7 +67,7 @@
     tokio::spawn(axum::serve(ready_listener, readiness::router(proxy.clone())).into_future());
     tracing::info!(node = %settings.node, zone = %settings.zone, front = %front_address, "serving");
     signals.wait_for_stop().await;
-    stop(&proxy, settings.bounds.grace_period).await;
+    stop(&proxy, &front, settings.bounds.grace_period).await;
     Ok(())
 }
 
@@ -94,18 +90,6 @@
     tokio::spawn(write_state(proxy.clone(), front.clone()));
 }
 
-/// A planned stop: not ready at once, served on until the platform has noticed, every request answered.
-async fn stop(proxy: &Proxy, grace_period: Duration) {
-    tracing::info!(requests = proxy.lifecycle.requests(), "leaving");
-    let whole = grace_period.saturating_sub(LAST_MARGIN);
-    proxy.lifecycle.enter(Phase::Leaving);
-    tokio::time::sleep(NOTICE_TIME.min(whole)).await;
-    proxy.lifecycle.enter(Phase::Closing);
-    let rest = whole.saturating_sub(NOTICE_TIME);
-    let drained = tokio::time::timeout(rest, proxy.lifecycle.drained()).await;
-    tracing::info!(drained = drained.is_ok(), "stopped");
-}
-
 async fn write_state(proxy: Arc<Proxy>, front: Arc<Front>) {
     let mut interval = tokio::time::interval(STATE_LINE_INTERVAL);
     interval.tick().await;
