--- a/crates/woadreach-admission/src/admission.rs
+++ b/crates/woadreach-admission/src/admission.rs
@@ -85,8 +85,9 @@
     }
 
     /// A client's try has been read whole.
-    pub fn arrive(&mut self, now: f64, call: Call) -> Vec<Action> {
+    pub fn arrive(&mut self, now: f64, mut call: Call) -> Vec<Action> {
         let id = call.id;
+        call.prefix = call.known_prefix();
         let service = self.choose_service(&call);
         let route = self.routes.key(&call.route, call.target_latency);
         self.programs.arrived(now, &call);
--- a/crates/woadreach-admission/src/call.rs
+++ b/crates/woadreach-admission/src/call.rs
@@ -65,3 +65,13 @@
     /// The largest number of replicas that this try may be sent to.
     pub max_replicas: u32,
 }
+
+impl Call {
+    /// The parts of the prompt; where none are told, a session's prompt counts as one part that grows.
+    pub(crate) fn known_prefix(&self) -> Vec<PrefixPart> {
+        match self.session {
+            Some(id) if self.prefix.is_empty() => vec![PrefixPart { id, tokens: self.tokens_in }],
+            _ => self.prefix.clone(),
+        }
+    }
+}
--- a/crates/woadreach-admission/tests/placement.rs
+++ b/crates/woadreach-admission/tests/placement.rs
@@ -91,6 +91,17 @@
     }
 }
 
+#[test]
+fn a_session_stays_without_parts_of_its_prompt_being_told() {
+    let mut driver = Driver::new(3, engine_service(), &replicas(&["a", "b", "c", "d"]));
+    let turn = |now, id, tokens_in| Call { session: Some(9), tokens_in, ..unsafe_call(now, id) };
+    for id in 1..=8 {
+        driver.arrive(turn(driver.now, id, 2_000 + 500 * id as u32));
+        driver.outcome(id, 0, Outcome::Answered);
+        assert_eq!(driver.sent_to(id), driver.sent_to(1), "turn {id}");
+    }
+}
+
 #[test]
 fn a_hot_prompt_spreads_when_its_replica_is_clearly_busier() {
     let mut driver = Driver::new(3, engine_service(), &replicas(&["a", "b", "c", "d"]));
