--- a/crates/woadreach-proxy/src/front.rs
+++ b/crates/woadreach-proxy/src/front.rs
@@ -95,9 +95,13 @@
 
     /// Ends connections that are overdue; idle ones too once the process is closing.
     pub fn sweep_once(&self) {
+        self.sweep_at(self.proxy.clock.now());
+    }
+
+    /// Ends connections that are overdue at this time, in seconds of the process's clock.
+    pub fn sweep_at(&self, now: f64) {
         let limits = self.proxy.knowledge().limits();
         let closing = self.proxy.lifecycle.phase() == Phase::Closing;
-        let now = self.proxy.clock.now();
         for track in self.connections.lock().values() {
             track.sweep(now, &limits, closing);
         }
--- a/crates/woadreach-proxy/tests/support/tier.rs
+++ b/crates/woadreach-proxy/tests/support/tier.rs
@@ -41,17 +41,14 @@
 impl Tier {
     /// A data plane that knows the configuration and these replicas, by id.
     pub async fn start(replicas: &[(&str, &Replica)]) -> Self {
+        Self::start_within(replicas, limits()).await
+    }
+
+    /// The same in a process of these limits.
+    pub async fn start_within(replicas: &[(&str, &Replica)], limits: ProcessLimits) -> Self {
         let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 0);
         let proxy = Arc::new(Proxy::new(1, "a", 256, storage));
         proxy.learn(&snapshot(replicas));
-        let limits = ProcessLimits {
-            cpu_share: 1.0,
-            cores: 1.0,
-            memory_mb: 256,
-            max_fds: 4096,
-            link_mbps: 1000.0,
-            disk_mb: 0,
-        };
         let connections = Front::new(proxy.clone(), &limits);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let front = listener.local_addr().expect("an address");
@@ -62,6 +59,11 @@
     }
 }
 
+/// What a process may use, unless a test says otherwise.
+pub fn limits() -> ProcessLimits {
+    ProcessLimits { cpu_share: 1.0, cores: 1.0, memory_mb: 256, max_fds: 4096, link_mbps: 1000.0, disk_mb: 0 }
+}
+
 /// What the control plane would tell.
 pub fn snapshot(replicas: &[(&str, &Replica)]) -> ControlSnapshot {
     let records: BTreeMap<String, ReplicaRecord> =
