Doc comments on every public item of the decision library; missing_docs warned

No code changed.

Result: cargo check with and without plants without warnings, clippy clean, cargo test -p woadreach passes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -2,87 +2,129 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A search, unique within a co-ordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SearchId(pub u64);
+/// A part of a search, unique within a co-ordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PartId(pub u64);
+/// A row of `Settings::query_types`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueryTypeId(pub usize);
+/// A row of `Settings::tenants`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub usize);
+/// A shard of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ShardId(pub u64);
+/// A group of replicas that hold the same shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
+/// A place whose replicas fail together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u64);
+/// A replica, by the name in the list.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReplicaId(pub std::rc::Rc<str>);
 
 /// Whether a part may run again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Repeat {
+    /// It may run any number of times.
     Idempotent,
     /// Repeats are dropped for `window` seconds from the first send that may have run; by any holder of
     /// the shard if `any_holder`, else only by the replica that had it.
     Tokened {
+        /// Seconds.
         window: f64,
+        /// Whether all holders of the shard know the token.
         any_holder: bool,
     },
+    /// It may run once only.
     NonIdempotent,
 }
 
 /// One row for each query type: what the module reads of it.
 #[derive(Clone, Debug)]
 pub struct QueryType {
+    /// An answer later than this is late (seconds).
     pub latency_target: f64,
+    /// How long a client waits in all (seconds).
     pub client_timeout: f64,
+    /// What an answer in time is worth.
     pub value: f64,
+    /// The share of its value that a late answer keeps.
     pub late_value: f64,
+    /// Whether its parts may run again.
     pub repeat: Repeat,
+    /// The share of the weights that makes an answer whole.
     pub need: f64,
+    /// The least share of the weights with which it may be answered.
     pub floor: f64,
     /// Parts of the second step; 0 = one step only.
     pub second_step: usize,
 }
 
+/// What a replica can do after its start, and what pushes it over.
 #[derive(Clone, Debug)]
 pub struct ColdRule {
+    /// Its capacity at the start, of a warm one.
     pub from: f64,
+    /// Seconds until it is warm.
     pub time: f64,
+    /// It falls over beyond so many times its capacity
     pub tip_multiple: f64,
+    /// in a window of so many seconds.
     pub tip_time: f64,
 }
 
+/// How many sub-requests beyond the first of each part may be sent.
 #[derive(Clone, Debug)]
 pub struct BudgetRule {
+    /// So many in any case,
     pub free: f64,
+    /// and such a share of the searches and parts taken,
     pub share: f64,
+    /// in any window of so many seconds.
     pub window: f64,
 }
 
 /// Start-up settings. An absent option means that the feature or rule is off.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Of the random choices.
     pub seed: u64,
-    /// Its number among the co-ordinators of its tier, and how many these are.
+    /// Its number among the co-ordinators of its tier.
     pub me: Option<u64>,
+    /// How many co-ordinators the tier has.
     pub siblings: usize,
+    /// How soon events are handled (seconds).
     pub tick: f64,
+    /// What the module reads of each query type.
     pub query_types: Vec<QueryType>,
     /// Share of the service, a row each tenant.
     pub tenants: Vec<f64>,
+    /// What a search of a tenant beyond its share is worth, of its value.
     pub over_share_value: f64,
+    /// Into how many cells replicas are grouped.
     pub cells: u64,
+    /// How many cells hold a shard.
     pub span: u64,
+    /// How many parts share a call.
     pub per_call: usize,
+    /// The most sub-requests of one part.
     pub sub_requests_cap: usize,
     /// The longest from a send that is decided until it leaves or is told as never sent, seconds.
     pub late_send: f64,
+    /// Sub-requests can be cancelled.
     pub may_cancel: bool,
+    /// A part may have two sub-requests in flight.
     pub may_copy: bool,
+    /// The longest advised wait before a retry (seconds); absent without advice.
     pub longest_retry_advice: Option<f64>,
+    /// The rule on cold replicas.
     pub cold: Option<ColdRule>,
+    /// The rule on further sub-requests.
     pub budget: Option<BudgetRule>,
 }
 
@@ -96,10 +138,15 @@
 /// A line of the list. `ready_at`: the most recent start, if it was not long ago.
 #[derive(Clone, Debug)]
 pub struct Listed {
+    /// Its name.
     pub replica: ReplicaId,
+    /// May be sent new work.
     pub open: bool,
+    /// Where it is.
     pub zone: ZoneId,
+    /// Whose shards it holds.
     pub cell: CellId,
+    /// When its process started (seconds).
     pub ready_at: Option<f64>,
 }
 
@@ -117,9 +164,11 @@
 /// What this co-ordinator's latest parts say of a zone.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ZoneSight {
+    /// The zone.
     pub zone: ZoneId,
     /// Outcomes and overdue parts, and those of them that were bad.
     pub seen: usize,
+    /// Those of them that were bad.
     pub bad: usize,
     /// Of its open replicas, in warm ones.
     pub capacity: f64,
@@ -128,6 +177,7 @@
 /// What this co-ordinator asks of a cold replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ColdSight {
+    /// The replica.
     pub replica: ReplicaId,
     /// Parts that it would have been sent but for the guard of the cold rule, so far.
     pub wants: u64,
@@ -135,15 +185,24 @@
     pub sent: bool,
 }
 
+/// How a sub-request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
+    /// With an answer.
     Answered,
+    /// With an error of the replica.
     Errored,
+    /// Refused unseen.
     Full,
+    /// Without an answer in its time.
     TimedOut,
+    /// No connection came up.
     Unreachable,
+    /// The connection ended under it.
     Broken,
+    /// Given up by this co-ordinator.
     Cancelled,
+    /// It never left.
     NeverSent,
 }
 
@@ -181,17 +240,26 @@
 /// How one sub-request ended.
 #[derive(Clone, Debug)]
 pub struct Outcome {
+    /// Its part.
     pub part: PartId,
+    /// Its number within the part.
     pub nth: usize,
+    /// Where it went.
     pub replica: ReplicaId,
+    /// How it ended.
     pub ending: Ending,
+    /// Seconds from its send.
     pub latency: f64,
 }
 
+/// One try of a part at a replica.
 #[derive(Clone, Debug)]
 pub struct SubRequest {
+    /// Where it went.
     pub replica: ReplicaId,
+    /// When it was sent (seconds).
     pub sent_at: f64,
+    /// How it ended; absent while it is in flight.
     pub ending: Option<Ending>,
 }
 
@@ -202,15 +270,22 @@
     }
 }
 
+/// What a search asks of one shard.
 #[derive(Clone, Debug)]
 pub struct Part {
+    /// Its number.
     pub id: PartId,
+    /// The shard that it asks.
     pub shard: ShardId,
+    /// Its share of the whole answer.
     pub weight: f64,
+    /// The step of its search, 1 or 2.
     pub step: usize,
+    /// An answer has come.
     pub answered: bool,
     /// The replica it waits for, while held.
     pub held: Option<ReplicaId>,
+    /// Its tries, in the order of their sends.
     pub subs: Vec<SubRequest>,
 }
 
@@ -234,14 +309,21 @@
 /// A search in hand: the caller keeps it, the module reads and updates it.
 #[derive(Clone, Debug)]
 pub struct Search {
+    /// Its number.
     pub id: SearchId,
+    /// Its query type.
     pub query_type: QueryTypeId,
+    /// Who asks.
     pub tenant: TenantId,
+    /// When it came (seconds).
     pub arrived: f64,
     /// When this try's client stops waiting.
     pub ends: f64,
+    /// Its parts, those of a second step last.
     pub parts: Vec<Part>,
+    /// The step in hand, 1 or 2.
     pub step: usize,
+    /// Whether the first step was whole.
     pub first_whole: bool,
     /// Whether the client says that it repeats itself; absent where clients do not mark that.
     pub repeated: Option<bool>,
@@ -254,6 +336,7 @@
 }
 
 impl Search {
+    /// A search that has just come, without parts yet.
     pub fn new(id: SearchId, query_type: QueryTypeId, tenant: TenantId, arrived: f64, ends: f64) -> Self {
         Search {
             id,
@@ -298,24 +381,31 @@
     }
 }
 
+/// The reply to a search, or to its first step.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reply {
     /// From the parts that came; `whole` if none that counts is missing.
     Answered {
+        /// Nothing is missing.
         whole: bool,
     },
     /// Asking again is harmless, best after `retry_after` seconds (0: no advice).
     Shed {
+        /// Seconds.
         retry_after: f64,
     },
+    /// Neither an answer nor proof that asking again is harmless.
     Errored,
 }
 
 /// Where a part goes, and for how long it may run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
+    /// The part.
     pub part: PartId,
+    /// Where it goes.
     pub replica: ReplicaId,
+    /// How long it may run (seconds).
     pub timeout: f64,
     /// It may begin to leave before this time only; infinite without such a bound.
     pub begin_by: f64,
@@ -324,9 +414,13 @@
 /// What to do now, in this order: cancel, send, reply, then ask again about the searches named.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
+    /// Sub-requests to be cancelled, by part and number.
     pub cancel: Vec<(PartId, usize)>,
+    /// Parts to be sent.
     pub send: Vec<Placement>,
+    /// The reply, if it is due.
     pub reply: Option<Reply>,
+    /// Searches that may have become able to send.
     pub ask_again: Vec<SearchId>,
     /// Lines for on-call staff.
     pub notes: Vec<String>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`held_queue`] keep facts, figures and order, and decide nothing. [`plants`] names the defences that the
 //! rigs can switch off, in builds of their own.
 
+#![warn(missing_docs)]
+
 pub mod api;
 pub mod balancer;
 pub mod fleet;
--- a/src/plants.rs
+++ b/src/plants.rs
@@ -39,6 +39,7 @@
         PLANTED.set(name);
     }
 
+    /// Whether this defence is switched off on this thread.
     pub fn planted(name: &str) -> bool {
         PLANTED.get() == Some(name)
     }
