--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -43,6 +43,8 @@
 const RESERVED_DESCRIPTORS: u64 = 2200;
 /// Fewest connections that are taken.
 const FEWEST_CONNECTIONS: u64 = 256;
+/// Most connections that are taken: each may hold a head of 32 KiB and a heartbeat of 64 KiB in memory.
+const MOST_CONNECTIONS: u64 = 1200;
 
 /// Runs the role until SIGTERM.
 pub async fn run(settings: NodeSettings) -> Result<(), RoleError> {
@@ -100,7 +102,7 @@
 
 fn most_connections(settings: &NodeSettings) -> usize {
     let free = settings.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS);
-    usize::try_from(free.max(FEWEST_CONNECTIONS)).unwrap_or(usize::MAX)
+    free.clamp(FEWEST_CONNECTIONS, MOST_CONNECTIONS) as usize
 }
 
 fn internal_services(driver: &Arc<MemberDriver>, orders: &Arc<OrderService>) -> Router {
