--- a/crates/woadreach-chain/src/agreement.rs
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -1,7 +1,8 @@
 //! Agreement on the next view: single-decree Paxos, one instance for each epoch.
 //!
-//! The instance of epoch `e` is decided by the voters of view `e` and yields view `e + 1`. A promise seals epoch
-//! `e`: whoever has promised takes no more writes of it, so the state that it reports with the promise stays.
+//! The instance of epoch `e` is decided by the voters of view `e` and yields view `e + 1`. A promise seals
+//! epoch `e`: whoever has promised takes no more writes of it, so the state that it reports with the promise
+//! stays.
 //!
 //! | proposer's phase | event | next |
 //! | --- | --- | --- |
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -1,11 +1,11 @@
 //! Decisions of the control plane, without I/O and without a clock.
 //!
-//! A [`Member`] is one core machine. It takes the time and an [`Input`] (a message of another member, a request,
-//! a finished sync, a tick) and gives back [`Output`]s (records to persist, messages to send, replies). The driver
-//! around it owns the sockets, the disk and the timers.
+//! A [`Member`] is one core machine. It takes the time and an [`Input`] (a message of another member, a
+//! request, a finished sync, a tick) and gives back [`Output`]s (records to persist, messages to send,
+//! replies). The driver around it owns the sockets, the disk and the timers.
 //!
-//! - [`View`]: the agreed membership. An epoch, the voters, and the chain. The view of epoch `e + 1` is decided by
-//!   single-decree Paxos among the voters of view `e` (`agreement`); a promise seals epoch `e` at the voter.
+//! - [`View`]: the agreed membership. An epoch, the voters, and the chain. The view of epoch `e + 1` is decided
+//!   by single-decree Paxos among the voters of view `e` (`agreement`); a promise seals epoch `e` at the voter.
 //! - [`ControlState`]: two compare-and-set registers, the operator's configuration and the view of the storage
 //!   machines. It is replicated down the chain (`replication`): the head takes commands, every member persists
 //!   before it passes on, and what the tail has persisted is committed.
--- /dev/null
+++ b/crates/woadreach-chain/src/member/chain.rs
@@ -0,0 +1,173 @@
+//! This member's place in the chain: writes, transfers and commits.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Member, Output};
+use crate::durable::Record;
+use crate::message::{Barrier, Body, Write};
+use crate::state::{ControlState, Stamp};
+use crate::view::MemberId;
+
+impl Member {
+    /// Whether this member takes writes of the current epoch.
+    pub(crate) fn is_active(&self) -> bool {
+        let view = &self.durable.view;
+        view.epoch > 0
+            && view.chain.contains(&self.id)
+            && self.durable.active_epoch == view.epoch
+            && !self.durable.is_sealed()
+    }
+
+    pub(super) fn is_serving_head(&self) -> bool {
+        self.durable.view.head() == Some(self.id) && self.is_active()
+    }
+
+    pub(super) fn successor(&self) -> Option<MemberId> {
+        self.durable.view.successor(self.id)
+    }
+
+    pub(super) fn is_from_predecessor(&self, from: MemberId) -> bool {
+        !self.durable.is_sealed() && self.durable.view.predecessor(self.id) == Some(from)
+    }
+
+    pub(super) fn replicate(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        after: Stamp,
+        writes: Vec<Write>,
+        barrier: Barrier,
+    ) {
+        if !self.is_from_predecessor(from) {
+            return;
+        }
+        let epoch = self.durable.view.epoch;
+        if self.durable.active_epoch != epoch {
+            if self.durable.state.stamp != after {
+                return self.report_to_predecessor();
+            }
+            let record = self.persist(Record::Activate(epoch));
+            self.replication.restart(record, epoch, &self.durable.state);
+        }
+        self.replication.take_barrier(barrier);
+        if after <= self.durable.state.stamp {
+            for write in writes {
+                self.append(write);
+            }
+        }
+        if !self.replication.is_syncing() {
+            self.report_to_predecessor();
+        }
+        self.drive(now);
+    }
+
+    pub(super) fn append(&mut self, write: Write) {
+        if write.stamp <= self.durable.state.stamp {
+            return;
+        }
+        let Write { stamp, command } = write;
+        let record = self.persist(Record::Write { stamp, command: command.clone() });
+        self.replication.push(record, self.durable.view.epoch, stamp, command);
+    }
+
+    pub(super) fn take_transfer(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        state: ControlState,
+        barrier: Barrier,
+    ) {
+        if !self.is_from_predecessor(from) {
+            return;
+        }
+        let epoch = self.durable.view.epoch;
+        let is_news = self.durable.active_epoch != epoch || state.stamp > self.durable.state.stamp;
+        if !is_news && !self.replication.is_syncing() {
+            self.report_to_predecessor();
+        }
+        if is_news {
+            let record = self.persist(Record::State { epoch, state });
+            self.replication.restart(record, epoch, &self.durable.state);
+        }
+        self.replication.take_barrier(barrier);
+        self.drive(now);
+    }
+
+    pub(super) fn persisted_more(&mut self, now: Duration) {
+        self.drive(now);
+        self.report_to_predecessor();
+    }
+
+    /// Tells the predecessor how far this member and those after it are.
+    pub(super) fn report_to_predecessor(&mut self) {
+        let view = &self.durable.view;
+        let Some(predecessor) = view.predecessor(self.id) else { return };
+        let persisted = self.replication.persisted_in(view.epoch);
+        let report = Body::Replicated {
+            active: persisted.is_some(),
+            persisted: persisted.unwrap_or_default(),
+            committed: self.replication.committed_stamp(),
+            barrier: self.replication.confirmed(),
+        };
+        self.send_now(predecessor.address, report);
+    }
+
+    /// Sends on what the successor lacks; at the tail, commits.
+    pub(crate) fn drive(&mut self, now: Duration) {
+        if !self.is_active() {
+            return;
+        }
+        let epoch = self.durable.view.epoch;
+        let Some(persisted) = self.replication.persisted_in(epoch) else { return };
+        let Some(successor) = self.successor() else {
+            let barrier = self.replication.barrier();
+            if self.durable.view.chain.len() >= self.policy.minimum {
+                self.chain_confirmed(now, Some(persisted), barrier);
+            }
+            return;
+        };
+        while let Some(body) = self.replication.next_message(now, epoch) {
+            self.send_now(successor.address, body);
+        }
+    }
+
+    /// The rest of the chain has persisted everything up to `committed` and passed `barrier` on.
+    pub(super) fn chain_confirmed(&mut self, now: Duration, committed: Option<Stamp>, barrier: Barrier) {
+        let is_more = committed.is_some_and(|stamp| self.replication.commit(stamp));
+        let is_barrier = self.replication.confirm(barrier);
+        if is_more && let Some(state) = self.replication.committed() {
+            let state = Arc::new(state.clone());
+            self.publish(now, state);
+        }
+        if is_more || is_barrier {
+            self.report_to_predecessor();
+            self.resolve_requests();
+        }
+        if self.successor().is_some() {
+            self.drive(now);
+        }
+    }
+
+    pub(super) fn publish(&mut self, now: Duration, state: Arc<ControlState>) {
+        if state.stamp <= self.published.stamp {
+            return;
+        }
+        self.published = Arc::clone(&state);
+        self.outputs.push(Output::Committed(state));
+        if self.is_active() && self.successor().is_none() {
+            self.ping_others_than_chain(now);
+        }
+    }
+
+    /// Lets the members outside the chain know at once that there is something newer.
+    pub(super) fn ping_others_than_chain(&mut self, now: Duration) {
+        let ping = self.ping(now);
+        let chain = self.durable.view.chain.clone();
+        for peer in self.peers.heard_lately(now) {
+            if !chain.contains(&peer) {
+                self.send_now(peer.address, ping.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/member/head.rs
@@ -0,0 +1,62 @@
+//! Requests to the head.
+
+use std::time::Duration;
+
+use super::{Member, Output};
+use crate::message::Write;
+use crate::peers::SILENCE;
+use crate::requests::{Reply, Request, RequestId};
+use crate::state::{Command, Stamp, Verdict};
+
+impl Member {
+    pub(super) fn take_request(&mut self, now: Duration, id: RequestId, request: Request) {
+        if !self.is_serving_head() {
+            self.outputs.push(Output::Reply { id, reply: Reply::Unavailable });
+            return;
+        }
+        match request {
+            Request::Submit(command) => self.submit(id, command),
+            Request::ReadConfiguration | Request::Confirm => {
+                let barrier = self.replication.next_barrier(self.barrier_session);
+                let is_configuration = request == Request::ReadConfiguration;
+                let stamp = self.durable.state.stamp;
+                self.waiting.wait_for_read(id, is_configuration, stamp, barrier.number);
+            }
+        }
+        self.drive(now);
+        self.resolve_requests();
+    }
+
+    pub(super) fn submit(&mut self, id: RequestId, command: Command) {
+        let stamp = self.durable.state.stamp;
+        match self.durable.state.judge(&command) {
+            Verdict::Take => {
+                let stamp = Stamp { epoch: self.durable.view.epoch, number: stamp.number + 1 };
+                self.append(Write { stamp, command });
+                self.waiting.wait_for_commit(id, stamp, true);
+            }
+            Verdict::AlreadyTaken => self.waiting.wait_for_commit(id, stamp, false),
+            Verdict::Rejected(rejection) => {
+                let barrier = self.replication.next_barrier(self.barrier_session);
+                self.waiting.wait_for_rejection(id, rejection, stamp, barrier.number);
+            }
+        }
+    }
+
+    pub(super) fn resolve_requests(&mut self) {
+        if !self.is_serving_head() || self.waiting.is_empty() {
+            return;
+        }
+        let Some(committed) = self.replication.committed() else { return };
+        let confirmed = self.replication.confirmed();
+        let number = if confirmed.session == self.barrier_session { confirmed.number } else { 0 };
+        for (id, reply) in self.waiting.resolve(committed, number) {
+            self.outputs.push(Output::Reply { id, reply });
+        }
+    }
+
+    /// How long this member takes silence for granted; the driver's time-outs are above it.
+    pub const fn silence() -> Duration {
+        SILENCE
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/member/messages.rs
@@ -0,0 +1,119 @@
+//! Messages by epoch, and the sync that some of them wait for.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Member, Output};
+use crate::durable::Record;
+use crate::message::{Body, Envelope};
+use crate::state::ControlState;
+use crate::view::MemberId;
+
+impl Member {
+    pub(super) fn receive(&mut self, now: Duration, envelope: Envelope) {
+        let Envelope { from, epoch, body } = envelope;
+        if from != self.id {
+            self.peers.heard(now, from);
+        }
+        if let Body::Ping(ping) = &body {
+            self.take_ping(now, from, ping);
+        }
+        match body {
+            Body::Decided(view) => return self.install(now, view),
+            Body::RequestView => return self.tell_view(from),
+            Body::RequestState => return self.tell_state(from),
+            Body::Committed(state) => return self.publish(now, Arc::new(state)),
+            _ => {}
+        }
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::NoEpochCheck) && epoch != self.durable.view.epoch {
+            return self.receive_in_epoch(now, from, body);
+        }
+        let own_epoch = self.durable.view.epoch;
+        if epoch > own_epoch {
+            return self.send_now(from.address, Body::RequestView);
+        }
+        if epoch < own_epoch {
+            return self.tell_view(from);
+        }
+        self.receive_in_epoch(now, from, body);
+    }
+
+    /// Takes a message of the own epoch; nothing of another one comes here.
+    pub(super) fn receive_in_epoch(&mut self, now: Duration, from: MemberId, body: Body) {
+        match body {
+            Body::Prepare { ballot } => self.promise(from, ballot),
+            Body::Promise { ballot, report } => self.take_promise(now, from, ballot, report),
+            Body::Accept(accepted) => self.accept(from, accepted),
+            Body::Accepted { ballot } => self.take_vote(now, from, ballot),
+            Body::Superseded { promised } => self.superseded(now, promised),
+            Body::Replicate { after, writes, barrier } => self.replicate(now, from, after, writes, barrier),
+            Body::Transfer { state, barrier } => self.take_transfer(now, from, state, barrier),
+            Body::Replicated { active, persisted, committed, barrier } => {
+                if self.successor() == Some(from) && self.is_active() {
+                    self.replication.successor_reported(active, persisted);
+                    self.chain_confirmed(now, committed, barrier);
+                }
+            }
+            Body::Ping(_)
+            | Body::Decided(_)
+            | Body::RequestView
+            | Body::RequestState
+            | Body::Committed(_) => {}
+        }
+    }
+
+    pub(super) fn tell_view(&mut self, to: MemberId) {
+        if self.durable.view.epoch > 0 {
+            let view = self.durable.view.clone();
+            self.send_now(to.address, Body::Decided(view));
+        }
+    }
+
+    pub(super) fn tell_state(&mut self, to: MemberId) {
+        let state = ControlState::clone(&self.published);
+        self.send_now(to.address, Body::Committed(state));
+    }
+
+    pub(super) fn envelope(&self, body: Body) -> Envelope {
+        Envelope { from: self.id, epoch: self.durable.view.epoch, body }
+    }
+
+    pub(crate) fn send_now(&mut self, to: SocketAddrV4, body: Body) {
+        let envelope = self.envelope(body);
+        if to == self.id.address {
+            self.loopback.push_back(envelope);
+        } else {
+            self.outputs.push(Output::Send { to, envelope });
+        }
+    }
+
+    /// Sends a message once every record so far is synced, if the epoch is still the same then.
+    pub(super) fn send_after_sync(&mut self, to: MemberId, body: Body) {
+        if self.synced_number == self.record_number {
+            self.send_now(to.address, body);
+        } else {
+            self.deferred.push_back((self.record_number, to, body));
+        }
+    }
+
+    pub(super) fn persist(&mut self, record: Record) -> u64 {
+        self.record_number += 1;
+        self.durable.apply(&record);
+        self.outputs.push(Output::Persist { number: self.record_number, record });
+        self.record_number
+    }
+
+    pub(super) fn synced(&mut self, now: Duration, through: u64) {
+        self.synced_number = self.synced_number.max(through);
+        while self.deferred.front().is_some_and(|(number, _, _)| *number <= through) {
+            if let Some((_, to, body)) = self.deferred.pop_front() {
+                self.send_now(to.address, body);
+            }
+        }
+        if self.replication.synced(through) {
+            self.persisted_more(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -0,0 +1,298 @@
+//! One core machine: joins the decisions of the other modules.
+//!
+//! | state | event | next |
+//! | --- | --- | --- |
+//! | in the chain, active | promise on the next view | sealed: takes nothing of the epoch |
+//! | sealed | the next view is decided | head: active; in the chain: waits for predecessor; else outside |
+//! | waits for its predecessor | its state is the predecessor's, or was transferred | active |
+//! | outside the chain | a view takes it in | waits for its predecessor |
+//!
+//! Messages that promise something durable leave only once every record before them is synced.
+
+mod chain;
+mod head;
+mod messages;
+mod signs_of_life;
+mod views;
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::agreement::Proposer;
+use crate::durable::{Durable, Record};
+use crate::election::Election;
+use crate::message::{Body, Envelope};
+use crate::peers::Peers;
+use crate::plan::{Place, Policy, Tolerance};
+use crate::replication::Replication;
+use crate::requests::{Reply, Request, RequestId, WaitingRequests};
+use crate::state::ControlState;
+use crate::view::{MemberId, View};
+
+/// Interval between two signs of life.
+pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(200);
+/// A tick that comes so much after the last one tells that this process stood still.
+const STANDSTILL: Duration = Duration::from_millis(450);
+/// Shortest pause between two requests for the committed state.
+const STATE_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+
+/// What a member is told.
+#[derive(Clone, Debug)]
+pub struct MemberOptions {
+    /// Internal address of this machine.
+    pub address: SocketAddrV4,
+    /// Internal addresses of the seeds.
+    pub seeds: Vec<SocketAddrV4>,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
+    /// Where this machine stands.
+    pub place: Place,
+    /// Seed of the random waits.
+    pub random_seed: u64,
+}
+
+/// What happens to a member.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed; see [`Member::next_wake`].
+    Tick,
+    /// A message came.
+    Message(Envelope),
+    /// A request came.
+    Request(RequestId, Request),
+    /// The caller of a request has gone.
+    Cancel(RequestId),
+    /// Every record up to this number is synced.
+    Persisted(u64),
+    /// Whether the disk syncs in time.
+    DiskHealth { is_healthy: bool },
+    /// The settings name other seeds.
+    Seeds(Vec<SocketAddrV4>),
+    /// This process is stopping.
+    Leave,
+}
+
+/// What the driver does.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Append the record and sync; then say [`Input::Persisted`] with its number.
+    Persist { number: u64, record: Record },
+    /// Send a message, best effort.
+    Send { to: SocketAddrV4, envelope: Envelope },
+    /// Answer a request.
+    Reply { id: RequestId, reply: Reply },
+    /// A newer state is committed.
+    Committed(Arc<ControlState>),
+    /// Another view is in force.
+    ViewInstalled(View),
+}
+
+/// What a member knows of the core.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    pub epoch: u64,
+    pub head: Option<MemberId>,
+    pub is_head: bool,
+    pub in_chain: bool,
+    /// Whether a majority of the voters was heard lately.
+    pub in_quorum: bool,
+    /// Internal addresses of the core machines that are known, this one included.
+    pub members: Vec<SocketAddrV4>,
+}
+
+/// One core machine.
+#[derive(Debug)]
+pub struct Member {
+    pub(crate) id: MemberId,
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    pub(crate) policy: Policy,
+    place: Place,
+    pub(crate) durable: Durable,
+    pub(crate) peers: Peers,
+    pub(crate) proposer: Proposer,
+    pub(crate) election: Election,
+    pub(crate) replication: Replication,
+    waiting: WaitingRequests,
+    published: Arc<ControlState>,
+    barrier_session: u64,
+    is_disk_healthy: bool,
+    pub(crate) is_leaving: bool,
+    record_number: u64,
+    synced_number: u64,
+    /// Messages that wait for the sync of a record.
+    deferred: VecDeque<(u64, MemberId, Body)>,
+    /// Messages of this member to itself.
+    loopback: VecDeque<Envelope>,
+    outputs: Vec<Output>,
+    last_tick: Duration,
+    next_ping: Duration,
+    state_requested: Duration,
+    random: oorandom::Rand64,
+    #[cfg(feature = "plants")]
+    plant: Option<crate::plants::Plant>,
+}
+
+impl Member {
+    /// A member whose disk holds `durable`, all of it synced.
+    pub fn new(now: Duration, options: MemberOptions, durable: Durable) -> Member {
+        let id = MemberId { address: options.address, identity: durable.identity };
+        let mut random = oorandom::Rand64::new(u128::from(options.random_seed));
+        let replication = Replication::new(durable.active_epoch, &durable.state);
+        let mut proposer = Proposer::default();
+        if let Some(promise) = durable.promise {
+            proposer.saw(promise.ballot);
+        }
+        Member {
+            id,
+            seeds: options.seeds,
+            policy: Policy::tolerating(options.tolerance),
+            place: options.place,
+            peers: Peers::new(id, now),
+            proposer,
+            election: Election::new(now),
+            replication,
+            waiting: WaitingRequests::default(),
+            published: Arc::new(ControlState::default()),
+            barrier_session: random.rand_u64() | 1,
+            is_disk_healthy: true,
+            is_leaving: false,
+            record_number: 0,
+            synced_number: 0,
+            deferred: VecDeque::new(),
+            loopback: VecDeque::new(),
+            outputs: Vec::new(),
+            last_tick: now,
+            next_ping: now,
+            state_requested: Duration::ZERO,
+            random,
+            #[cfg(feature = "plants")]
+            plant: None,
+            durable,
+        }
+    }
+
+    /// Switches a defence off.
+    #[cfg(feature = "plants")]
+    pub fn plant(&mut self, plant: crate::plants::Plant) {
+        self.plant = Some(plant);
+        if plant == crate::plants::Plant::DigestsForgotten {
+            self.durable.state.taken.clear();
+            self.replication = Replication::new(self.durable.active_epoch, &self.durable.state);
+        }
+    }
+
+    #[cfg(feature = "plants")]
+    fn has_plant(&self, plant: crate::plants::Plant) -> bool {
+        self.plant == Some(plant)
+    }
+
+    /// This member's identity.
+    pub fn id(&self) -> MemberId {
+        self.id
+    }
+
+    /// What the disk holds once every record is synced; the snapshot from which a restart may begin.
+    pub fn durable(&self) -> &Durable {
+        &self.durable
+    }
+
+    /// The newest committed state that this member knows.
+    pub fn published(&self) -> &Arc<ControlState> {
+        &self.published
+    }
+
+    /// The state with every write that this head has taken, committed or not.
+    pub fn latest(&self) -> &ControlState {
+        &self.durable.state
+    }
+
+    pub fn status(&self, now: Duration) -> Status {
+        let view = &self.durable.view;
+        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
+        let mut members: Vec<SocketAddrV4> =
+            self.peers.heard_lately(now).iter().map(|peer| peer.address).collect();
+        members.extend(self.peers.heard_of(now).iter().map(|peer| peer.address));
+        members.extend(view.voters.iter().map(|voter| voter.address));
+        members.sort();
+        members.dedup();
+        Status {
+            epoch: view.epoch,
+            head: view.head(),
+            is_head: self.is_serving_head(),
+            in_chain: view.chain.contains(&self.id),
+            in_quorum: !view.voters.is_empty() && heard >= view.majority(),
+            members,
+        }
+    }
+
+    /// When [`Input::Tick`] is wanted next.
+    pub fn next_wake(&self) -> Duration {
+        let mut wake = self.next_ping;
+        let majority = self.durable.view.majority();
+        if let Some(election) = self.election.next_wake(&self.proposer, majority) {
+            wake = wake.min(election);
+        }
+        if let Some(suspicion) = self.peers.next_suspicion(self.last_tick, &self.durable.view.chain) {
+            wake = wake.min(suspicion);
+        }
+        if self.is_active()
+            && self.successor().is_some()
+            && let Some(resend) = self.replication.next_resend(self.durable.view.epoch)
+        {
+            wake = wake.min(resend);
+        }
+        wake
+    }
+
+    /// Takes an input; gives back what is to be done, in order.
+    pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        self.wake_from_standstill(now);
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Message(envelope) => self.receive(now, envelope),
+            Input::Request(id, request) => self.take_request(now, id, request),
+            Input::Cancel(id) => self.waiting.cancel(id),
+            Input::Persisted(through) => self.synced(now, through),
+            Input::DiskHealth { is_healthy } => self.is_disk_healthy = is_healthy,
+            Input::Seeds(seeds) => self.seeds = seeds,
+            Input::Leave => self.leave(now),
+        }
+        while let Some(envelope) = self.loopback.pop_front() {
+            self.receive(now, envelope);
+        }
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::AcknowledgeBeforeSync) {
+            self.synced(now, self.record_number);
+            while let Some(envelope) = self.loopback.pop_front() {
+                self.receive(now, envelope);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn wake_from_standstill(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_tick) > STANDSTILL {
+            self.peers.forgive(now, self.last_tick);
+            self.election.postpone();
+            self.last_tick = now;
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        self.last_tick = now;
+        self.peers.expire(now);
+        if now >= self.next_ping {
+            self.next_ping = now + PING_INTERVAL;
+            self.ping_all(now);
+        }
+        self.run_election(now);
+        self.drive(now);
+    }
+
+    fn leave(&mut self, now: Duration) {
+        self.is_leaving = true;
+        self.ping_all(now);
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/member/signs_of_life.rs
@@ -0,0 +1,75 @@
+//! Signs of life: what this member tells the others of itself, and what it hears.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::{Member, STATE_REQUEST_INTERVAL};
+use crate::message::{Body, Ping};
+use crate::plan::Place;
+use crate::view::MemberId;
+
+impl Member {
+    pub(crate) fn is_fit(&self) -> bool {
+        self.is_disk_healthy && !self.is_leaving
+    }
+
+    pub(crate) fn place_of(&self, member: MemberId) -> Place {
+        if member == self.id { self.place } else { self.peers.place(member) }
+    }
+
+    pub(super) fn hears_voter(&self, now: Duration, voter: MemberId) -> bool {
+        if self.durable.view.epoch == 0 {
+            return voter.address == self.id.address || self.peers.is_bootstrapping(now, voter.address);
+        }
+        self.peers.is_heard(now, voter)
+    }
+
+    pub(super) fn ping(&self, now: Duration) -> Body {
+        Body::Ping(Ping {
+            fit: self.is_fit(),
+            leaving: self.is_leaving,
+            bootstrap: self.durable.bootstrap,
+            place: self.place,
+            committed: self.published.stamp,
+            hears: self.peers.heard_lately(now),
+        })
+    }
+
+    pub(super) fn ping_all(&mut self, now: Duration) {
+        let ping = self.ping(now);
+        for address in self.ping_addresses(now) {
+            self.send_now(address, ping.clone());
+        }
+    }
+
+    pub(super) fn ping_addresses(&self, now: Duration) -> Vec<SocketAddrV4> {
+        let view = &self.durable.view;
+        let mut addresses: Vec<SocketAddrV4> = view.voters.iter().map(|voter| voter.address).collect();
+        let is_in_view = view.voters.contains(&self.id);
+        if is_in_view || view.epoch == 0 {
+            addresses.extend(self.peers.heard_lately(now).iter().map(|peer| peer.address));
+        }
+        if view.epoch == 0 || !self.status_in_quorum(now) || !is_in_view {
+            addresses.extend_from_slice(&self.seeds);
+        }
+        addresses.sort();
+        addresses.dedup();
+        addresses.retain(|&address| address != self.id.address);
+        addresses
+    }
+
+    pub(super) fn status_in_quorum(&self, now: Duration) -> bool {
+        let view = &self.durable.view;
+        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
+        heard >= view.majority()
+    }
+
+    pub(super) fn take_ping(&mut self, now: Duration, from: MemberId, ping: &Ping) {
+        self.peers.pinged(now, from, ping);
+        let wants_state = ping.committed > self.published.stamp && !self.is_active();
+        if wants_state && now.saturating_sub(self.state_requested) >= STATE_REQUEST_INTERVAL {
+            self.state_requested = now;
+            self.send_now(from.address, Body::RequestState);
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/src/member/views.rs
@@ -0,0 +1,152 @@
+//! This member's part in the agreement on views, and taking a view into force.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use super::{Member, Output};
+use crate::agreement::{Ballot, Phase, Promise, Report};
+use crate::durable::{Accepted, Record};
+use crate::message::Body;
+use crate::replication::Replication;
+use crate::requests::Reply;
+use crate::view::{MemberId, View};
+
+impl Member {
+    pub(super) fn is_eligible_voter(&self) -> bool {
+        let view = &self.durable.view;
+        view.is_voter(self.id) && (view.epoch > 0 || self.durable.bootstrap)
+    }
+
+    pub(super) fn promise(&mut self, from: MemberId, ballot: Ballot) {
+        if !self.is_eligible_voter() || !self.durable.view.is_voter(from) {
+            return;
+        }
+        self.proposer.saw(ballot);
+        let current = self.durable.current_promise();
+        if let Some(promise) = current.filter(|promise| promise.ballot > ballot) {
+            return self.send_now(from.address, Body::Superseded { promised: promise.ballot });
+        }
+        if current.is_none_or(|promise| promise.ballot < ballot) {
+            let epoch = self.durable.view.epoch;
+            self.persist(Record::Promise(Promise { epoch, ballot }));
+        }
+        let report = self.report();
+        self.send_after_sync(from, Body::Promise { ballot, report });
+    }
+
+    pub(super) fn report(&self) -> Report {
+        Report {
+            accepted: self.durable.accepted.clone(),
+            active_epoch: self.durable.active_epoch,
+            stamp: self.durable.state.stamp,
+            fit: self.is_fit(),
+            hears: self.peers.heard_lately(self.last_tick),
+        }
+    }
+
+    pub(super) fn accept(&mut self, from: MemberId, accepted: Accepted) {
+        let epoch = self.durable.view.epoch;
+        let ballot = accepted.ballot;
+        let is_for_next = accepted.view.epoch == epoch + 1;
+        if !self.is_eligible_voter() || !self.durable.view.is_voter(from) || !is_for_next {
+            return;
+        }
+        let current = self.durable.current_promise();
+        if let Some(promise) = current.filter(|promise| promise.ballot > ballot) {
+            return self.send_now(from.address, Body::Superseded { promised: promise.ballot });
+        }
+        if current.is_none_or(|promise| promise.ballot < ballot) {
+            self.persist(Record::Promise(Promise { epoch, ballot }));
+        }
+        if self.durable.accepted.as_ref() != Some(&accepted) {
+            self.persist(Record::Accept(accepted));
+        }
+        self.send_after_sync(from, Body::Accepted { ballot });
+    }
+
+    pub(super) fn take_promise(&mut self, now: Duration, from: MemberId, ballot: Ballot, report: Report) {
+        if self.durable.view.is_voter(from) {
+            self.proposer.promised(from, ballot, report);
+            self.propose_if_ready(now);
+        }
+    }
+
+    pub(super) fn take_vote(&mut self, now: Duration, from: MemberId, ballot: Ballot) {
+        let current = self.durable.view.clone();
+        let Some(view) = self.proposer.accepted(from, ballot, &current) else { return };
+        let mut addresses: Vec<SocketAddrV4> =
+            self.peers.heard_lately(now).iter().map(|peer| peer.address).collect();
+        addresses.extend(view.voters.iter().chain(&current.voters).map(|voter| voter.address));
+        addresses.sort();
+        addresses.dedup();
+        for address in addresses {
+            self.send_now(address, Body::Decided(view.clone()));
+        }
+    }
+
+    pub(super) fn superseded(&mut self, now: Duration, promised: Ballot) {
+        self.proposer.saw(promised);
+        if self.proposer.ballot().is_some_and(|ballot| ballot < promised) {
+            self.proposer.abandon();
+            let wait = self.wait_after_failure();
+            self.election.retry(now + wait);
+        }
+    }
+
+    pub(crate) fn start_proposal(&mut self, now: Duration) {
+        let ballot = self.proposer.start(now, self.id);
+        for voter in self.durable.view.voters.clone() {
+            self.send_now(voter.address, Body::Prepare { ballot });
+        }
+    }
+
+    pub(crate) fn propose(&mut self, now: Duration, view: View) {
+        let Some(ballot) = self.proposer.propose(now, view.clone()) else { return };
+        for voter in self.durable.view.voters.clone() {
+            self.send_now(voter.address, Body::Accept(Accepted { ballot, view: view.clone() }));
+        }
+    }
+
+    pub(crate) fn random_wait(&mut self, longest: Duration) -> Duration {
+        let share = self.random.rand_float();
+        longest.mul_f64(share)
+    }
+
+    pub(crate) fn proposal_phase(&self) -> &Phase {
+        self.proposer.phase()
+    }
+
+    pub(super) fn install(&mut self, now: Duration, view: View) {
+        if view.epoch <= self.durable.view.epoch {
+            return;
+        }
+        self.persist(Record::View(view.clone()));
+        self.deferred.clear();
+        self.proposer.abandon();
+        self.election.installed();
+        self.replication = Replication::new(self.durable.active_epoch, &self.durable.state);
+        self.barrier_session = self.random.rand_u64() | 1;
+        self.outputs.push(Output::ViewInstalled(view.clone()));
+        if view.head() == Some(self.id) {
+            self.take_office(now);
+        } else {
+            self.give_requests_up();
+        }
+        self.next_ping = now;
+    }
+
+    pub(super) fn take_office(&mut self, now: Duration) {
+        let epoch = self.durable.view.epoch;
+        let record = self.persist(Record::Activate(epoch));
+        self.replication.restart(record, epoch, &self.durable.state);
+        let barrier = self.replication.next_barrier(self.barrier_session);
+        self.waiting.renew_barriers(barrier.number);
+        self.drive(now);
+    }
+
+    pub(super) fn give_requests_up(&mut self) {
+        for id in self.waiting.drain() {
+            self.outputs.push(Output::Reply { id, reply: Reply::Unavailable });
+        }
+    }
+}
--- a/crates/woadreach-chain/src/plan.rs
+++ b/crates/woadreach-chain/src/plan.rs
@@ -69,8 +69,8 @@
 }
 
 impl Policy {
-    /// The policy that bears these losses. Members spread over zones or regions, so that the loss of one of those
-    /// is the loss of no more members than the policy bears.
+    /// The policy that bears these losses. Members spread over zones or regions, so that the loss of one of
+    /// those is the loss of no more members than the policy bears.
     pub fn tolerating(tolerance: Tolerance) -> Policy {
         let faults = tolerance.machines.max(tolerance.zones).max(tolerance.regions);
         Policy {
@@ -91,10 +91,10 @@
 
 /// The view after `current`.
 ///
-/// `voters` are the voters of `current` that have reported, `learners` the other members in reach. The chain begins
-/// with a member that holds every write that may have been committed; only members that reach each other (`linked`) are in it. Voters that have not reported
-/// are replaced by learners, and are kept where there is none; one whose address has come back with another
-/// identity has lost its disk and is dropped.
+/// `voters` are the voters of `current` that have reported, `learners` the other members in reach. The chain
+/// begins with a member that holds every write that may have been committed; only members that reach each
+/// other (`linked`) are in it. Voters that have not reported are replaced by learners, and are kept where
+/// there is none; one whose address has come back with another identity has lost its disk and is dropped.
 pub fn next_view(
     current: &View,
     voters: &[Candidate],
@@ -108,8 +108,8 @@
     Ok(View { epoch: current.epoch + 1, voters, chain, floor })
 }
 
-/// The floor of the next view. A commit needs every member of the chain: if one of them has sealed the epoch without
-/// ever having been active in it, nothing was committed in it, and the earlier floor holds.
+/// The floor of the next view. A commit needs every member of the chain: if one of them has sealed the epoch
+/// without ever having been active in it, nothing was committed in it, and the earlier floor holds.
 fn next_floor(current: &View, voters: &[Candidate]) -> u64 {
     let mut chain = voters.iter().filter(|voter| current.chain.contains(&voter.member));
     if chain.any(|voter| voter.active_epoch < current.epoch) { current.floor } else { current.epoch }
--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -1,4 +1,5 @@
-//! Defences that tests switch off, to show that the checker finds what they prevent. Never in a release build.
+//! Defences that tests switch off, to show that the checker finds what they prevent. Never in a release
+//! build.
 
 /// A defence that is switched off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/woadreach-chain/src/replication.rs
+++ b/crates/woadreach-chain/src/replication.rs
@@ -1,8 +1,8 @@
 //! Replication down the chain, in one epoch.
 //!
 //! Volatile part of a member's place in the chain. The durable part (the state with every write) is
-//! [`Durable`](crate::Durable); here is which of its writes are persisted and committed, and how far the successor
-//! is.
+//! [`Durable`](crate::Durable); here is which of its writes are persisted and committed, and how far the
+//! successor is.
 //!
 //! | state of the link to the successor | event | next |
 //! | --- | --- | --- |
@@ -29,7 +29,8 @@
     Unknown,
     /// It lacks the state, which is being sent.
     Transferring,
-    /// It has activated the epoch and persisted everything up to `persisted`; writes up to `sent` are on the way.
+    /// It has activated the epoch and persisted everything up to `persisted`; writes up to `sent` are on the
+    /// way.
     Streaming { persisted: Stamp, sent: Stamp },
 }
 
--- a/crates/woadreach-chain/src/requests.rs
+++ b/crates/woadreach-chain/src/requests.rs
@@ -1,9 +1,9 @@
 //! Requests to the head that wait for the chain.
 //!
-//! A reply leaves only when everything on which it is based is committed. A refusal and a read also wait for a
-//! barrier: a message that every member of the chain has passed on in the current epoch, after the request came.
-//! Before another epoch can commit anything, one member of this chain must have sealed this epoch; so at the moment
-//! at which that member passed the barrier on, this head's state was the newest.
+//! A reply leaves only when everything on which it is based is committed. A refusal and a read also wait for
+//! a barrier: a message that every member of the chain has passed on in the current epoch, after the request
+//! came. Before another epoch can commit anything, one member of this chain must have sealed this epoch; so
+//! at the moment at which that member passed the barrier on, this head's state was the newest.
 
 use std::collections::BTreeMap;
 
--- a/crates/woadreach-chain/src/view.rs
+++ b/crates/woadreach-chain/src/view.rs
@@ -7,8 +7,8 @@
 
 /// A core machine with one life of its disk.
 ///
-/// The identity is drawn when an empty disk is first used: a machine that lost its disk has forgotten its promises
-/// and is another member.
+/// The identity is drawn when an empty disk is first used: a machine that lost its disk has forgotten its
+/// promises and is another member.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberId {
     /// Internal address.
@@ -52,8 +52,8 @@
     pub voters: Vec<MemberId>,
     /// Members that replicate the state, head first. Part of the voters.
     pub chain: Vec<MemberId>,
-    /// Whoever has been active in this epoch or a later one holds every write that was committed before the view's
-    /// epoch.
+    /// Whoever has been active in this epoch or a later one holds every write that was committed before the
+    /// view's epoch.
     pub floor: u64,
 }
 
--- a/crates/woadreach-chain/tests/model.rs
+++ b/crates/woadreach-chain/tests/model.rs
@@ -1,8 +1,9 @@
-//! Every run of a small world of views and chain, by `stateright`: three members, one of which may lose its disk once
-//! the others have caught up; views decided at any moment by any majority; members that act on an old view.
+//! Every run of a small world of views and chain, by `stateright`: three members, one of which may lose its
+//! disk once the others have caught up; views decided at any moment by any majority; members that act on an
+//! old view.
 //!
-//! The choice of the next view is the real one ([`next_view`]). Agreement itself is taken for granted: a view is decided
-//! in one step, which seals the majority that decides it.
+//! The choice of the next view is the real one ([`next_view`]). Agreement itself is taken for granted: a view
+//! is decided in one step, which seals the majority that decides it.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -138,8 +138,8 @@
     let kind = FAULTS[world.pick(FAULTS.len())];
     let length = Duration::from_millis(50) + world.random_duration(Duration::from_millis(2500));
     inject(world, kind, length);
-    // The next fault comes when this one counts as over: machines whose links lost messages count as lost, too, until
-    // they had time to catch up.
+    // The next fault comes when this one counts as over: machines whose links lost messages count as lost,
+    // too, until they had time to catch up.
     world.schedule(length, Event::EndFault);
     let pause = length + CATCH_UP + world.random_duration(PAUSE);
     world.schedule(pause, Event::Fault);
--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -182,8 +182,8 @@
         })
     }
 
-    /// Whether the base of `refused` was surely the current one from `start` to `end`: acknowledged before `start`, and
-    /// nothing that was published before `end` is newer, nor was any other change under way.
+    /// Whether the base of `refused` was surely the current one from `start` to `end`: acknowledged before
+    /// `start`, and nothing that was published before `end` is newer, nor was any other change under way.
     fn was_current_throughout(&self, refused: &PutConfiguration, start: Duration, end: Duration) -> bool {
         let base = refused.base;
         let is_acknowledged = base == 0
--- a/crates/woadreach-chain/tests/world.rs
+++ b/crates/woadreach-chain/tests/world.rs
@@ -1,7 +1,8 @@
-//! Runs from seeds under faults: nothing acknowledged is lost, nothing refused is in force, no two changes stand on
-//! one version, reads are never stale, and writes go on once faults end.
+//! Runs from seeds under faults: nothing acknowledged is lost, nothing refused is in force, no two changes
+//! stand on one version, reads are never stale, and writes go on once faults end.
 //!
-//! `WOADREACH_RUNS` sets the number of runs of each test (50 by default, 1,000 in CI), `WOADREACH_SEED` the first seed.
+//! `WOADREACH_RUNS` sets the number of runs of each test (50 by default, 1,000 in CI), `WOADREACH_SEED` the
+//! first seed.
 
 mod simulation;
 
--- a/crates/woadreach-control/src/durable_log.rs
+++ b/crates/woadreach-control/src/durable_log.rs
@@ -1,7 +1,7 @@
 //! A member's durable state in the journal: numbered records after a snapshot.
 //!
-//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), nothing after the
-//! gap is used: the driver reported none of it as synced.
+//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), nothing
+//! after the gap is used: the driver reported none of it as synced.
 
 use woadreach_chain::{Durable, Record, RecordError};
 
--- a/crates/woadreach-control/src/lib.rs
+++ b/crates/woadreach-control/src/lib.rs
@@ -1,9 +1,9 @@
 //! Control plane and storage of the serving tier: the roles of the binary `woadreach-control`.
 //!
-//! The `core` role ([`core_role`]) keeps the operator's configuration and the view of the storage machines in a
-//! chain of core machines ([`member_driver`] around [`woadreach_chain::Member`]), takes the operator's orders
-//! ([`operator`]) at any core machine and passes them to the head of the chain ([`order`]), and takes the replicas'
-//! heartbeats ([`instances`]). The `storage` role is [`storage_role`].
+//! The `core` role ([`core_role`]) keeps the operator's configuration and the view of the storage machines in
+//! a chain of core machines ([`member_driver`] around [`woadreach_chain::Member`]), takes the operator's
+//! orders ([`operator`]) at any core machine and passes them to the head of the chain ([`order`]), and takes
+//! the replicas' heartbeats ([`instances`]). The `storage` role is [`storage_role`].
 
 pub mod command_line;
 pub mod committed;
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -1,7 +1,7 @@
 //! Runs a [`Member`] on the real clock, disk and network.
 //!
-//! Outputs are carried out under the lock under which they were decided, so that records reach the journal in the
-//! order of their numbers. One task awaits the syncs, one the clock.
+//! Outputs are carried out under the lock under which they were decided, so that records reach the journal in
+//! the order of their numbers. One task awaits the syncs, one the clock.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -206,7 +206,8 @@
                 }
                 Output::ViewInstalled(view) => {
                     is_changed = true;
-                    tracing::info!(epoch = view.epoch, chain = ?view.chain, voters = ?view.voters, "view installed");
+                    let (epoch, chain, voters) = (view.epoch, view.chain, view.voters);
+                    tracing::info!(epoch, ?chain, ?voters, "view installed");
                 }
             }
         }
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -158,7 +158,8 @@
     }
 }
 
-/// Has a storage machine emptied. Nothing if another change of the storage view came first, or the head changed.
+/// Has a storage machine emptied. Nothing if another change of the storage view came first, or the head
+/// changed.
 async fn retire_at_head(driver: &MemberDriver, node: &str, tolerated: usize) -> Option<Answer> {
     let (expected_epoch, bytes) = driver.latest_storage_view().unwrap_or_default();
     let view = StorageView::decode(&bytes).unwrap_or_default();
