--- a/crates/woadreach-proxy/tests/support/replica.rs
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// A request as it came.
 #[derive(Clone, Debug)]
@@ -31,6 +31,8 @@
     Write(Vec<u8>),
     /// End the connection.
     Close,
+    /// Wait until told to go on.
+    Await(Arc<Notify>),
     /// Say nothing until the caller closes the connection.
     Hang,
 }
@@ -74,6 +76,18 @@
         replica
     }
 
+    /// An address where nobody listens.
+    pub async fn nowhere() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Replica {
+            address: listener.local_addr().expect("an address"),
+            received: Arc::default(),
+            count: Arc::new(watch::Sender::new(0)),
+            closed: Arc::new(watch::Sender::new(0)),
+            connections: Arc::new(watch::Sender::new(0)),
+        }
+    }
+
     /// The requests that came.
     pub fn received(&self) -> Vec<Received> {
         self.received.lock().clone()
@@ -115,6 +129,7 @@
                         }
                     }
                     Step::Close => return,
+                    Step::Await(notify) => notify.notified().await,
                     Step::Hang => {
                         let mut byte = [0];
                         let _ = stream.read(&mut byte).await;
