--- /dev/null
+++ b/crates/woadreach-discovery/tests/messages.rs
@@ -0,0 +1,95 @@
+//! The codec: what is encoded comes back, and other bytes are an error.
+
+mod common;
+
+use common::{draining, heartbeat};
+use quickcheck::quickcheck;
+use woadreach_discovery::messages::{
+    Batch, MESSAGE_VERSION, MessageError, PollResponse, RegistryResponse, Request, Standing, StatusEntry,
+    VersionedBytes, decode, encode,
+};
+use woadreach_discovery::registry::{Refresh, RegistryVersion};
+use woadreach_discovery::{ModelRecord, ReplicaRecord, ReplicaStatus};
+
+fn batch(ids: &[String], sequence: u64) -> Request {
+    let statuses = ids.iter().enumerate().map(|(place, id)| {
+        let mut record =
+            ReplicaRecord::new(id, if place % 2 == 0 { heartbeat } else { draining }(1, sequence));
+        record.models =
+            vec![ModelRecord { name: id.clone(), generation: sequence, adapters: vec![id.clone()] }];
+        let status = if place % 3 == 2 { ReplicaStatus::left() } else { ReplicaStatus::Present(record) };
+        StatusEntry::new(id.clone(), &status)
+    });
+    let refreshes = ids.iter().map(|id| Refresh { id: id.clone(), sequence, digest: 7 });
+    Request::Batch(Batch {
+        incarnation: sequence,
+        sender: "10.1.0.41:7380".parse::<std::net::SocketAddr>().unwrap().into(),
+        serial: sequence,
+        warming: false,
+        refreshes: refreshes.collect(),
+        statuses: statuses.collect(),
+    })
+}
+
+#[test]
+fn other_versions_and_empty_messages_are_errors_of_their_own() {
+    assert_eq!(decode::<Request>(&[]), Err(MessageError::Empty));
+    assert_eq!(decode::<Request>(&[9, 0, 0]), Err(MessageError::Version { version: 9 }));
+    assert_eq!(decode::<Request>(&[MESSAGE_VERSION, 0xff]), Err(MessageError::Malformed));
+}
+
+#[test]
+fn a_length_beyond_the_message_is_an_error_and_nothing_is_allocated_for_it() {
+    let response = RegistryResponse {
+        version: RegistryVersion::default(),
+        warming: false,
+        restart: true,
+        more: false,
+        statuses: Vec::new(),
+    };
+    let mut bytes = encode(&response);
+    let length_at = bytes.len() - 4;
+    bytes[length_at..].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(decode::<RegistryResponse>(&bytes), Err(MessageError::Malformed));
+}
+
+quickcheck! {
+    fn batches_come_back_as_they_were(ids: Vec<String>, sequence: u64) -> bool {
+        let message = batch(&ids, sequence);
+        decode::<Request>(&encode(&message)) == Ok(message)
+    }
+
+    fn a_message_that_is_cut_short_is_an_error(ids: Vec<String>, cut: usize) -> bool {
+        let bytes = encode(&batch(&ids, 3));
+        decode::<Request>(&bytes[..cut % bytes.len()]).is_err()
+    }
+
+    fn any_bytes_are_a_message_or_an_error(bytes: Vec<u8>, place: usize, value: u8) -> bool {
+        let mut message = vec![MESSAGE_VERSION];
+        message.extend(&bytes);
+        let _ = (decode::<Request>(&message), decode::<PollResponse>(&message));
+        // A whole message with one byte changed.
+        let mut changed = encode(&batch(&["r1".into(), "r2".into(), "r3".into()], 5));
+        let place = place % changed.len();
+        changed[place] = value;
+        let _ = decode::<Request>(&changed);
+        true
+    }
+
+    fn answers_come_back_as_they_were(generation: u64, bytes: Vec<u8>, in_quorum: bool) -> bool {
+        let response = PollResponse {
+            standing: Standing { in_quorum, warming: !in_quorum },
+            configuration_generation: generation,
+            view: None,
+            storage_view: Some(VersionedBytes { version: generation, bytes }),
+            registry: RegistryResponse {
+                version: RegistryVersion { incarnation: generation, revision: 2, floor: 1 },
+                warming: in_quorum,
+                restart: true,
+                more: false,
+                statuses: Vec::new(),
+            },
+        };
+        decode::<PollResponse>(&encode(&response)) == Ok(response)
+    }
+}
