--- a/crates/woadreach-admission/src/routes.rs
+++ b/crates/woadreach-admission/src/routes.rs
@@ -28,8 +28,6 @@
 const LATE_SHARE_OF_TARGET: f64 = 0.125;
 /// An attempt counts as lost beyond so many times the longest of the recent ones, if its replica is at work.
 const LOST_LONGEST: f64 = 1.5;
-/// Before any sample, so many times the target.
-const START_LOST_TARGETS: f64 = 4.0;
 /// Before any sample an unloaded answer is taken to need this share of the target.
 const START_SHARE_OF_TARGET: f64 = 0.1;
 
@@ -52,7 +50,7 @@
             recent: VecDeque::new(),
             answers: 0,
             late_after: target,
-            lost_after: target * START_LOST_TARGETS,
+            lost_after: target * LOST_LONGEST,
             typical: target * START_SHARE_OF_TARGET,
         }
     }
--- a/crates/woadreach-admission/src/second_copies.rs
+++ b/crates/woadreach-admission/src/second_copies.rs
@@ -8,7 +8,6 @@
 use crate::in_hand::{Attempt, AttemptState};
 use crate::placement::Placement;
 use crate::replica::InFlight;
-use crate::timers::has_come;
 
 /// How soon (seconds) a late attempt is looked at again, at the least.
 const LOOK_AGAIN: f64 = 0.05;
@@ -22,7 +21,7 @@
         self.observe_lost(now, id);
         let Some(call) = self.calls.get(&id) else { return };
         let streaming = call.call.kind.is_streaming();
-        let wanted = call.may_be_copied() && (!streaming || self.may_leave(now, id));
+        let wanted = call.may_be_copied() && (!streaming || self.has_lost_it(now, id));
         if let Some(replica) = self.copy_target(now, id).filter(|_| wanted) {
             let freed = if streaming { self.abort_lost(now, id, actions) } else { Vec::new() };
             self.send(now, id, replica, actions);
@@ -82,17 +81,11 @@
         (!self.is_hopeless(now, id, replica)).then_some(replica)
     }
 
-    /// Whether a stream that has not begun may be taken from its replica: it is lost there, or later than any
-    /// of late by far. Few own calls at a replica show the former too late.
-    fn may_leave(&self, now: f64, id: CallId) -> bool {
+    /// Whether every replica where the call is out has lost it.
+    fn has_lost_it(&self, now: f64, id: CallId) -> bool {
         let Some(call) = self.calls.get(&id) else { return false };
         let mut out = (0..).zip(&call.attempts).filter(|(_, attempt)| attempt.state == AttemptState::Out);
-        out.all(|(number, attempt)| {
-            let sent = self.fleet.get(attempt.replica).and_then(|r| r.in_flight.get(&(id, number)));
-            let late =
-                sent.is_none_or(|sent| has_come(now, sent.sent_at + self.routes.lost_after(call.route)));
-            late || self.is_lost(now, id, number, attempt)
-        })
+        out.all(|(number, attempt)| self.is_lost(now, id, number, attempt))
     }
 
     /// Whether the replica of a late attempt has left, shows no sign of work, or began others sent later.
