--- a/crates/woadreach-journal/src/recovery.rs
+++ b/crates/woadreach-journal/src/recovery.rs
@@ -127,7 +127,8 @@
     SlotState::Damaged { offset, acknowledged_generation: None }
 }
 
-/// Records of the frames up to the torn tail; `None` if acknowledged frames follow the first that is not whole.
+/// Records of the frames up to the torn tail; `None` if acknowledged frames follow the first that is not
+/// whole.
 fn read_frames(content: &[u8], position: &mut Position) -> Option<Vec<Vec<u8>>> {
     let mut records = Vec::new();
     loop {
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -89,8 +89,8 @@
         self.sightings.values()
     }
 
-    /// How long a machine has been silent while this observer was listening. An observer that has just started,
-    /// thawed or been cut off knows of no silence.
+    /// How long a machine has been silent while this observer was listening. An observer that has just
+    /// started, thawed or been cut off knows of no silence.
     #[must_use]
     pub fn silent_for(&self, now: Instant, node: &str) -> Duration {
         if now.saturating_duration_since(self.last_any) > OBSERVER_GAP {
--- a/crates/woadreach-storage/src/lib.rs
+++ b/crates/woadreach-storage/src/lib.rs
@@ -6,8 +6,8 @@
 //! epoch demands quorums of the present and of the next group until every next member has pulled its part.
 //!
 //! Pure parts, without I/O or clock: [`placement`], [`view`], [`budget`], [`store`], [`member`] (one storage
-//! machine), [`operation`] (one write of a client), [`pull`] (copying from other members). Drivers: [`client`]
-//! for proxies, [`server`] for storage machines, [`announce`] for both ends of the membership.
+//! machine), [`operation`] (one write of a client), [`pull`] (copying from other members). Drivers:
+//! [`client`] for proxies, [`server`] for storage machines, [`announce`] for both ends of the membership.
 
 #![warn(missing_docs)]
 
--- a/crates/woadreach-storage/src/pull.rs
+++ b/crates/woadreach-storage/src/pull.rs
@@ -57,8 +57,8 @@
         self.finished.contains(&disk)
     }
 
-    /// Whether so many sources are done that every acknowledged write was met: of no group are more missing than
-    /// a read may miss.
+    /// Whether so many sources are done that every acknowledged write was met: of no group are more missing
+    /// than a read may miss.
     #[must_use]
     pub fn complete(&self) -> bool {
         let missing = self.sources.iter().filter(|source| !self.finished.contains(&source.disk));
--- a/crates/woadreach-storage/src/server/upkeep.rs
+++ b/crates/woadreach-storage/src/server/upkeep.rs
@@ -15,8 +15,8 @@
 pub(super) struct Upkeep {
     last_tick: Instant,
     compacting: bool,
-    /// How long the log may be, in hundredths of what is alive. It differs between the machines, so that they do
-    /// not compact at the same time.
+    /// How long the log may be, in hundredths of what is alive. It differs between the machines, so that they
+    /// do not compact at the same time.
     log_percent: u64,
 }
 
--- a/crates/woadreach-storage/tests/simulation/faults.rs
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Machines whose order has succeeded are taken away at once, and others may lose their disks right after.
+    /// Machines whose order has succeeded are taken away at once; others may lose their disks right after.
     pub fn emptied_machines_go(&mut self) {
         for index in 0..self.machines.len() {
             let retired = self.core.committed.retired.contains(&self.machines[index].node);
--- a/crates/woadreach-storage/tests/simulation/main.rs
+++ b/crates/woadreach-storage/tests/simulation/main.rs
@@ -1,7 +1,8 @@
 //! Whole storage tier on simulated time, with a simulated disk at every sync, against an oracle.
 //!
 //! One run draws a deployment, programs that take turns through several proxies, and faults within the
-//! tolerated number: kills, losses of power, wiped disks, freezes, cuts, replaced, added and retired machines.
+//! tolerated number: kills, losses of power, wiped disks, freezes, cuts, replaced, added and retired
+//! machines.
 //! The oracle knows what was acknowledged: no such turn may be missing or differ, no budget may be overspent,
 //! and no turn that fits may be refused.
 
