Hollow runs: control-side edges and heartbeats against real core processes

Sizes that pass half of the memory, the descriptors or the core's connections are refused with what would fit.

Ruled out: byte counters of /proc (sockets' recv and send are not in them) and the loopback interface's (shared).

--- a/crates/woadreach-tier/src/lib.rs
+++ b/crates/woadreach-tier/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod error;
 pub mod example;
+pub mod hollow;
 mod operator;
 mod process;
 mod programs;
--- a/crates/woadreach-tier/src/process.rs
+++ b/crates/woadreach-tier/src/process.rs
@@ -85,6 +85,11 @@
         wiped.context(SystemSnafu { what: format!("disk of {}", self.spec.name()) })
     }
 
+    /// Id of the running process.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// What the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log_file).unwrap_or_default()
--- a/crates/woadreach-tier/src/settings.rs
+++ b/crates/woadreach-tier/src/settings.rs
@@ -55,6 +55,8 @@
     pub data_dir: Option<PathBuf>,
     /// Whether this is the first start of the whole tier.
     pub bootstrap: bool,
+    /// Interval between two heartbeats of a replica, in ms.
+    pub heartbeat_ms: u64,
 }
 
 impl NodeSpec {
@@ -95,13 +97,14 @@
              port_range:\n  - {FIRST_INTERNAL_PORT}\n  - {last}\nseeds:\n{seeds}bootstrap: {bootstrap}\n\
              counts_for_quorum: {counts}\nlimits:\n  cpu_share: 1.0\n  cores: 1\n  memory_mb: 260\n  \
              max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 300\ndata_dir: {data_dir}\n\
-             heartbeat_ms: {HEARTBEAT_MS}\nfault_tolerance:\n  machines: 1\n  zones: 0\n  regions: 0\nbounds: {{}}\n",
+             heartbeat_ms: {heartbeat_ms}\nfault_tolerance:\n  machines: 1\n  zones: 0\n  regions: 0\nbounds: {{}}\n",
             name = self.name(),
             class = self.class.name(),
             ip = self.ip(network),
             zone = self.index % 3,
             last = FIRST_INTERNAL_PORT + 15,
             bootstrap = self.bootstrap,
+            heartbeat_ms = self.heartbeat_ms,
             counts = self.class != MachineClass::Edge,
         )
     }
--- a/crates/woadreach-tier/src/tier.rs
+++ b/crates/woadreach-tier/src/tier.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{SystemSnafu, TierError, TooLateSnafu};
 use crate::process::NodeProcess;
-use crate::settings::{CONTROL_PORT, FRONT_PORT, MachineClass, NodeSpec, READY_PORT};
+use crate::settings::{CONTROL_PORT, FRONT_PORT, HEARTBEAT_MS, MachineClass, NodeSpec, READY_PORT};
 use snafu::ResultExt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -119,5 +119,5 @@
     let name = format!("{}-{index}", class.name());
     let data_dir: Option<PathBuf> =
         (class != MachineClass::Edge).then(|| folder.join(format!("{name}.disk")));
-    NodeSpec { class, index, data_dir, bootstrap: true }
+    NodeSpec { class, index, data_dir, bootstrap: true, heartbeat_ms: HEARTBEAT_MS }
 }
