Capacity: tables and plots from the runs' files

The page's figures must come from runs. woadreach-tier capacity reads docs/capacity/hollow-*.json, fits each role's cost by least squares with standard errors, works it out at the target's size and puts the tables between the page's marks; a test compares page and files.

--- a/crates/woadreach-tier/src/hollow/in_force.rs
+++ b/crates/woadreach-tier/src/hollow/in_force.rs
@@ -1,7 +1,7 @@
 //! Times from the acknowledgement of a change to its being in force.
 
 use super::edge::InForce;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -16,7 +16,7 @@
 }
 
 /// Quantiles of a set of times, in ms.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Times {
     /// Number of times.
     pub count: usize,
--- a/crates/woadreach-tier/src/hollow/mod.rs
+++ b/crates/woadreach-tier/src/hollow/mod.rs
@@ -19,7 +19,7 @@
 pub use configuration::configuration;
 pub use edge::InForce;
 pub use in_force::{Acknowledged, Times, delays};
-pub use report::HollowReport;
+pub use report::{EdgeLoad, EdgeTraffic, HeartbeatLoad, HollowReport, ProcessLoad, Sizes};
 pub use run::{HollowError, run};
 pub use size::{HollowSize, MachineBounds, SizeError};
 pub use usage::{cpu_seconds, resident_bytes};
--- a/crates/woadreach-tier/src/hollow/report.rs
+++ b/crates/woadreach-tier/src/hollow/report.rs
@@ -4,10 +4,10 @@
 use super::probe::Traffic;
 use super::size::HollowSize;
 use super::usage::Usage;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// A run's sizes.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Sizes {
     /// Control-side edges.
     pub edges: u64,
@@ -47,7 +47,7 @@
 }
 
 /// What one process used.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ProcessLoad {
     /// Processor time, in hundredths of a core.
     pub cpu_percent: f64,
@@ -69,7 +69,7 @@
 }
 
 /// What an edge used on control, as a mean over the hollow ones.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EdgeLoad {
     /// Processor time of one edge, in hundredths of a core.
     pub cpu_percent: f64,
@@ -82,7 +82,7 @@
 }
 
 /// Messages of one edge, as a mean over the probes.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EdgeTraffic {
     /// Long-polls a second.
     pub polls_per_second: f64,
@@ -111,7 +111,7 @@
 }
 
 /// Heartbeats of all replicas.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HeartbeatLoad {
     /// Acknowledged heartbeats a second.
     pub per_second: f64,
@@ -122,7 +122,7 @@
 }
 
 /// What a run has measured.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct HollowReport {
     /// The sizes.
     pub size: Sizes,
--- a/crates/woadreach-tier/src/lib.rs
+++ b/crates/woadreach-tier/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+pub mod capacity;
 mod client;
 mod error;
 pub mod example;
--- a/crates/woadreach-tier/src/main.rs
+++ b/crates/woadreach-tier/src/main.rs
@@ -1,5 +1,6 @@
 //! Starts a serving tier on loopback, plays a conversation through it and says what came back.
 
+mod capacity_command;
 mod hollow_command;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -32,6 +33,7 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Folder of the built programs"),
         )
+        .subcommand(capacity_command::command())
         .subcommand(hollow_command::command())
         .arg(Arg::new("hold").long("hold").action(ArgAction::SetTrue).help("Keep serving until interrupted"))
 }
@@ -42,6 +44,9 @@
     if let Some(arguments) = arguments.subcommand_matches(hollow_command::NAME) {
         return hollow_command::run(arguments).await;
     }
+    if let Some(arguments) = arguments.subcommand_matches(capacity_command::NAME) {
+        return capacity_command::run(arguments);
+    }
     match run(&arguments).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
