--- a/crates/woadreach-tier/src/hollow_command.rs
+++ b/crates/woadreach-tier/src/hollow_command.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 use woadreach_tier::built_programs;
 use woadreach_tier::hollow::{self, HollowError, HollowSize};
 
@@ -41,7 +42,13 @@
 /// Runs the subcommand.
 pub async fn run(arguments: &ArgMatches) -> ExitCode {
     let programs = arguments.get_one::<PathBuf>("programs").cloned().unwrap_or_else(built_programs);
-    match hollow::run(&size(arguments), &programs).await {
+    let size = size(arguments);
+    let result = tokio::select! {
+        result = hollow::run(&size, &programs) => result,
+        // The core processes end with the dropped run.
+        () = stopped() => return ExitCode::FAILURE,
+    };
+    match result {
         Ok(report) => {
             let is_json = arguments.get_one::<String>("format").is_some_and(|format| format == "json");
             let json = || serde_json::to_string_pretty(&report).unwrap_or_default();
@@ -58,6 +65,15 @@
     }
 }
 
+/// Returns on SIGINT or SIGTERM.
+async fn stopped() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 fn size(arguments: &ArgMatches) -> HollowSize {
     let number = |name: &str| arguments.get_one::<u64>(name).copied().unwrap_or(0);
     // What does not fit into a byte is out of range in any case.
