Hollow runs end their processes before they return; a process that has gone is an error

A run's last processes still held their addresses when the next run began (seen: Address already in use), and a core process that had not started would have counted as using nothing. Both are errors now.

--- a/crates/woadreach-tier/src/hollow/core.rs
+++ b/crates/woadreach-tier/src/hollow/core.rs
@@ -81,9 +81,23 @@
         Ok(settings)
     }
 
-    /// What each process of a class has used, in the order in which they were started.
-    pub fn usage(&self, class: MachineClass) -> Vec<Usage> {
+    /// What each process of a class has used, in the order in which they were started; an error if one has gone.
+    pub fn usage(&self, class: MachineClass) -> Result<Vec<Usage>, TierError> {
         let of_class = self.processes.iter().filter(|process| process.spec.class == class);
-        of_class.map(|process| process.process_id().and_then(usage::of_process).unwrap_or_default()).collect()
+        of_class.map(usage_of).collect()
     }
+
+    /// Ends all processes and waits until they have gone, so that their addresses are free again.
+    pub async fn stop(&mut self) -> Result<(), TierError> {
+        for process in &mut self.processes {
+            process.kill().await?;
+        }
+        Ok(())
+    }
+}
+
+fn usage_of(process: &NodeProcess) -> Result<Usage, TierError> {
+    let used = process.process_id().and_then(usage::of_process).filter(|used| used.resident > 0);
+    used.ok_or_else(|| std::io::Error::other(process.log()))
+        .with_context(|_| SystemSnafu { what: format!("{} has ended", process.spec.name()) })
 }
--- a/crates/woadreach-tier/src/hollow/run.rs
+++ b/crates/woadreach-tier/src/hollow/run.rs
@@ -154,10 +154,11 @@
     }
 
     async fn measure(mut self) -> Result<HollowReport, TierError> {
-        let before = self.look();
+        let before = self.look()?;
         let changes = self.send_changes().await?;
-        let after = self.look();
+        let after = self.look()?;
         sleep(SETTLE).await;
+        self.core.stop().await?;
         let mut taken = Vec::new();
         while let Ok(event) = self.taken.try_recv() {
             taken.push(event);
@@ -215,19 +216,19 @@
         Ok(())
     }
 
-    fn look(&self) -> Look {
+    fn look(&self) -> Result<Look, TierError> {
         let counters = &self.replicas.counters;
-        Look {
+        Ok(Look {
             at: Instant::now(),
-            core: self.core.usage(MachineClass::Core),
-            whole_edges: self.core.usage(MachineClass::Edge),
+            core: self.core.usage(MachineClass::Core)?,
+            whole_edges: self.core.usage(MachineClass::Edge)?,
             edges_cpu: self.edge_workers.cpu_seconds(),
             counts: self.probes.iter().map(Probe::counts).collect(),
             acknowledged: counters.acknowledged.load(Ordering::Relaxed),
             failed: counters.failed.load(Ordering::Relaxed),
             body_bytes: counters.body_bytes.load(Ordering::Relaxed),
             load: usage::load_average(),
-        }
+        })
     }
 }
 
