--- a/crates/woadreach-tier/src/capacity/runs.rs
+++ b/crates/woadreach-tier/src/capacity/runs.rs
@@ -1,6 +1,7 @@
 //! The runs' files.
 
 use super::error::{CapacityError, FileSnafu, ReportSnafu};
+use super::target::POLLED;
 use crate::hollow::HollowReport;
 use snafu::ResultExt;
 use std::path::{Path, PathBuf};
@@ -41,6 +42,12 @@
         polls / self.report.core.len() as f64
     }
 
+    /// Edges that poll one core process, each of which polls up to three.
+    pub fn edges_of_core(&self) -> f64 {
+        let core = self.report.core.len() as f64;
+        self.report.size.edges as f64 * core.min(POLLED) / core
+    }
+
     /// Changes of the configuration a minute.
     pub fn changes(&self) -> f64 {
         self.report.in_force_ms.count as f64 * 60.0 / self.report.seconds / self.report.size.edges as f64
--- a/crates/woadreach-tier/src/capacity/slopes.rs
+++ b/crates/woadreach-tier/src/capacity/slopes.rs
@@ -11,7 +11,7 @@
     /// Processor time of a core process, in hundredths of a core, by 1, heartbeats a second that it takes, heartbeats
     /// a second that others tell it of, and polls a second.
     pub core_cpu: Fit,
-    /// Memory of a core process, in MB, by 1 and thousands of replicas.
+    /// Memory of a core process, in MB, by 1, thousands of replicas and connected edges.
     pub core_memory: Fit,
     /// Processor time of an edge on control, in hundredths of a core, by 1 and changes of the configuration a minute.
     pub edge_cpu: Fit,
@@ -31,7 +31,7 @@
                 (regressors.to_vec(), run.core_cpu())
             })?,
             core_memory: fit_over("core, memory", &all, |run| {
-                (vec![1.0, thousands(run)], run.core_memory())
+                (vec![1.0, thousands(run), run.edges_of_core()], run.core_memory())
             })?,
             edge_cpu: fit_over("edge, processor time", &calm, |run| {
                 (vec![1.0, run.changes()], run.report.edge.cpu_percent)
--- a/crates/woadreach-tier/src/capacity/tables.rs
+++ b/crates/woadreach-tier/src/capacity/tables.rs
@@ -95,7 +95,7 @@
             &slopes.core_cpu,
             ["base", "a heartbeat/s taken", "a heartbeat/s told", "a poll/s"].as_slice(),
         ),
-        ("core, MB", &slopes.core_memory, &["base", "1,000 replicas"]),
+        ("core, MB", &slopes.core_memory, &["base", "1,000 replicas", "a connected edge"]),
         ("edge, % of a core", &slopes.edge_cpu, &["base", "a change/min"]),
         ("edge, MB", &slopes.edge_memory, &["base", "1,000 replicas"]),
     ];
@@ -116,8 +116,20 @@
     slopes.core_cpu.at(&[1.0, taken, heartbeats - taken, polls])
 }
 
+/// Whether 0.6 of a core, the share of a core machine, suffices by two standard errors.
+fn sign(cpu: Term) -> &'static str {
+    if cpu.value + 2.0 * cpu.error <= 60.0 {
+        "within 0.6 of a core"
+    } else if cpu.value - 2.0 * cpu.error > 60.0 {
+        "above 0.6 of a core"
+    } else {
+        "not decided: two standard errors reach beyond 0.6 of a core"
+    }
+}
+
 fn core_table(slopes: &Slopes) -> String {
-    let memory = slopes.core_memory.at(&[1.0, target::REPLICAS / 1000.0]);
+    let edges = target::EDGES * target::POLLED / target::CORE;
+    let memory = slopes.core_memory.at(&[1.0, target::REPLICAS / 1000.0, edges]);
     let row = |heartbeat: &f64| {
         let cpu = core_at(slopes, *heartbeat);
         format!(
@@ -127,7 +139,7 @@
             cpu.error,
             memory.value,
             memory.error,
-            if cpu.value > 60.0 { "above 0.6 of a core: not carried" } else { "within 0.6 of a core" },
+            sign(cpu),
         )
     };
     lines(
