--- a/crates/woadreach-tier/src/lib.rs
+++ b/crates/woadreach-tier/src/lib.rs
@@ -6,9 +6,11 @@
 
 #![warn(missing_docs)]
 
+pub mod capacity;
 mod client;
 mod error;
 pub mod example;
+pub mod hollow;
 mod operator;
 mod process;
 mod programs;
