Core: in quorum means heard by a majority, and caught up since

Cause: `in_quorum` counted the voters that a member hears. A member that nobody hears, but that hears all (a one-way cut), went on telling the edges that it is in quorum, with the configuration from before the cut. A member that had just thawed, or just come back, said so before it had fetched what was committed meanwhile.

Change: signs of life carry the time of sending and echo the newest one heard from the receiver. A member is in quorum if a majority of the voters has echoed a sign of life that it sent within the last second, and if its committed state has since been as new as theirs. The age counts by the member's own clock from when it sent, so a process that stood still is out of contact when it wakes, whatever waits in its sockets. Messages have format version 2; another version is refused by a typed error (tested).

Ruled out: counting the members that list this one in their signs of life. After a freeze these lists are forgiven as a whole, and messages that waited in the sockets would renew them.

--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -35,7 +35,7 @@
 pub use blob::Blob;
 pub use durable::{Accepted, Durable, Record, RecordError};
 pub use member::{Input, Member, MemberOptions, Output, Status};
-pub use message::{Body, DecodeError, Envelope, Ping};
+pub use message::{Body, DecodeError, Envelope, Ping, PingTime};
 pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
 #[cfg(feature = "plants")]
 pub use plants::Plant;
--- a/crates/woadreach-chain/src/member/chain.rs
+++ b/crates/woadreach-chain/src/member/chain.rs
@@ -162,11 +162,11 @@
 
     /// Lets the members outside the chain know at once that there is something newer.
     pub(super) fn ping_others_than_chain(&mut self, now: Duration) {
-        let ping = self.ping(now);
         let chain = self.durable.view.chain.clone();
         for peer in self.peers.heard_lately(now) {
             if !chain.contains(&peer) {
-                self.send_now(peer.address, ping.clone());
+                let ping = self.ping(now, peer.address);
+                self.send_now(peer.address, ping);
             }
         }
     }
--- /dev/null
+++ b/crates/woadreach-chain/src/member/contact.rs
@@ -0,0 +1,60 @@
+//! Contact with a majority of the voters: whether others may take this member's state for current.
+//!
+//! | state | event | next |
+//! | --- | --- | --- |
+//! | out of contact | a majority of the voters has echoed a recent sign of life of this member | catching up |
+//! | catching up | the committed state is as new as any of those voters had told | in quorum |
+//! | any | the echoes of a majority are older than [`CONTACT`](crate::peers::CONTACT) | out of contact |
+//!
+//! An echo proves both directions of the way, and its age counts from when this member sent the sign of life.
+//! A member that only hears, one that is only heard, and one that stood still are all out of contact.
+
+use std::time::Duration;
+
+use super::Member;
+use crate::view::MemberId;
+
+impl Member {
+    /// Whether this member is in contact with a majority of the voters and has caught up since.
+    pub(super) fn is_in_quorum(&self, now: Duration) -> bool {
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::QuorumByHearing) {
+            return self.hears_majority(now);
+        }
+        self.is_caught_up && self.reaches_majority(now)
+    }
+
+    /// Whether a majority of the voters has told lately that it hears this member.
+    pub(super) fn reaches_majority(&self, now: Duration) -> bool {
+        let view = &self.durable.view;
+        let reached = view.voters.iter().filter(|&&voter| self.reaches_voter(now, voter)).count();
+        !view.voters.is_empty() && reached >= view.majority()
+    }
+
+    /// The voters of epoch 0 are addresses without identities: these are heard, or not.
+    fn reaches_voter(&self, now: Duration, voter: MemberId) -> bool {
+        if self.durable.view.epoch == 0 {
+            return self.hears_voter(now, voter);
+        }
+        self.peers.is_in_contact(now, voter)
+    }
+
+    #[cfg(feature = "plants")]
+    fn hears_majority(&self, now: Duration) -> bool {
+        let view = &self.durable.view;
+        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
+        !view.voters.is_empty() && heard >= view.majority()
+    }
+
+    /// Follows what time and messages have changed.
+    pub(super) fn update_contact(&mut self, now: Duration) {
+        if !self.reaches_majority(now) {
+            self.is_caught_up = false;
+        } else if !self.is_caught_up {
+            let view = &self.durable.view;
+            let reached = view.voters.iter().filter(|&&voter| self.reaches_voter(now, voter));
+            let newest = reached.map(|&voter| self.peers.committed(voter)).max().unwrap_or_default();
+            self.is_caught_up = self.published.stamp >= newest;
+        }
+    }
+}
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -10,6 +10,7 @@
 //! Messages that promise something durable leave only once every record before them is synced.
 
 mod chain;
+mod contact;
 mod head;
 mod messages;
 mod signs_of_life;
@@ -96,8 +97,11 @@
     pub head: Option<MemberId>,
     pub is_head: bool,
     pub in_chain: bool,
-    /// Whether a majority of the voters was heard lately.
+    /// Whether this member is in contact with a majority of the voters, and since then has had every state
+    /// that one of them knew to be committed.
     pub in_quorum: bool,
+    /// Internal addresses of the voters.
+    pub voters: Vec<SocketAddrV4>,
     /// Internal addresses of the core machines that are known, this one included.
     pub members: Vec<SocketAddrV4>,
 }
@@ -117,6 +121,8 @@
     waiting: WaitingRequests,
     published: Arc<ControlState>,
     barrier_session: u64,
+    /// Since it came into contact with a majority, this member has had what was committed then.
+    is_caught_up: bool,
     is_disk_healthy: bool,
     pub(crate) is_leaving: bool,
     record_number: u64,
@@ -139,6 +145,8 @@
     pub fn new(now: Duration, options: MemberOptions, durable: Durable) -> Member {
         let id = MemberId { address: options.address, identity: durable.identity };
         let mut random = oorandom::Rand64::new(u128::from(options.random_seed));
+        // Names this life of the process in its signs of life, and its first term as head in its barriers.
+        let session = random.rand_u64() | 1;
         let replication = Replication::new(durable.active_epoch, &durable.state);
         let mut proposer = Proposer::default();
         if let Some(promise) = durable.promise {
@@ -149,13 +157,14 @@
             seeds: options.seeds,
             policy: Policy::tolerating(options.tolerance),
             place: options.place,
-            peers: Peers::new(id, now),
+            peers: Peers::new(id, session, now),
             proposer,
             election: Election::new(now),
             replication,
             waiting: WaitingRequests::default(),
             published: Arc::new(ControlState::default()),
-            barrier_session: random.rand_u64() | 1,
+            barrier_session: session,
+            is_caught_up: false,
             is_disk_healthy: true,
             is_leaving: false,
             record_number: 0,
@@ -210,7 +219,6 @@
 
     pub fn status(&self, now: Duration) -> Status {
         let view = &self.durable.view;
-        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
         let mut members: Vec<SocketAddrV4> =
             self.peers.heard_lately(now).iter().map(|peer| peer.address).collect();
         members.extend(self.peers.heard_of(now).iter().map(|peer| peer.address));
@@ -222,7 +230,8 @@
             head: view.head(),
             is_head: self.is_serving_head(),
             in_chain: view.chain.contains(&self.id),
-            in_quorum: !view.voters.is_empty() && heard >= view.majority(),
+            in_quorum: self.is_in_quorum(now),
+            voters: view.voters.iter().map(|voter| voter.address).collect(),
             members,
         }
     }
@@ -249,6 +258,7 @@
     /// Takes an input; gives back what is to be done, in order.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.wake_from_standstill(now);
+        self.update_contact(now);
         match input {
             Input::Tick => self.tick(now),
             Input::Message(envelope) => self.receive(now, envelope),
@@ -262,6 +272,7 @@
         while let Some(envelope) = self.loopback.pop_front() {
             self.receive(now, envelope);
         }
+        self.update_contact(now);
         #[cfg(feature = "plants")]
         if self.has_plant(crate::plants::Plant::AcknowledgeBeforeSync) {
             self.synced(now, self.record_number);
--- a/crates/woadreach-chain/src/member/signs_of_life.rs
+++ b/crates/woadreach-chain/src/member/signs_of_life.rs
@@ -24,8 +24,10 @@
         self.peers.is_heard(now, voter)
     }
 
-    pub(super) fn ping(&self, now: Duration) -> Body {
+    pub(super) fn ping(&self, now: Duration, to: SocketAddrV4) -> Body {
         Body::Ping(Ping {
+            sent: self.peers.ping_time(now),
+            echo: self.peers.echo_for(to),
             fit: self.is_fit(),
             leaving: self.is_leaving,
             bootstrap: self.durable.bootstrap,
@@ -36,9 +38,9 @@
     }
 
     pub(super) fn ping_all(&mut self, now: Duration) {
-        let ping = self.ping(now);
         for address in self.ping_addresses(now) {
-            self.send_now(address, ping.clone());
+            let ping = self.ping(now, address);
+            self.send_now(address, ping);
         }
     }
 
@@ -49,7 +51,7 @@
         if is_in_view || view.epoch == 0 {
             addresses.extend(self.peers.heard_lately(now).iter().map(|peer| peer.address));
         }
-        if view.epoch == 0 || !self.status_in_quorum(now) || !is_in_view {
+        if view.epoch == 0 || !self.reaches_majority(now) || !is_in_view {
             addresses.extend_from_slice(&self.seeds);
         }
         addresses.sort();
@@ -58,12 +60,6 @@
         addresses
     }
 
-    pub(super) fn status_in_quorum(&self, now: Duration) -> bool {
-        let view = &self.durable.view;
-        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
-        heard >= view.majority()
-    }
-
     pub(super) fn take_ping(&mut self, now: Duration, from: MemberId, ping: &Ping) {
         self.peers.pinged(now, from, ping);
         let wants_state = ping.committed > self.published.stamp && !self.is_active();
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -10,7 +10,7 @@
 use crate::view::{MemberId, View};
 
 /// Version of the messages' format.
-const MESSAGE_VERSION: u8 = 1;
+const MESSAGE_VERSION: u8 = 2;
 
 /// A message that can't be read.
 #[derive(Debug, Snafu)]
@@ -23,9 +23,21 @@
     MalformedMessage { source: speedy::Error },
 }
 
+/// When a member sent a sign of life, by its own clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct PingTime {
+    /// Differs between lives of the process; 0 for no sign of life at all.
+    pub life: u64,
+    pub micros: u64,
+}
+
 /// A sign of life.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Ping {
+    /// When it was sent.
+    pub sent: PingTime,
+    /// When the newest sign of life was sent that the sender has heard from the receiver.
+    pub echo: PingTime,
     /// Whether the sender may be in a chain (neither leaving nor unable to sync).
     pub fit: bool,
     /// Whether the sender is stopping and wants to be replaced.
--- a/crates/woadreach-chain/src/peers.rs
+++ b/crates/woadreach-chain/src/peers.rs
@@ -3,14 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::message::Ping;
+use crate::message::{Ping, PingTime};
 use crate::plan::Place;
+use crate::state::Stamp;
 use crate::view::MemberId;
 
 /// A member that has been silent for so long is suspected.
 pub const SILENCE: Duration = Duration::from_millis(600);
 /// A new or returned member is taken into a view after so long a time of signs of life.
 pub const STEADY: Duration = Duration::from_millis(800);
+/// A member is in contact if it has heard a sign of life that was sent so lately, and has said so.
+pub const CONTACT: Duration = Duration::from_millis(1000);
 /// How long a member that has fallen silent is remembered.
 const FORGET: Duration = Duration::from_secs(30);
 /// How many members are remembered.
@@ -26,6 +29,12 @@
     leaving: bool,
     bootstrap: bool,
     place: Place,
+    /// Its newest sign of life, to be echoed.
+    sent: PingTime,
+    /// When the newest own sign of life was sent that it has echoed.
+    echoed: Option<Duration>,
+    /// Stamp of the newest committed state that it knows.
+    committed: Stamp,
     /// When each other member was last among those that this one hears.
     hears: BTreeMap<MemberId, Duration>,
 }
@@ -34,13 +43,15 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: MemberId,
+    /// Number of this life of the process.
+    life: u64,
     started: Duration,
     table: BTreeMap<MemberId, PeerState>,
 }
 
 impl Peers {
-    pub fn new(own: MemberId, now: Duration) -> Peers {
-        Peers { own, started: now, table: BTreeMap::new() }
+    pub fn new(own: MemberId, life: u64, now: Duration) -> Peers {
+        Peers { own, life, started: now, table: BTreeMap::new() }
     }
 
     /// Notes a message of `from`.
@@ -65,12 +76,21 @@
             leaving: false,
             bootstrap: false,
             place: ping.place,
+            sent: ping.sent,
+            echoed: None,
+            committed: ping.committed,
             hears: BTreeMap::new(),
         });
         peer.fit = ping.fit;
         peer.leaving = ping.leaving;
         peer.bootstrap = ping.bootstrap;
         peer.place = ping.place;
+        peer.sent = ping.sent;
+        peer.committed = peer.committed.max(ping.committed);
+        let echoed = Duration::from_micros(ping.echo.micros);
+        if ping.echo.life == self.life && echoed <= now {
+            peer.echoed = peer.echoed.max(Some(echoed));
+        }
         for &member in ping.hears.iter().take(PEER_LIMIT) {
             peer.hears.insert(member, now);
         }
@@ -155,6 +175,30 @@
         })
     }
 
+    /// The time to put on a sign of life that is sent now.
+    pub fn ping_time(&self, now: Duration) -> PingTime {
+        PingTime { life: self.life, micros: u64::try_from(now.as_micros()).unwrap_or(u64::MAX) }
+    }
+
+    /// What a sign of life to `address` echoes.
+    pub fn echo_for(&self, address: std::net::SocketAddrV4) -> PingTime {
+        let at_address = self.table.iter().filter(|(member, _)| member.address == address);
+        at_address.max_by_key(|(_, peer)| peer.last_heard).map(|(_, peer)| peer.sent).unwrap_or_default()
+    }
+
+    /// Whether `member` has heard this one within [`CONTACT`], as it has told. Unlike
+    /// [`is_reachable`](Self::is_reachable) this counts from when this process sent: it ends by itself when
+    /// either direction is cut, and while this process stands still.
+    pub fn is_in_contact(&self, now: Duration, member: MemberId) -> bool {
+        let echoed = || self.table.get(&member).and_then(|peer| peer.echoed);
+        member == self.own || echoed().is_some_and(|sent| now.saturating_sub(sent) <= CONTACT)
+    }
+
+    /// Stamp of the newest committed state that `member` has told of.
+    pub fn committed(&self, member: MemberId) -> Stamp {
+        self.table.get(&member).map(|peer| peer.committed).unwrap_or_default()
+    }
+
     /// Whether `member` may be in a chain; assumed of those that have said nothing yet.
     pub fn is_fit(&self, member: MemberId) -> bool {
         self.table.get(&member).is_none_or(|peer| peer.fit && !peer.leaving)
--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -10,4 +10,6 @@
     NoEpochCheck,
     /// The digests of taken configurations are lost by a restart.
     DigestsForgotten,
+    /// A member that hears a majority takes itself for in quorum, whoever hears it.
+    QuorumByHearing,
 }
--- a/crates/woadreach-chain/tests/codec.rs
+++ b/crates/woadreach-chain/tests/codec.rs
@@ -3,8 +3,8 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use woadreach_chain::{
-    Accepted, Ballot, Blob, Body, Command, ControlState, Durable, Envelope, MemberId, Ping, Place, Promise,
-    PutConfiguration, PutStorageView, Record, Stamp, TakenConfiguration, View,
+    Accepted, Ballot, Blob, Body, Command, ControlState, DecodeError, Durable, Envelope, MemberId, Ping,
+    PingTime, Place, Promise, PutConfiguration, PutStorageView, Record, Stamp, TakenConfiguration, View,
 };
 
 #[derive(Clone, Debug)]
@@ -24,6 +24,10 @@
     Stamp { epoch: u64::arbitrary(generator), number: u64::arbitrary(generator) }
 }
 
+fn ping_time(generator: &mut Gen) -> PingTime {
+    PingTime { life: u64::arbitrary(generator), micros: u64::arbitrary(generator) }
+}
+
 fn view(generator: &mut Gen) -> View {
     View {
         epoch: u64::arbitrary(generator),
@@ -82,6 +86,8 @@
     fn arbitrary(generator: &mut Gen) -> Self {
         let body = match u8::arbitrary(generator) % 8 {
             0 => Body::Ping(Ping {
+                sent: ping_time(generator),
+                echo: ping_time(generator),
                 fit: bool::arbitrary(generator),
                 leaving: bool::arbitrary(generator),
                 bootstrap: bool::arbitrary(generator),
@@ -124,11 +130,20 @@
         Envelope::decode(&bytes[..cut]).is_err()
     }
 
+    fn messages_of_another_version_are_refused(envelope: Generated<Envelope>, version: u8) -> bool {
+        let mut bytes = envelope.0.encode();
+        let own = std::mem::replace(&mut bytes[0], version);
+        version == own
+            || matches!(Envelope::decode(&bytes), Err(DecodeError::MessageVersion { found }) if found == version)
+    }
+
     fn foreign_bytes_do_no_harm(bytes: Vec<u8>) -> bool {
-        let mut versioned = vec![1];
-        versioned.extend_from_slice(&bytes);
-        let results = (Envelope::decode(&versioned), Record::decode(&versioned), Durable::decode(&versioned));
-        drop(results);
+        for version in 0..4 {
+            let versioned = [&[version], &bytes[..]].concat();
+            let results =
+                (Envelope::decode(&versioned), Record::decode(&versioned), Durable::decode(&versioned));
+            drop(results);
+        }
         Envelope::decode(&[]).is_err() && Record::decode(&[9]).is_err()
     }
 }
--- /dev/null
+++ b/crates/woadreach-chain/tests/cut_off.rs
@@ -0,0 +1,51 @@
+//! Machines that are cut off for long, one way or both: what holds in every run, and that a machine which says
+//! that it is in quorum is never far behind.
+//!
+//! `WOADREACH_RUNS` and `WOADREACH_SEED` as in `world.rs`.
+
+mod simulation;
+
+use simulation::cuts::{CutRun, play};
+#[cfg(feature = "plants")]
+use simulation::history::Violation;
+use simulation::world::PlantedBug;
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn play_runs(nodes: usize, fault_tolerance: usize) {
+    let first = number("WOADREACH_SEED", 1);
+    let bug: Option<PlantedBug> = None;
+    for seed in first..first + number("WOADREACH_RUNS", 50) {
+        let finding = play(CutRun { seed, nodes, fault_tolerance, bug });
+        assert!(finding.violations.is_empty(), "seed {seed}: {:?}\n{}", finding.violations, finding.history);
+        assert!(finding.acknowledged > 0, "seed {seed}: nothing was acknowledged");
+    }
+}
+
+#[test]
+fn three_machines_bear_a_long_cut_of_one() {
+    play_runs(3, 1);
+}
+
+#[test]
+fn four_machines_bear_a_long_cut_of_one() {
+    play_runs(4, 1);
+}
+
+#[test]
+fn five_machines_bear_a_long_cut_of_two() {
+    play_runs(5, 2);
+}
+
+#[cfg(feature = "plants")]
+#[test]
+fn a_quorum_by_hearing_alone_is_found() {
+    let bug = Some(PlantedBug::Member(woadreach_chain::Plant::QuorumByHearing));
+    let is_found = (1..=100).any(|seed| {
+        let finding = play(CutRun { seed, nodes: 3, fault_tolerance: 1, bug });
+        finding.violations.iter().any(|violation| matches!(violation, Violation::StaleInQuorum { .. }))
+    });
+    assert!(is_found);
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/simulation/cuts.rs
@@ -0,0 +1,89 @@
+//! Long cuts of one machine or of as many as may be lost: both ways, or one way only; with restarts, power
+//! loss and freezes of those that are cut off. Operators ask both sides.
+
+use std::time::Duration;
+
+use super::faults::{Finding, cut_off, finish};
+use super::world::{PlantedBug, World};
+
+/// A machine that says that it is in quorum has every configuration acknowledged so long ago.
+const LONGEST_LAG: Duration = Duration::from_millis(1500);
+/// How often the machines' claims are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest pause between two events at machines that are cut off.
+const PAUSE: Duration = Duration::from_secs(6);
+
+/// A run with one long cut.
+#[derive(Clone, Copy, Debug)]
+pub struct CutRun {
+    pub seed: u64,
+    pub nodes: usize,
+    pub fault_tolerance: usize,
+    pub bug: Option<PlantedBug>,
+}
+
+/// Plays a run and checks it.
+pub fn play(run: CutRun) -> Finding {
+    let mut world = World::new(run.seed, run.nodes, 0, run.fault_tolerance, run.bug);
+    world.are_faults_over = true;
+    let calm = Duration::from_secs(5) + world.random_duration(Duration::from_secs(1));
+    run_watched(&mut world, calm);
+    let first = world.pick(run.nodes);
+    let count = 1 + world.pick(run.fault_tolerance);
+    let struck: Vec<usize> = (0..count).map(|offset| (first + offset) % run.nodes).collect();
+    let (is_one_way, is_outward) = (world.chance(0.6), world.chance(0.5));
+    world.trace(|| format!("{struck:?} cut off, one way {is_one_way}, outward {is_outward}"));
+    cut_off(&mut world, &struck, is_one_way, is_outward);
+    let end = world.now + Duration::from_secs(8) + world.random_duration(Duration::from_secs(14));
+    while world.now < end {
+        strike_one(&mut world, &struck);
+        let pause = world.random_duration(PAUSE).min(end - world.now);
+        run_watched(&mut world, pause);
+    }
+    world.trace(|| "the cut ends".to_owned());
+    world.cuts.clear();
+    run_watched(&mut world, Duration::from_secs(4));
+    finish(world)
+}
+
+/// One of the machines that are cut off restarts, loses power, freezes for a while, or goes on.
+fn strike_one(world: &mut World, struck: &[usize]) {
+    let node = struck[world.pick(struck.len())];
+    match world.pick(4) {
+        0 => {
+            world.kill(node);
+            let delay = world.random_duration(Duration::from_secs(2));
+            world.schedule(delay, super::world::Event::Start { node });
+        }
+        1 => {
+            let length = world.random_duration(Duration::from_secs(4));
+            world.freeze(node, length);
+        }
+        _ => {}
+    }
+}
+
+/// Runs on, and looks at what every machine claims of itself.
+fn run_watched(world: &mut World, length: Duration) {
+    let end = world.now + length;
+    while world.now < end {
+        let next = (world.now + LOOK_INTERVAL).min(end);
+        world.run_until(next);
+        look(world);
+    }
+}
+
+fn look(world: &mut World) {
+    let now = world.now;
+    let Some(moment) = now.checked_sub(LONGEST_LAG) else { return };
+    for index in 0..world.nodes.len() {
+        if !world.is_running(index) {
+            continue;
+        }
+        let Some(member) = &world.nodes[index].member else { continue };
+        if member.status(now).in_quorum {
+            let published = member.published().generation();
+            world.history.claimed_current(index, published, moment);
+        }
+    }
+}
--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -73,7 +73,7 @@
 }
 
 /// Ends all faults, and sees that writes go on and that nothing was lost.
-fn finish(mut world: World) -> Finding {
+pub(super) fn finish(mut world: World) -> Finding {
     world.operators.is_stopped = true;
     world.trace(|| "healed".to_owned());
     world.heal();
@@ -197,6 +197,11 @@
 
 fn cut(world: &mut World, struck: &[usize], one_way: bool) {
     let is_outward = world.chance(0.5);
+    cut_off(world, struck, one_way, is_outward);
+}
+
+/// Cuts machines off from the others, one way or both. They may be cut off already.
+pub(super) fn cut_off(world: &mut World, struck: &[usize], one_way: bool, is_outward: bool) {
     for &node in struck {
         for other in (0..world.nodes.len()).filter(|other| !struck.contains(other)) {
             if !one_way || is_outward {
--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -52,6 +52,8 @@
     StaleRead { read: u64, acknowledged: u64 },
     /// A read gave bytes that nobody sent under that generation.
     ForeignRead { generation: u64 },
+    /// A machine that said that it was in quorum had an older configuration than one acknowledged long before.
+    StaleInQuorum { node: usize, published: u64, acknowledged: u64 },
     /// After everything was well again, nothing could be written.
     NoProgress,
 }
@@ -236,6 +238,14 @@
         known.max().unwrap_or(0)
     }
 
+    /// A machine says that it is in quorum and that `published` is the newest generation.
+    pub fn claimed_current(&mut self, node: usize, published: u64, moment: Duration) {
+        let acknowledged = self.newest_known_before(moment);
+        if published < acknowledged {
+            self.report(Violation::StaleInQuorum { node, published, acknowledged });
+        }
+    }
+
     fn was_sent(&self, generation: u64, body: &[u8]) -> bool {
         self.orders.iter().any(|order| {
             let Request::Submit(Command::PutConfiguration(put)) = &order.request else { return false };
