Observers leave core machines that are cut off, and look for the majority

Cause: an edge polls the three core machines that rank first for it, and a machine that answered counted as sound whatever it said of its quorum. An edge whose three machines were all on the smaller side of a cut (a zone with three of seven) followed the old configuration for as long as the cut lasted, though it reached the majority. A process that heard only such machines was never lost, so it asked neither its settings nor other processes for more addresses. The newest generation told was forgotten with the machine that told it, so a process could become ready with an older one.

Change: machines are proven (answer, in quorum), untried, or of no use (`selection`). Three are polled that are not of no use, with those of no use before them, eight in all; one that is passed over is tried again after 4 s. A process is lost when no machine in quorum has answered for 2 s. The newest generation told is kept.

--- a/crates/woadreach-discovery/src/sampler.rs
+++ b/crates/woadreach-discovery/src/sampler.rs
@@ -13,7 +13,7 @@
 
 use crate::messages::{decode, encode};
 use crate::sampling::{NodeEntry, NodeRole, PartialView, Shuffle};
-use crate::watcher::rank;
+use crate::selection::rank;
 
 /// How long a partner has to answer.
 const SHUFFLE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/woadreach-discovery/src/watcher.rs
+++ b/crates/woadreach-discovery/src/watcher.rs
@@ -1,9 +1,10 @@
 //! Decisions of the client side: which core machines to poll when, and what to make of their answers.
 //!
-//! Up to [`POLLED_MACHINES`] machines are polled at once. A machine that does not answer is asked again with
-//! backoff, and the next by rank takes its place meanwhile. Ranks follow from the process's own name, so
-//! that the processes spread over the core machines. A process that hears none of them for [`LOST_AFTER`]
-//! asks every address it has heard of: members, seeds and hints.
+//! Up to [`POLLED_MACHINES`](crate::selection::POLLED_MACHINES) machines are polled at once. A machine that does not answer is asked again with
+//! backoff, and the next by rank takes its place meanwhile; so it does beside a machine that answers, but is
+//! cut off from the core's majority. Ranks follow from the process's own name, so that the processes spread
+//! over the core machines. A process that hears no machine in quorum for [`LOST_AFTER`] asks every address
+//! it has heard of: members, seeds and hints.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -11,24 +12,18 @@
 
 use bytes::Bytes;
 
-use crate::messages::{CoreView, PollRequest, PollResponse, Standing};
+use crate::messages::{CoreView, PollRequest, PollResponse};
+use crate::polled_machine::{BACKOFF_MIN, Machine, PollState};
 use crate::replica_table::ReplicaTable;
+use crate::selection::{Use, rank, select};
 
-/// Core machines polled at once.
-pub const POLLED_MACHINES: usize = 3;
-/// Most addresses asked at once while some or all do not answer.
-pub const ASKED_MACHINES: usize = 8;
+/// A machine of no use that is not asked any more is tried again after this time.
+pub const RETRY_AFTER: Duration = Duration::from_millis(4000);
 /// How long a core machine waits for news.
 pub const POLL_WAIT: Duration = Duration::from_millis(1000);
 /// A poll that is not answered this long after its wait is broken.
 pub const POLL_GRACE: Duration = Duration::from_millis(700);
-/// Least time between the starts of two polls of one machine.
-pub const POLL_SPACING: Duration = Duration::from_millis(15);
-/// First pause after a failed poll; it doubles up to [`BACKOFF_MAX`].
-pub const BACKOFF_MIN: Duration = Duration::from_millis(60);
-/// Longest pause after a failed poll.
-pub const BACKOFF_MAX: Duration = Duration::from_millis(800);
-/// Without an answer for this long, all known addresses are asked.
+/// Without an answer of a machine in quorum for this long, all known addresses are asked.
 pub const LOST_AFTER: Duration = Duration::from_millis(2000);
 /// How long a configuration may take to come at the first try; each further try gives it as much more.
 pub const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -76,40 +71,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PollState {
-    /// The next poll starts then.
-    Idle { next_at: Duration },
-    /// A poll is out.
-    Polling { since: Duration },
-}
-
-struct Machine {
-    state: PollState,
-    failures: u32,
-    standing: Standing,
-    configuration_told: u64,
-    failed_fetches: u32,
-    answered: bool,
-}
-
-impl Machine {
-    fn new(now: Duration) -> Self {
-        Self {
-            state: PollState::Idle { next_at: now },
-            failures: 0,
-            standing: Standing::default(),
-            configuration_told: 0,
-            failed_fetches: 0,
-            answered: false,
-        }
-    }
-
-    fn is_trusted(&self) -> bool {
-        self.answered && self.failures == 0 && self.standing.in_quorum && !self.standing.warming
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FetchState {
     Idle { next_at: Duration, attempts: u32 },
@@ -124,11 +85,17 @@
     view_epoch: u64,
     members: Vec<SocketAddr>,
     machines: BTreeMap<SocketAddr, Machine>,
+    /// Machines of no use that are not asked, and until when.
+    set_aside: BTreeMap<SocketAddr, Duration>,
+    /// The newest generation that any machine has told.
+    newest_told: u64,
     table: ReplicaTable,
     configuration_generation: u64,
     storage_view: Option<(u64, Bytes)>,
     fetch: FetchState,
     heard_at: Option<Duration>,
+    /// When a machine in quorum was last heard.
+    quorum_heard_at: Option<Duration>,
     started_at: Duration,
     trusted_since: Option<Duration>,
     warmed: bool,
@@ -144,11 +111,14 @@
             view_epoch: 0,
             members: Vec::new(),
             machines: BTreeMap::new(),
+            set_aside: BTreeMap::new(),
+            newest_told: 0,
             table: ReplicaTable::default(),
             configuration_generation: 0,
             storage_view: None,
             fetch: FetchState::Idle { next_at: now, attempts: 0 },
             heard_at: None,
+            quorum_heard_at: None,
             started_at: now,
             trusted_since: None,
             warmed: false,
@@ -185,9 +155,9 @@
         self.warmed
     }
 
-    /// Whether no core machine has answered lately.
+    /// Whether no core machine in quorum has answered lately.
     pub fn is_lost(&self, now: Duration) -> bool {
-        now.saturating_sub(self.heard_at.unwrap_or(self.started_at)) >= LOST_AFTER
+        now.saturating_sub(self.quorum_heard_at.unwrap_or(self.started_at)) >= LOST_AFTER
     }
 
     /// The settings name these seeds now.
@@ -203,7 +173,7 @@
     /// Everything that is to be started now.
     pub fn act(&mut self, now: Duration) -> Vec<WatchAction> {
         let wanted = self.wanted_machines(now);
-        self.drop_unwanted(&wanted);
+        self.drop_unwanted(now, &wanted);
         let mut actions = Vec::new();
         for address in wanted {
             let machine = self.machines.entry(address).or_insert_with(|| Machine::new(now));
@@ -233,9 +203,7 @@
             PollState::Polling { .. } => None,
         });
         let fetch = match self.fetch {
-            FetchState::Idle { next_at, .. } if self.newest_told() > self.configuration_generation => {
-                Some(next_at)
-            }
+            FetchState::Idle { next_at, .. } if self.is_told_newer() => Some(next_at),
             _ => None,
         };
         polls.chain(fetch).min()
@@ -250,15 +218,11 @@
     ) -> WatchChange {
         self.heard_at = Some(now);
         let Some(entry) = self.machines.get_mut(&machine) else { return WatchChange::default() };
-        let since = match entry.state {
-            PollState::Polling { since } => since,
-            PollState::Idle { .. } => now,
-        };
-        entry.state = PollState::Idle { next_at: now.max(since + POLL_SPACING) };
-        entry.failures = 0;
-        entry.answered = true;
-        entry.standing = response.standing;
-        entry.configuration_told = response.configuration_generation;
+        entry.answered(now, response.standing, response.configuration_generation);
+        self.newest_told = self.newest_told.max(response.configuration_generation);
+        if response.standing.in_quorum {
+            self.quorum_heard_at = Some(now);
+        }
         let trusted = entry.is_trusted();
         let mut change = WatchChange::default();
         if let Some(view) = response.view {
@@ -283,9 +247,7 @@
     /// The poll of `machine` has failed.
     pub fn poll_failed(&mut self, now: Duration, machine: SocketAddr) -> WatchChange {
         if let Some(entry) = self.machines.get_mut(&machine) {
-            let backoff = BACKOFF_MIN.saturating_mul(1 << entry.failures.min(8)).min(BACKOFF_MAX);
-            entry.failures += 1;
-            entry.state = PollState::Idle { next_at: now + backoff };
+            entry.failed(now);
         }
         WatchChange { standing: self.update_warmed(now), ..WatchChange::default() }
     }
@@ -312,8 +274,9 @@
         newer.is_some()
     }
 
-    fn newest_told(&self) -> u64 {
-        self.machines.values().map(|machine| machine.configuration_told).max().unwrap_or(0)
+    /// Whether a machine that is polled has told of a newer configuration than the one taken last.
+    fn is_told_newer(&self) -> bool {
+        self.machines.values().any(|machine| machine.configuration_told > self.configuration_generation)
     }
 
     fn fetch_action(&mut self, now: Duration) -> Option<WatchAction> {
@@ -343,7 +306,7 @@
         changed
     }
 
-    /// The machines to poll: the best ranked that answer, and those ranked before them that do not.
+    /// The machines to poll.
     fn wanted_machines(&self, now: Duration) -> Vec<SocketAddr> {
         let lost = self.is_lost(now);
         let mut known: BTreeSet<SocketAddr> = self.members.iter().copied().collect();
@@ -355,23 +318,26 @@
         }
         let mut ranked: Vec<SocketAddr> = known.into_iter().collect();
         ranked.sort_by_cached_key(|address| rank(&self.name, *address));
-        let mut healthy = 0;
-        let mut wanted = Vec::new();
-        for address in ranked {
-            if wanted.len() == ASKED_MACHINES || (healthy == POLLED_MACHINES && !lost) {
-                break;
-            }
-            let failures = self.machines.get(&address).map_or(0, |machine| machine.failures);
-            healthy += usize::from(failures == 0);
-            wanted.push(address);
+        select(&ranked, lost, |address| self.use_of(now, *address))
+    }
+
+    fn use_of(&self, now: Duration, address: SocketAddr) -> Use {
+        let is_set_aside = || self.set_aside.get(&address).is_some_and(|until| *until > now);
+        match self.machines.get(&address) {
+            Some(machine) => machine.use_of(),
+            None if is_set_aside() => Use::None,
+            None => Use::Untried,
         }
-        wanted
     }
 
-    fn drop_unwanted(&mut self, wanted: &[SocketAddr]) {
+    fn drop_unwanted(&mut self, now: Duration, wanted: &[SocketAddr]) {
+        self.set_aside.retain(|_, until| *until > now);
         let dropped: Vec<SocketAddr> =
             self.machines.keys().filter(|address| !wanted.contains(address)).copied().collect();
         for address in dropped {
+            if self.use_of(now, address) == Use::None {
+                self.set_aside.insert(address, now + RETRY_AFTER);
+            }
             self.machines.remove(&address);
             self.table.forget_machine(address);
         }
@@ -383,24 +349,10 @@
         if self.warmed || self.configuration_generation == 0 {
             return false;
         }
-        let current = self.configuration_generation >= self.newest_told();
+        let current = self.configuration_generation >= self.newest_told;
         let all_answered = self.machines.values().all(|machine| machine.answered);
         let waited = now.saturating_sub(trusted_since) >= WARM_UP;
         self.warmed = current && (all_answered || waited);
         self.warmed
     }
 }
-
-/// Rendezvous rank of a machine for the process `name`: lower is better.
-pub fn rank(name: &str, address: SocketAddr) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    let mut add = |byte: u8| hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    name.bytes().for_each(&mut add);
-    if let SocketAddr::V4(address) = address {
-        address.ip().octets().into_iter().chain(address.port().to_be_bytes()).for_each(&mut add);
-    }
-    // The last bytes differ most between addresses: spread them over all bits.
-    hash ^= hash >> 32;
-    hash = hash.wrapping_mul(0xd6e8_feb8_6659_fd93);
-    hash ^ (hash >> 32)
-}
--- a/crates/woadreach-discovery/tests/common/world.rs
+++ b/crates/woadreach-discovery/tests/common/world.rs
@@ -339,7 +339,12 @@
     }
 
     pub fn commit_configuration(&mut self, generation: u64) {
-        for core in 0..self.cores.len() {
+        let all: Vec<usize> = (0..self.cores.len()).collect();
+        self.commit_configuration_at(&all, generation);
+    }
+
+    pub fn commit_configuration_at(&mut self, cores: &[usize], generation: u64) {
+        for &core in cores {
             self.cores[core].committed.commit_configuration(generation);
             self.answer_polls(core);
         }
