A departure is acknowledged once a majority of the voters knows of it

Cause: `draining` and DELETE were acknowledged after 300 ms even if no other core machine had answered. A machine that was cut off so promised what the edges on the other side never heard; they went on with the replica until its silence was noticed, 10 s later, after its process had ended. Any other heartbeat was acknowledged by a machine that knew itself to be cut off; a replica that calls the same machine each time was taken as gone by all others after 3.5 heartbeats.

Change: the acknowledgement waits for all peers, after 300 ms for a majority of the voters, and is refused with 503 `out_of_quorum` after 700 ms; a peer that could not be told is told again. A machine that is out of quorum takes departures and other heartbeats, spreads them as far as it can, and answers 503, so that the replica calls the next machine within its second. Unchanged heartbeats are refused 200 times a second at most: without any quorum each replica would otherwise call every machine at every beat.

--- a/crates/woadreach-control/src/committed.rs
+++ b/crates/woadreach-control/src/committed.rs
@@ -24,7 +24,8 @@
     fn view(&self) -> ViewSummary {
         let status = self.driver.status();
         let members = status.members.into_iter().map(SocketAddr::V4).collect();
-        ViewSummary { epoch: status.epoch, in_quorum: status.in_quorum, members }
+        let voters = status.voters.into_iter().map(SocketAddr::V4).collect();
+        ViewSummary { epoch: status.epoch, in_quorum: status.in_quorum, voters, members }
     }
 
     fn configuration(&self) -> Option<(u64, Bytes)> {
--- a/crates/woadreach-control/src/instances.rs
+++ b/crates/woadreach-control/src/instances.rs
@@ -11,7 +11,9 @@
 use axum::routing::put;
 use serde::Deserialize;
 use snafu::Snafu;
-use woadreach_discovery::{CoreDiscovery, Heartbeat, HeartbeatError, ModelRecord, ReplicaState};
+use woadreach_discovery::{
+    AcknowledgeError, CoreDiscovery, Heartbeat, HeartbeatError, ModelRecord, ReplicaState,
+};
 
 /// Longest body of a heartbeat in bytes.
 pub const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
@@ -115,23 +117,29 @@
     acknowledge(discovery.leave(&id).await)
 }
 
-fn acknowledge(result: Result<(), HeartbeatError>) -> Response {
-    match result {
-        Ok(()) => (StatusCode::OK, [(header::CONTENT_TYPE, "application/json")], "{}").into_response(),
-        Err(error) => {
-            let (status, name) = match &error {
-                HeartbeatError::InvalidId { .. } => (StatusCode::BAD_REQUEST, "invalid_id"),
-                HeartbeatError::InvalidField { .. } => (StatusCode::BAD_REQUEST, "invalid_field"),
-                HeartbeatError::Stale { .. } => (StatusCode::CONFLICT, "stale_sequence"),
-                HeartbeatError::Departed { .. } => (StatusCode::GONE, "departed"),
-            };
-            refuse(status, name, &error.to_string())
-        }
-    }
+fn acknowledge(result: Result<(), AcknowledgeError>) -> Response {
+    let Err(error) = result else {
+        return (StatusCode::OK, [(header::CONTENT_TYPE, "application/json")], "{}").into_response();
+    };
+    let (status, name) = match &error {
+        AcknowledgeError::OutOfQuorum => (StatusCode::SERVICE_UNAVAILABLE, "out_of_quorum"),
+        AcknowledgeError::Refused { source } => match source {
+            HeartbeatError::InvalidId { .. } => (StatusCode::BAD_REQUEST, "invalid_id"),
+            HeartbeatError::InvalidField { .. } => (StatusCode::BAD_REQUEST, "invalid_field"),
+            HeartbeatError::Stale { .. } => (StatusCode::CONFLICT, "stale_sequence"),
+            HeartbeatError::Departed { .. } => (StatusCode::GONE, "departed"),
+        },
+    };
+    refuse(status, name, &error.to_string())
 }
 
 fn refuse(status: StatusCode, name: &'static str, message: &str) -> Response {
-    tracing::info!(%status, error = name, message, "heartbeat refused");
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        // Said of this machine, at every call while it lasts; `quorum` tells of it once.
+        tracing::debug!(error = name, "heartbeat taken, not acknowledged");
+    } else {
+        tracing::info!(%status, error = name, message, "heartbeat refused");
+    }
     let body = serde_json::json!({ "error": name, "message": message }).to_string();
     (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
 }
--- a/crates/woadreach-discovery/src/committed.rs
+++ b/crates/woadreach-discovery/src/committed.rs
@@ -10,8 +10,10 @@
 pub struct ViewSummary {
     /// Epoch of the view; 0 before the first.
     pub epoch: u64,
-    /// Whether this machine belongs to the view and is in touch with a majority of it.
+    /// Whether this machine is in contact with a majority of the voters, and has caught up since.
     pub in_quorum: bool,
+    /// Internal addresses of the view's voters.
+    pub voters: Vec<SocketAddr>,
     /// Internal addresses of the view's members.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -6,14 +6,16 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
+use snafu::Snafu;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::{Instant, MissedTickBehavior, sleep_until, timeout_at};
 use woadreach_rpc::{Client, Router, ServiceId};
 use woadreach_settings::NodeSettings;
 
 use crate::committed::CommittedState;
 use crate::core_state::{CoreIdentity, CoreState};
+use crate::departure::{DepartureRound, MAJORITY, Verdict};
 use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
     BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
@@ -25,8 +27,8 @@
 
 /// How often silence is looked at and batches are sent.
 const TICK: Duration = Duration::from_millis(250);
-/// How long a replica's departure waits for the other core machines to be told.
-const URGENT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before a peer that could not be told of a departure is told again.
+const URGENT_RETRY: Duration = Duration::from_millis(60);
 /// How long a core machine waits for another's registry.
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest wait of a poll.
@@ -34,6 +36,20 @@
 /// Pause before peers are asked for their registries again.
 const REGISTRY_RETRY: Duration = Duration::from_millis(500);
 
+/// Why a replica's call is not acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AcknowledgeError {
+    /// The call is not taken.
+    #[snafu(transparent)]
+    Refused {
+        /// Why.
+        source: HeartbeatError,
+    },
+    /// The call is taken here, but others may not hear of it; another core machine is to be called.
+    #[snafu(display("taken, but this machine may be cut off from the core's majority"))]
+    OutOfQuorum,
+}
+
 /// Discovery on a core machine.
 pub struct CoreDiscovery {
     incarnation: u64,
@@ -86,17 +102,15 @@
     }
 
     /// Takes a replica's heartbeat. A departure is acknowledged after the other core machines have been told.
-    pub async fn heartbeat(&self, id: &str, heartbeat: Heartbeat) -> Result<(), HeartbeatError> {
+    pub async fn heartbeat(&self, id: &str, heartbeat: Heartbeat) -> Result<(), AcknowledgeError> {
         let ack = self.state.lock().heartbeat(self.now(), id, heartbeat)?;
-        self.after_change(id, ack).await;
-        Ok(())
+        self.after_change(id, ack).await
     }
 
     /// Takes a replica's word that it ends, and tells the other core machines before it returns.
-    pub async fn leave(&self, id: &str) -> Result<(), HeartbeatError> {
+    pub async fn leave(&self, id: &str) -> Result<(), AcknowledgeError> {
         let ack = self.state.lock().leave(self.now(), id)?;
-        self.after_change(id, ack).await;
-        Ok(())
+        self.after_change(id, ack).await
     }
 
     /// What the registry took and refused since the start.
@@ -113,15 +127,24 @@
         self.started.elapsed()
     }
 
-    async fn after_change(&self, id: &str, ack: Ack) {
-        match ack {
-            Ack::Unchanged => {}
-            Ack::Changed => self.flush.notify_one(),
+    async fn after_change(&self, id: &str, ack: Ack) -> Result<(), AcknowledgeError> {
+        let is_acknowledged = match ack {
+            Ack::Unchanged => self.may_acknowledge(ack),
+            Ack::Changed => {
+                self.flush.notify_one();
+                self.may_acknowledge(ack)
+            }
             Ack::Leaving => {
                 self.publish();
-                self.tell_peers(id).await;
+                self.tell_peers(id).await
             }
-        }
+        };
+        if is_acknowledged { Ok(()) } else { OutOfQuorumSnafu.fail() }
+    }
+
+    fn may_acknowledge(&self, ack: Ack) -> bool {
+        let view = self.committed.view();
+        self.state.lock().may_acknowledge(self.now(), ack, &view)
     }
 
     /// Wakes the polls if the registry has news, and the puller if a peer knows more.
@@ -141,19 +164,42 @@
         }
     }
 
-    async fn tell_peers(&self, id: &str) {
-        let (batch, peers) = {
+    /// Tells the peers of a departure. Returns whether it may be acknowledged.
+    async fn tell_peers(&self, id: &str) -> bool {
+        let now = self.now();
+        let view = self.committed.view();
+        let (batch, peers, round) = {
             let state = self.state.lock();
-            let now = self.now();
-            (state.urgent_batch(now, id), state.peers(now, &self.committed.view()))
+            (state.urgent_batch(now, id), state.peers(now, &view), state.begin_departure(now, &view))
         };
         let body = encode(&Request::Urgent(batch));
+        match round {
+            Some(round) => self.await_peers(round, peers, body).await,
+            None => {
+                peers.into_iter().for_each(|peer| self.rpc.send(peer, ServiceId::DISCOVERY, body.clone()));
+                false
+            }
+        }
+    }
+
+    async fn await_peers(&self, mut round: DepartureRound, peers: Vec<SocketAddr>, body: Vec<u8>) -> bool {
+        let deadline = Instant::now() + MAJORITY;
         let mut calls = JoinSet::new();
         for peer in peers {
-            let (rpc, body) = (self.rpc.clone(), body.clone());
-            calls.spawn(async move { rpc.call(peer, ServiceId::DISCOVERY, body, URGENT_TIMEOUT).await });
+            calls.spawn(tell_peer(self.rpc.clone(), peer, body.clone(), deadline));
+        }
+        loop {
+            let until = match round.verdict(self.now()) {
+                Verdict::Acknowledged => return true,
+                Verdict::Unconfirmed => return false,
+                Verdict::Wait { until } => self.started + until,
+            };
+            match timeout_at(until, calls.join_next()).await {
+                Ok(Some(Ok(Some(peer)))) => round.answered(peer),
+                Ok(Some(_)) | Err(_) => {}
+                Ok(None) => sleep_until(until).await,
+            }
         }
-        while calls.join_next().await.is_some() {}
     }
 
     async fn exchange_batches(&self) {
@@ -275,3 +321,15 @@
         }
     }
 }
+
+/// Tells `peer` of a departure, again if need be. Returns the peer once it has answered.
+async fn tell_peer(rpc: Client, peer: SocketAddr, body: Vec<u8>, deadline: Instant) -> Option<SocketAddr> {
+    while Instant::now() < deadline {
+        let left = deadline - Instant::now();
+        if rpc.call(peer, ServiceId::DISCOVERY, body.clone(), left).await.is_ok() {
+            return Some(peer);
+        }
+        tokio::time::sleep(URGENT_RETRY).await;
+    }
+    None
+}
--- a/crates/woadreach-discovery/src/core_state.rs
+++ b/crates/woadreach-discovery/src/core_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::committed::{CommittedState, ViewSummary};
+use crate::departure::DepartureRound;
 use crate::exchange::{Inbox, Outbox, Urgency};
 use crate::messages::{Batch, PollRequest, PollResponse, RegistryResponse};
 use crate::registry::{Ack, HeartbeatError, Registry, RegistryVersion};
@@ -12,6 +13,10 @@
 use crate::server::{MAX_STATUSES, respond};
 use crate::warming::Observation;
 
+/// Unchanged heartbeats that a machine out of quorum refuses in a second, so that the replicas go on to
+/// others: without any quorum, each replica would otherwise call every core machine at each heartbeat.
+const REFUSALS_A_SECOND: u32 = 200;
+
 /// Who a core machine is.
 #[derive(Clone, Debug)]
 pub struct CoreIdentity {
@@ -38,6 +43,24 @@
     incomplete: BTreeSet<SocketAddr>,
     /// Replicas have been heard of since this machine is warming.
     heard_any: bool,
+    refusals: Refusals,
+}
+
+/// Heartbeats refused in the present second.
+#[derive(Default)]
+struct Refusals {
+    since: Duration,
+    count: u32,
+}
+
+impl Refusals {
+    fn may_refuse(&mut self, now: Duration) -> bool {
+        if now.saturating_sub(self.since) >= Duration::from_secs(1) {
+            *self = Self { since: now, count: 0 };
+        }
+        self.count += 1;
+        self.count <= REFUSALS_A_SECOND
+    }
 }
 
 impl CoreState {
@@ -52,6 +75,7 @@
             inbox: Inbox::default(),
             incomplete,
             heard_any: false,
+            refusals: Refusals::default(),
             identity,
         }
     }
@@ -94,6 +118,21 @@
         Ok(ack)
     }
 
+    /// Whether a heartbeat that was taken, and that is no departure, is acknowledged. A machine out of quorum
+    /// may be the only one that knows of it: the replica is to call another.
+    pub fn may_acknowledge(&mut self, now: Duration, ack: Ack, view: &ViewSummary) -> bool {
+        let is_cut_off = view.epoch > 0 && !view.in_quorum;
+        !is_cut_off || (ack == Ack::Unchanged && !self.refusals.may_refuse(now))
+    }
+
+    /// Begins to tell the peers of a departure. Nothing if this machine is out of quorum, and can promise
+    /// nothing.
+    pub fn begin_departure(&self, now: Duration, view: &ViewSummary) -> Option<DepartureRound> {
+        let is_cut_off = view.epoch > 0 && !view.in_quorum;
+        let peers = self.peers(now, view);
+        (!is_cut_off).then(|| DepartureRound::new(now, self.identity.address, &peers, view))
+    }
+
     /// The other core machines: members of the view, and those that send batches; the seeds before there is
     /// a view.
     pub fn peers(&self, now: Duration, view: &ViewSummary) -> Vec<SocketAddr> {
--- a/crates/woadreach-discovery/src/lib.rs
+++ b/crates/woadreach-discovery/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control_watch;
 pub mod core;
 pub mod core_state;
+pub mod departure;
 pub mod exchange;
 pub mod messages;
 mod polled_machine;
@@ -31,7 +32,7 @@
 
 pub use committed::{CommittedState, ViewSummary};
 pub use control_watch::ControlWatch;
-pub use core::CoreDiscovery;
+pub use core::{AcknowledgeError, CoreDiscovery};
 pub use registry::{Ack, HeartbeatError, Registry};
 pub use replica::{Heartbeat, ModelRecord, ReplicaRecord, ReplicaState};
 pub use sampler::Sampler;
--- a/crates/woadreach-discovery/src/polled_machine.rs
+++ b/crates/woadreach-discovery/src/polled_machine.rs
@@ -11,6 +11,7 @@
 pub const BACKOFF_MIN: Duration = Duration::from_millis(60);
 /// Longest pause after a failed poll.
 pub const BACKOFF_MAX: Duration = Duration::from_millis(800);
+
 /// Whether a poll is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PollState {
