Orders leave a cut-off machine soon, and a head that has been replaced

Cause: a core machine without a majority kept an order for 780 ms, whether it was the former head or passed it on, before it answered 503; an order passed on to a head that froze waited for that head's answer although the next view was already in force here.

Change: `order_route` decides the next step from the member's status. An order is given up (503, `OutOfQuorum`) once it has met this machine out of quorum for 400 ms. While an order waits at a head, a view with another head ends the wait and asks the new one; an order may be carried out twice anyway. Calls whose caller has gone run to their own end, so that the connection forgets their numbers. The same for calls to peers about departures.

Measured: tests/order_route.rs and a lone machine of three (all kinds of orders: `OutOfQuorum`; invalid configurations still 400). The change of heads in the middle of a call is tested as a decision only, not over sockets.

--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -7,13 +7,17 @@
 use bytes::Bytes;
 use snafu::Snafu;
 use speedy::{Endianness, Readable, Writable};
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
-use woadreach_chain::{Blob, Command, PutConfiguration, PutStorageView, Rejection, Reply, Request};
+use woadreach_chain::{
+    Blob, Command, MemberId, PutConfiguration, PutStorageView, Rejection, Reply, Request, Status,
+};
 use woadreach_rpc::{CallError, Client, ServiceId};
 use woadreach_storage::StorageView;
 use woadreach_storage::view::{RetireError, retire};
 
 use crate::member_driver::MemberDriver;
+use crate::order_route::{QUORUM_WAIT, Step, is_superseded, next_step};
 
 /// Version of the format of orders between core machines.
 const ORDER_VERSION: u8 = 1;
@@ -61,11 +65,38 @@
     /// This machine knows of no head that answers.
     #[snafu(display("no head of the chain answers"))]
     NoHead,
+    /// This machine is cut off from the core's majority.
+    #[snafu(display("this machine is cut off from the core's majority"))]
+    OutOfQuorum,
     /// The chain did not finish in time.
     #[snafu(display("the chain did not finish in time"))]
     Late,
 }
 
+/// How far an order has come.
+#[derive(Default)]
+struct Progress {
+    has_reached_head: bool,
+    /// Since when this machine has been out of quorum, as this order has met it.
+    out_of_quorum_since: Option<Instant>,
+}
+
+impl Progress {
+    /// Notes the machine's standing. Gives back when it is to be looked at again if it is out of quorum.
+    fn look(&mut self, status: &Status) -> Instant {
+        let now = Instant::now();
+        if status.in_quorum {
+            self.out_of_quorum_since = None;
+            return now + ORDER_TIMEOUT;
+        }
+        *self.out_of_quorum_since.get_or_insert(now) + QUORUM_WAIT
+    }
+
+    fn out_of_quorum_for(&self) -> Duration {
+        self.out_of_quorum_since.map(|since| since.elapsed()).unwrap_or_default()
+    }
+}
+
 /// Passes orders to the head of the chain.
 pub struct OrderService {
     driver: Arc<MemberDriver>,
@@ -85,45 +116,63 @@
         OrderService { driver, rpc, own_address, tolerated }
     }
 
-    /// Carries an order out, here or at the head, and waits for the answer until `deadline`.
+    /// Carries an order out, here or at the head, and waits for the answer until `deadline`. A new head is asked
+    /// at once, whatever the former one does; an order may be carried out twice.
     pub async fn execute(&self, order: Order, deadline: Instant) -> Result<Answer, Unanswered> {
         let mut changes = self.driver.changes();
-        let mut reached_head = false;
+        let mut progress = Progress::default();
         loop {
             changes.borrow_and_update();
-            if let Some(answer) = self.attempt(&order, deadline, &mut reached_head).await {
-                return Ok(answer);
+            let status = self.driver.status();
+            let until = deadline.min(progress.look(&status));
+            let superseded = head_changed(&self.driver, self.driver.changes(), status.head);
+            tokio::select! {
+                answer = self.attempt(&order, &status, until, &mut progress) => match answer? {
+                    Some(answer) => return Ok(answer),
+                    None => {
+                        let retry = (Instant::now() + RETRY_PAUSE).min(deadline);
+                        // A pause that ends without news is a try of its own.
+                        let _ = timeout_at(retry, changes.changed()).await;
+                    }
+                },
+                () = superseded => {}
             }
-            let retry = (Instant::now() + RETRY_PAUSE).min(deadline);
-            // A pause that ends without news is a try of its own.
-            let _ = timeout_at(retry, changes.changed()).await;
             if Instant::now() >= deadline {
-                return if reached_head { LateSnafu.fail() } else { NoHeadSnafu.fail() };
+                return if progress.has_reached_head { LateSnafu.fail() } else { NoHeadSnafu.fail() };
             }
         }
     }
 
-    async fn attempt(&self, order: &Order, deadline: Instant, reached_head: &mut bool) -> Option<Answer> {
-        let status = self.driver.status();
-        if status.is_head {
-            *reached_head = true;
-            return timeout_at(deadline, execute_at_head(&self.driver, self.tolerated, order))
-                .await
-                .ok()
-                .flatten();
-        }
-        let head = SocketAddr::V4(status.head?.address);
-        if head == self.own_address {
-            return None;
+    async fn attempt(
+        &self,
+        order: &Order,
+        status: &Status,
+        until: Instant,
+        progress: &mut Progress,
+    ) -> Result<Option<Answer>, Unanswered> {
+        match next_step(status, self.own_address, progress.out_of_quorum_for()) {
+            Step::GiveUp => OutOfQuorumSnafu.fail(),
+            Step::Wait => Ok(None),
+            Step::Execute => {
+                progress.has_reached_head = true;
+                let answer = execute_at_head(&self.driver, self.tolerated, order);
+                Ok(timeout_at(until, answer).await.ok().flatten())
+            }
+            Step::Forward(head) => {
+                let result = self.forward(head, order, until).await;
+                progress.has_reached_head |=
+                    !matches!(result, Err(CallError::Unreachable | CallError::Refused));
+                Ok(result.ok().and_then(|response| decode_answer(&response)))
+            }
         }
-        let result = self.forward(head, order, deadline).await;
-        *reached_head |= !matches!(result, Err(CallError::Unreachable | CallError::Refused));
-        result.ok().and_then(|response| decode_answer(&response))
     }
 
     async fn forward(&self, head: SocketAddr, order: &Order, deadline: Instant) -> Result<Bytes, CallError> {
         let left = deadline.saturating_duration_since(Instant::now());
-        self.rpc.call(head, ServiceId::FORWARD, encode_order(order, left), left).await
+        let (rpc, body) = (self.rpc.clone(), encode_order(order, left));
+        // In a task of its own, the call ends in good order also when nobody waits for it any more.
+        let call = tokio::spawn(async move { rpc.call(head, ServiceId::FORWARD, body, left).await });
+        call.await.unwrap_or(Err(CallError::Broken))
     }
 
     /// Answers an order that another core machine passed on; an empty response is no answer.
@@ -135,6 +184,15 @@
     }
 }
 
+/// Returns once `head` is not the head any more, as this machine knows it.
+async fn head_changed(driver: &MemberDriver, mut changes: watch::Receiver<u64>, head: Option<MemberId>) {
+    while !is_superseded(head, &driver.status()) {
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Carries an order out at the head; nothing if this machine isn't the head any more.
 async fn execute_at_head(driver: &MemberDriver, tolerated: usize, order: &Order) -> Option<Answer> {
     match order {
--- a/crates/woadreach-control/tests/operator_api.rs
+++ b/crates/woadreach-control/tests/operator_api.rs
@@ -9,12 +9,13 @@
 use axum::http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 use tower::ServiceExt;
 use woadreach_chain::{MemberOptions, Place, Tolerance};
 use woadreach_control::durable_log::{RecoveredMember, encode_snapshot, recover};
 use woadreach_control::member_driver::{MemberDriver, new_durable};
 use woadreach_control::operator;
-use woadreach_control::order::OrderService;
+use woadreach_control::order::{ORDER_TIMEOUT, Order, OrderService, Unanswered};
 use woadreach_journal::{Journal, JournalOptions};
 use woadreach_rpc::{Client, ClientOptions};
 
@@ -22,9 +23,23 @@
 
 /// The API of a core machine that is the whole core, once it is the head.
 async fn start(folder: &Path) -> Router {
+    let driver = start_member(folder, vec![ADDRESS]).await;
+    let mut changes = driver.changes();
+    while !driver.status().is_head {
+        changes.changed().await.expect("the driver runs");
+    }
+    operator::router(Arc::new(order_service(driver)))
+}
+
+fn order_service(driver: Arc<MemberDriver>) -> OrderService {
+    OrderService::new(driver, Client::new(ClientOptions::default()), SocketAddr::V4(ADDRESS), 0)
+}
+
+/// A core machine whose seeds are these.
+async fn start_member(folder: &Path, seeds: Vec<SocketAddrV4>) -> Arc<MemberDriver> {
     let options = MemberOptions {
         address: ADDRESS,
-        seeds: vec![ADDRESS],
+        seeds,
         tolerance: Tolerance::default(),
         place: Place::default(),
         random_seed: 1,
@@ -38,13 +53,7 @@
             RecoveredMember { durable, number: 0 }
         }
     };
-    let rpc = Client::new(ClientOptions::default());
-    let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let mut changes = driver.changes();
-    while !driver.status().is_head {
-        changes.changed().await.expect("the driver runs");
-    }
-    operator::router(Arc::new(OrderService::new(driver, rpc, SocketAddr::V4(ADDRESS), 0)))
+    MemberDriver::start(options, recovered, journal, Client::new(ClientOptions::default()))
 }
 
 fn configuration(generation: u64, timeout_ms: u64) -> Value {
@@ -179,3 +188,23 @@
     assert_eq!(call(&api, request.expect("a request")).await.0, StatusCode::NOT_FOUND);
     assert_eq!(get(&api, "/retire/storage-1").await.0, StatusCode::NOT_FOUND);
 }
+
+#[tokio::test]
+async fn a_machine_that_is_cut_off_from_the_others_sends_callers_elsewhere() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let others = [2, 3].map(|port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
+    let driver = start_member(folder.path(), vec![ADDRESS, others[0], others[1]]).await;
+    let orders = order_service(driver);
+    let orders_of_all_kinds = [
+        Order::ReadConfiguration,
+        Order::Retire { node: "storage-1".to_owned() },
+        Order::RetireState { node: "storage-1".to_owned() },
+    ];
+    for order in orders_of_all_kinds {
+        let answer = orders.execute(order, Instant::now() + ORDER_TIMEOUT).await;
+        assert_eq!(answer, Err(Unanswered::OutOfQuorum), "before the time for an order is over");
+    }
+    let api = operator::router(Arc::new(orders));
+    assert_eq!(put_value(&api, 0, &configuration(5, 1000)).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(put(&api, 0, "{}").await, StatusCode::BAD_REQUEST, "invalid whatever is in force");
+}
--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -188,10 +188,10 @@
         for peer in peers {
             calls.spawn(tell_peer(self.rpc.clone(), peer, body.clone(), deadline));
         }
-        loop {
+        let is_acknowledged = loop {
             let until = match round.verdict(self.now()) {
-                Verdict::Acknowledged => return true,
-                Verdict::Unconfirmed => return false,
+                Verdict::Acknowledged => break true,
+                Verdict::Unconfirmed => break false,
                 Verdict::Wait { until } => self.started + until,
             };
             match timeout_at(until, calls.join_next()).await {
@@ -199,7 +199,10 @@
                 Ok(Some(_)) | Err(_) => {}
                 Ok(None) => sleep_until(until).await,
             }
-        }
+        };
+        // Peers that have not answered are told all the same, until the deadline.
+        calls.detach_all();
+        is_acknowledged
     }
 
     async fn exchange_batches(&self) {
