Storage machines that hear only cut-off core machines know it

Cause: an answer of any core machine told a storage machine that it was not cut off. One that shared the small side of a cut with a core machine never took itself for cut off, so it did not pull what it had missed when the cut ended, and stayed without its copies.

Change: the answer to an announcement says whether that core machine is in quorum; only such answers count, and another machine is asked after one that is not. What was acknowledged stood on a write quorum without that machine, so nothing was lost by it; the third copy was missing.

Measured: tests/announce.rs for the answer. The pull that follows from it is the one that the storage simulation plays already (cuts noticed by silence); no run over sockets was made.

--- a/crates/woadreach-control/src/storage_planner.rs
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -44,7 +44,8 @@
     /// Adds the handler of the storage machines' announcements.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let planner = Arc::clone(self);
-        let heard = handler(Arc::clone(&self.announcements));
+        let driver = Arc::clone(&self.driver);
+        let heard = handler(Arc::clone(&self.announcements), move || driver.status().in_quorum);
         router.route(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
             planner.relay(peer, &body);
             heard(peer, body)
--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -14,13 +14,13 @@
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId, serve};
 use woadreach_settings::NodeSettings;
 use woadreach_storage::StorageView;
-use woadreach_storage::announce::ANNOUNCE_INTERVAL;
+use woadreach_storage::announce::{ANNOUNCE_INTERVAL, is_from_quorum};
 use woadreach_storage::message::encode;
 use woadreach_storage::server::{Server, ServerError, ServerOptions};
 
 /// Bytes in a megabyte of the settings.
 const MEGABYTE: u64 = 1_000_000;
-/// Without an answer of the core for this long, this machine was cut off.
+/// Without an answer of a core machine in quorum for this long, this machine was cut off.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_800);
 /// How long the answer to an announcement is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -109,8 +109,8 @@
     }
 }
 
-/// Tells the core machines, at intervals and at once when a pull has ended. One of them is to answer: after a
-/// time without answers this machine was cut off and may have missed records.
+/// Tells the core machines, at intervals and at once when a pull has ended. One of them that is in quorum is to
+/// answer: after a time without such answers this machine was cut off and may have missed records.
 async fn announce(
     server: &Server,
     rpc: &Client,
@@ -130,7 +130,8 @@
         }
         let answered = async {
             let Some(address) = core.get(asked) else { return false };
-            rpc.call(*address, ServiceId::ANNOUNCE, announcement.clone(), ANSWER_TIMEOUT).await.is_ok()
+            let answer = rpc.call(*address, ServiceId::ANNOUNCE, announcement.clone(), ANSWER_TIMEOUT).await;
+            answer.is_ok_and(|answer| is_from_quorum(&answer))
         };
         let pause = async {
             tokio::select! {
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -101,18 +101,26 @@
     }
 }
 
-/// Handler of announcements for a core machine's router.
+/// Handler of announcements for a core machine's router. It answers whether that machine is in quorum now:
+/// a storage machine that hears only core machines that are cut off is cut off itself.
 pub fn handler(
     announcements: Arc<Mutex<Announcements>>,
+    is_in_quorum: impl Fn() -> bool + Send + Sync + 'static,
 ) -> impl Fn(SocketAddr, Bytes) -> Ready<Vec<u8>> + Send + Sync + 'static {
     move |_, body| {
         if let Some(announcement) = message::decode::<Announcement>(&body) {
             announcements.lock().heard(Instant::now(), announcement);
         }
-        ready(Vec::new())
+        ready(vec![u8::from(is_in_quorum())])
     }
 }
 
+/// Whether the answer to an announcement comes from a core machine in quorum.
+#[must_use]
+pub fn is_from_quorum(answer: &[u8]) -> bool {
+    answer == [1]
+}
+
 /// Checks at compile time that the handler's future may be spawned.
 const _: fn() = || {
     fn sendable<F: Future + Send>() {}
--- /dev/null
+++ b/crates/woadreach-storage/tests/announce.rs
@@ -0,0 +1,24 @@
+//! What a core machine answers to a storage machine's announcement.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use woadreach_storage::announce::{Announcements, handler, is_from_quorum};
+
+#[tokio::test]
+async fn the_answer_says_whether_the_core_machine_is_in_quorum() {
+    let is_in_quorum = Arc::new(AtomicBool::new(true));
+    let known = Arc::clone(&is_in_quorum);
+    let announcements = Arc::new(Mutex::new(Announcements::new(Instant::now())));
+    let handle = handler(announcements, move || known.load(Ordering::Relaxed));
+    let peer = SocketAddr::from(([10, 0, 0, 1], 7000));
+    for expected in [true, false, true] {
+        is_in_quorum.store(expected, Ordering::Relaxed);
+        assert_eq!(is_from_quorum(&handle(peer, Bytes::new()).await), expected);
+    }
+    assert!(!is_from_quorum(&[]), "an answer that says nothing proves nothing");
+}
