Core: a member asks for the committed state where it is heard

Cause: a member outside the chain asks whoever tells of a newer state, once in 150 ms. With one link cut one way, the member it asked did not hear it, and the request used up the interval in which the other member, which did, told of the same. As both tell every 200 ms, this went on for as long as the cut: the member, in contact with a majority, served an old configuration to its edges all that time.

Change: only a member in contact is asked.

Test: the long cuts now include the link between two machines, and orders must be answered within 4 s from 3 s after the cut on.

--- a/crates/woadreach-chain/src/member/signs_of_life.rs
+++ b/crates/woadreach-chain/src/member/signs_of_life.rs
@@ -62,7 +62,11 @@
 
     pub(super) fn take_ping(&mut self, now: Duration, from: MemberId, ping: &Ping) {
         self.peers.pinged(now, from, ping);
-        let wants_state = ping.committed > self.published.stamp && !self.is_active();
+        // Somebody who does not hear this member cannot answer, and must not use up the interval.
+        let can_answer = self.peers.is_in_contact(now, from);
+        #[cfg(feature = "plants")]
+        let can_answer = can_answer || self.has_plant(crate::plants::Plant::StateFromTheDeaf);
+        let wants_state = can_answer && ping.committed > self.published.stamp && !self.is_active();
         if wants_state && now.saturating_sub(self.state_requested) >= STATE_REQUEST_INTERVAL {
             self.state_requested = now;
             self.send_now(from.address, Body::RequestState);
--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -12,4 +12,6 @@
     DigestsForgotten,
     /// A member that hears a majority takes itself for in quorum, whoever hears it.
     QuorumByHearing,
+    /// The committed state is asked for at members that do not hear this one, too.
+    StateFromTheDeaf,
 }
--- a/crates/woadreach-chain/tests/cut_off.rs
+++ b/crates/woadreach-chain/tests/cut_off.rs
@@ -40,12 +40,22 @@
 }
 
 #[cfg(feature = "plants")]
-#[test]
-fn a_quorum_by_hearing_alone_is_found() {
-    let bug = Some(PlantedBug::Member(woadreach_chain::Plant::QuorumByHearing));
-    let is_found = (1..=100).any(|seed| {
+fn is_found(plant: woadreach_chain::Plant) -> bool {
+    (1..=100).any(|seed| {
+        let bug = Some(PlantedBug::Member(plant));
         let finding = play(CutRun { seed, nodes: 3, fault_tolerance: 1, bug });
         finding.violations.iter().any(|violation| matches!(violation, Violation::StaleInQuorum { .. }))
-    });
-    assert!(is_found);
+    })
+}
+
+#[cfg(feature = "plants")]
+#[test]
+fn a_quorum_by_hearing_alone_is_found() {
+    assert!(is_found(woadreach_chain::Plant::QuorumByHearing));
+}
+
+#[cfg(feature = "plants")]
+#[test]
+fn a_member_that_asks_for_the_state_where_nobody_hears_it_is_found() {
+    assert!(is_found(woadreach_chain::Plant::StateFromTheDeaf));
 }
--- a/crates/woadreach-chain/tests/simulation/cuts.rs
+++ b/crates/woadreach-chain/tests/simulation/cuts.rs
@@ -1,15 +1,21 @@
-//! Long cuts of one machine or of as many as may be lost: both ways, or one way only; with restarts, power
-//! loss and freezes of those that are cut off. Operators ask both sides.
+//! Long cuts of one machine, of as many as may be lost, or of the link between two: both ways, or one way only;
+//! with restarts, power loss and freezes of those that are cut off. Operators ask both sides, and are answered
+//! all the time.
 
 use std::time::Duration;
 
 use super::faults::{Finding, cut_off, finish};
+use super::history::Violation;
 use super::world::{PlantedBug, World};
 
 /// A machine that says that it is in quorum has every configuration acknowledged so long ago.
 const LONGEST_LAG: Duration = Duration::from_millis(1500);
 /// How often the machines' claims are looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// The others may need so long after the cut until they take changes again.
+const FAILOVER: Duration = Duration::from_secs(3);
+/// An order is answered within this time while a majority is connected.
+const ANSWER: Duration = Duration::from_secs(4);
 /// Longest pause between two events at machines that are cut off.
 const PAUSE: Duration = Duration::from_secs(6);
 
@@ -32,13 +38,23 @@
     let count = 1 + world.pick(run.fault_tolerance);
     let struck: Vec<usize> = (0..count).map(|offset| (first + offset) % run.nodes).collect();
     let (is_one_way, is_outward) = (world.chance(0.6), world.chance(0.5));
-    world.trace(|| format!("{struck:?} cut off, one way {is_one_way}, outward {is_outward}"));
-    cut_off(&mut world, &struck, is_one_way, is_outward);
+    let is_link = world.chance(0.3);
+    world.trace(|| format!("{struck:?} cut off, link {is_link}, one way {is_one_way}, outward {is_outward}"));
+    if is_link {
+        let other = (first + count) % run.nodes;
+        cut_link(&mut world, first, other, is_one_way);
+    } else {
+        cut_off(&mut world, &struck, is_one_way, is_outward);
+    }
+    run_watched(&mut world, FAILOVER);
     let end = world.now + Duration::from_secs(8) + world.random_duration(Duration::from_secs(14));
     while world.now < end {
-        strike_one(&mut world, &struck);
+        // Where one link is cut, all machines take part: none of them may be lost besides.
+        if !is_link {
+            strike_one(&mut world, &struck);
+        }
         let pause = world.random_duration(PAUSE).min(end - world.now);
-        run_watched(&mut world, pause);
+        run_answered(&mut world, pause);
     }
     world.trace(|| "the cut ends".to_owned());
     world.cuts.clear();
@@ -46,6 +62,27 @@
     finish(world)
 }
 
+fn cut_link(world: &mut World, one: usize, two: usize, is_one_way: bool) {
+    world.cuts.insert((one, two));
+    if !is_one_way {
+        world.cuts.insert((two, one));
+    }
+}
+
+/// Runs on, and asks that orders are answered meanwhile.
+fn run_answered(world: &mut World, length: Duration) {
+    let end = world.now + length;
+    let start = world.now;
+    while world.now < end {
+        let step = LOOK_INTERVAL.min(end - world.now);
+        run_watched(world, step);
+        let last = world.history.last_answered_at.unwrap_or_default();
+        if world.now.saturating_sub(last.max(start)) > ANSWER {
+            return world.history.report(Violation::NoAnswers);
+        }
+    }
+}
+
 /// One of the machines that are cut off restarts, loses power, freezes for a while, or goes on.
 fn strike_one(world: &mut World, struck: &[usize]) {
     let node = struck[world.pick(struck.len())];
--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -54,6 +54,8 @@
     ForeignRead { generation: u64 },
     /// A machine that said that it was in quorum had an older configuration than one acknowledged long before.
     StaleInQuorum { node: usize, published: u64, acknowledged: u64 },
+    /// While a majority was connected, no order was answered for long.
+    NoAnswers,
     /// After everything was well again, nothing could be written.
     NoProgress,
 }
@@ -72,6 +74,8 @@
     pub published_count: u64,
     pub acknowledged: u64,
     pub last_acknowledged_at: Option<Duration>,
+    /// When an operator last had a clear answer of any kind.
+    pub last_answered_at: Option<Duration>,
 }
 
 impl History {
@@ -85,6 +89,7 @@
             self.acknowledged += 1;
             self.last_acknowledged_at = Some(now);
         }
+        self.last_answered_at = Some(now);
         self.orders[attempt.0].answered = Some((now, outcome));
     }
 
