A leaving edge takes only what it can answer before its end

Cause: where less than half of a zone's edges are ready, the platform goes on passing connections to those that are leaving. Ruled out: connections left open by the edge (they were new ones), the grace period (kept). Change: from the moment at which the platform has noticed, a request is taken only if it is given up, by the client's or the route's limit, before the planned end; else 503 with Retry-After, which promises that it has not run. Measured: tests/planned_stop.rs, 3 tests, the first fails without the change.

--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -147,9 +147,13 @@
     if route.kept && facts.program.is_none() {
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
     }
+    let give_up = give_up_at(arrived, facts.timeout, route.timeout);
+    if !proxy.lifecycle.takes_request(give_up) {
+        return Err(Rejection::NotReady);
+    }
     let body = read_body(proxy, body, &knowledge.limits()).await?;
     Ok(ClientRequest {
-        give_up: give_up_at(arrived, facts.timeout, route.timeout),
+        give_up,
         stride: knowledge.stride(&route),
         facts,
         route,
--- a/crates/woadreach-proxy/src/shutdown.rs
+++ b/crates/woadreach-proxy/src/shutdown.rs
@@ -4,6 +4,7 @@
 use crate::lifecycle::Phase;
 use crate::proxy::Proxy;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long the platform takes to notice that the process is not ready any more: two missed calls and some.
 const NOTICE_TIME: Duration = Duration::from_millis(2800);
@@ -16,6 +17,7 @@
 pub async fn stop(proxy: &Proxy, front: &Front, grace_period: Duration) {
     tracing::info!(requests = proxy.lifecycle.requests(), "leaving");
     let whole = grace_period.saturating_sub(LAST_MARGIN);
+    proxy.lifecycle.plan_end(Instant::now() + whole);
     proxy.lifecycle.enter(Phase::Leaving);
     tokio::time::sleep(NOTICE_TIME.min(whole)).await;
     let rest = whole.saturating_sub(NOTICE_TIME);
--- /dev/null
+++ b/crates/woadreach-proxy/tests/planned_stop.rs
@@ -0,0 +1,60 @@
+//! What a process that is about to end still takes.
+
+mod support;
+
+use std::time::Duration;
+use support::replica::{Replica, success};
+use support::tier::Tier;
+use support::{ask, on_one_thread};
+use tokio::time::Instant;
+use woadreach_proxy::lifecycle::{Lifecycle, Phase};
+
+/// Time that is left to the process in these tests; the routes' timeout is 5 s.
+const LEFT: Duration = Duration::from_millis(3000);
+
+fn stream(timeout_ms: u32) -> String {
+    format!(
+        "POST /once/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\nTimeout-Ms: {timeout_ms}\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+#[test]
+fn an_answer_that_may_be_due_after_the_end_is_refused_and_not_run() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        tier.proxy.lifecycle.plan_end(Instant::now() + LEFT);
+        tier.proxy.lifecycle.enter(Phase::Closing);
+        let refused = ask(tier.front, &stream(4500)).await;
+        assert_eq!((refused.status(), refused.header("connection")), (503, Some("close")));
+        assert!(refused.header("retry-after").is_some());
+        assert!(replica.received().is_empty(), "a refusal promises that the request has not run");
+        let served = ask(tier.front, &stream(1000)).await;
+        assert_eq!(served.status(), 200);
+    });
+}
+
+#[test]
+fn until_the_platform_has_noticed_every_request_is_taken() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        tier.proxy.lifecycle.plan_end(Instant::now() + LEFT);
+        tier.proxy.lifecycle.enter(Phase::Leaving);
+        assert_eq!(ask(tier.front, &stream(4500)).await.status(), 200);
+    });
+}
+
+#[test]
+fn the_first_planned_end_counts() {
+    on_one_thread(async {
+        let lifecycle = Lifecycle::default();
+        let now = Instant::now();
+        lifecycle.plan_end(now + LEFT);
+        lifecycle.plan_end(now + 10 * LEFT);
+        lifecycle.enter(Phase::Closing);
+        assert!(lifecycle.takes_request(now + LEFT));
+        assert!(!lifecycle.takes_request(now + LEFT + Duration::from_millis(1)));
+    });
+}
