--- a/crates/woadreach-journal/src/engine.rs
+++ b/crates/woadreach-journal/src/engine.rs
@@ -156,17 +156,22 @@
         Some(self.end_replacement(&replacement))
     }
 
-    /// Writes the last piece, the head and what was appended meanwhile, and goes on in the new slot.
+    /// Writes the last piece and what was appended meanwhile, then the head, and goes on in the new slot.
+    ///
+    /// The head makes the slot the newer one, so it is written only once all the rest is synced: with a head
+    /// and without the appended frames, a loss of power would bring the slot back without acknowledged
+    /// records.
     fn end_replacement(&mut self, replacement: &Replacement) -> Result<Synced, JournalError> {
         let previous = self.position.slot;
         let start = replacement.written;
         let (position, tail) = self.tail_frames(replacement);
-        self.replacement_in_doubt = true;
         self.write(position.slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..])?;
         self.write(position.slot, position.log_start, &tail)?;
+        self.truncate(position.slot, position.end)?;
+        self.sync(position.slot)?;
+        self.replacement_in_doubt = true;
         let header = self.next_header(&replacement.snapshot);
         self.write(position.slot, 0, &format::encode_header(&header))?;
-        self.truncate(position.slot, position.end)?;
         self.sync(position.slot)?;
         self.replacement_in_doubt = false;
         self.position = position;
--- a/crates/woadreach-journal/src/lib.rs
+++ b/crates/woadreach-journal/src/lib.rs
@@ -25,4 +25,4 @@
 pub use error::JournalError;
 pub use journal::{Journal, JournalOptions};
 pub use recovery::Recovered;
-pub use simulated::{DiskFault, SimulatedDisk};
+pub use simulated::{DiskFault, SimulatedDisk, Survival};
--- a/crates/woadreach-journal/src/simulated.rs
+++ b/crates/woadreach-journal/src/simulated.rs
@@ -24,6 +24,25 @@
     IgnoresSync,
 }
 
+/// What a loss of power leaves of one change that no sync covers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Survival {
+    /// All of it.
+    Present,
+    /// Nothing of it.
+    Missing,
+    /// A write's bytes before the middle.
+    FirstHalf,
+    /// A write's bytes from the middle on.
+    LastHalf,
+}
+
+impl Survival {
+    /// Every outcome.
+    pub const ALL: [Survival; 4] =
+        [Survival::Present, Survival::Missing, Survival::FirstHalf, Survival::LastHalf];
+}
+
 #[derive(Debug, Clone)]
 enum Change {
     Write { offset: u64, bytes: Vec<u8> },
@@ -42,6 +61,34 @@
     fault: DiskFault,
     writes: u64,
     syncs: u64,
+    /// Operations that change a file, so far.
+    changes: u64,
+    /// The change of this number fails.
+    failing_change: Option<u64>,
+    /// Power is lost in the middle of the change of this number.
+    last_change: Option<u64>,
+}
+
+/// What becomes of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeOutcome {
+    Succeeds,
+    /// The change is in the file, unsynced, and an error is reported.
+    DoneAndFails,
+    Fails,
+}
+
+impl State {
+    /// Counts a change; what becomes of it.
+    fn next_outcome(&mut self) -> ChangeOutcome {
+        let number = self.changes;
+        self.changes += 1;
+        if self.last_change.is_some_and(|last| number > last) {
+            return ChangeOutcome::Fails;
+        }
+        let is_failing = self.last_change == Some(number) || self.failing_change == Some(number);
+        if is_failing { ChangeOutcome::DoneAndFails } else { ChangeOutcome::Succeeds }
+    }
 }
 
 /// Handle of a disk; clones share its content, as a machine's processes share its disk over time.
@@ -63,6 +110,52 @@
         (state.writes, state.syncs)
     }
 
+    /// Number of writes, truncations and syncs so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.state.lock().changes
+    }
+
+    /// The change of this number (see [`SimulatedDisk::changes`]) fails, and no other. A write or a truncation
+    /// is done all the same, a sync isn't.
+    pub fn fail_change(&self, number: u64) {
+        self.state.lock().failing_change = Some(number);
+    }
+
+    /// From the change of this number on everything fails, until [`SimulatedDisk::return_power`]. A write or a
+    /// truncation of this very number may be found afterwards.
+    pub fn cut_power(&self, number: u64) {
+        self.state.lock().last_change = Some(number);
+    }
+
+    /// Number of changes of both files that no sync covers.
+    #[must_use]
+    pub fn unsynced_changes(&self) -> usize {
+        self.state.lock().files.iter().map(|file| file.unsynced.len()).sum()
+    }
+
+    /// Power is back; of the unsynced changes, in the order of the files, these parts are found.
+    pub fn return_power(&self, survivals: impl IntoIterator<Item = Survival>) {
+        let mut state = self.state.lock();
+        state.failing_change = None;
+        state.last_change = None;
+        let mut survivals = survivals.into_iter();
+        for file in &mut state.files {
+            for change in std::mem::take(&mut file.unsynced) {
+                let survival = survivals.next().unwrap_or(Survival::Missing);
+                survive(&mut file.durable, &change, survival);
+            }
+        }
+    }
+
+    /// A disk with the same content, which goes its own way from here on.
+    #[must_use]
+    pub fn copy(&self) -> SimulatedDisk {
+        let state = self.state.lock();
+        let copied = State { files: state.files.clone(), ..State::default() };
+        SimulatedDisk { state: Arc::new(Mutex::new(copied)) }
+    }
+
     /// Loses power: each unsynced change is present, missing or torn; one time in four all are missing.
     pub fn lose_power(&self, random: &mut Rand64) {
         let mut state = self.state.lock();
@@ -70,7 +163,7 @@
             let all_missing = random.rand_range(0..4) == 0;
             for change in std::mem::take(&mut file.unsynced) {
                 if !all_missing {
-                    survive(&mut file.durable, &change, random);
+                    survive_at_random(&mut file.durable, &change, random);
                 }
             }
         }
@@ -119,6 +212,10 @@
     fn write(&mut self, slot: Slot, offset: u64, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.state.lock();
         state.writes += 1;
+        let outcome = state.next_outcome();
+        if outcome == ChangeOutcome::Fails {
+            return Err(io::ErrorKind::Other.into());
+        }
         let refused = match state.fault {
             DiskFault::Full => Some(io::ErrorKind::StorageFull),
             DiskFault::Failing => Some(io::ErrorKind::Other),
@@ -127,17 +224,27 @@
         let done = if refused.is_some() { bytes.len() / 2 } else { bytes.len() };
         let change = Change::Write { offset, bytes: bytes[..done].to_vec() };
         state.files[slot.index()].unsynced.push(change);
+        if outcome == ChangeOutcome::DoneAndFails {
+            return Err(io::ErrorKind::Other.into());
+        }
         refused.map_or(Ok(()), |kind| Err(kind.into()))
     }
 
     fn truncate(&mut self, slot: Slot, length: u64) -> io::Result<()> {
-        self.state.lock().files[slot.index()].unsynced.push(Change::Truncate { length });
-        Ok(())
+        let mut state = self.state.lock();
+        let outcome = state.next_outcome();
+        if outcome != ChangeOutcome::Fails {
+            state.files[slot.index()].unsynced.push(Change::Truncate { length });
+        }
+        if outcome == ChangeOutcome::Succeeds { Ok(()) } else { Err(io::ErrorKind::Other.into()) }
     }
 
     fn sync(&mut self, slot: Slot) -> io::Result<()> {
         let mut state = self.state.lock();
         state.syncs += 1;
+        if state.next_outcome() != ChangeOutcome::Succeeds {
+            return Err(io::ErrorKind::Other.into());
+        }
         match state.fault {
             DiskFault::Failing | DiskFault::FailingSync => return Err(io::ErrorKind::Other.into()),
             DiskFault::IgnoresSync => return Ok(()),
@@ -167,8 +274,25 @@
     }
 }
 
+/// Does what is left of a change.
+fn survive(content: &mut Vec<u8>, change: &Change, survival: Survival) {
+    match (survival, change) {
+        (Survival::Present, _) => apply(content, change),
+        (Survival::Missing, _) | (_, Change::Truncate { .. }) => {}
+        (Survival::FirstHalf, Change::Write { offset, bytes }) => {
+            let kept = bytes[..bytes.len() / 2].to_vec();
+            apply(content, &Change::Write { offset: *offset, bytes: kept });
+        }
+        (Survival::LastHalf, Change::Write { offset, bytes }) => {
+            let cut = bytes.len() / 2;
+            let kept = bytes[cut..].to_vec();
+            apply(content, &Change::Write { offset: offset + cut as u64, bytes: kept });
+        }
+    }
+}
+
 /// Present, missing, or (a write) torn into a random part of itself.
-fn survive(content: &mut Vec<u8>, change: &Change, random: &mut Rand64) {
+fn survive_at_random(content: &mut Vec<u8>, change: &Change, random: &mut Rand64) {
     match random.rand_range(0..3) {
         0 => apply(content, change),
         1 => {}
