--- a/crates/woadreach-journal/tests/power_cuts.rs
+++ b/crates/woadreach-journal/tests/power_cuts.rs
@@ -18,6 +18,9 @@
     in_hand: u8,
 }
 
+/// One step of a life.
+type Step = fn(&mut Process) -> Result<(), JournalError>;
+
 /// A process that appends numbers and replaces its log by snapshots.
 struct Process {
     engine: Engine,
@@ -52,7 +55,7 @@
 
     /// Two snapshots, with appends before, between the pieces and after them.
     fn live(&mut self) {
-        let mut steps: Vec<fn(&mut Process) -> Result<(), JournalError>> = Vec::new();
+        let mut steps: Vec<Step> = Vec::new();
         for _ in 0..2 {
             steps.push(|process| process.append(3));
             steps.push(|process| process.append(2));
@@ -73,7 +76,7 @@
 }
 
 /// The pieces that remain, whatever their number.
-fn while_replacing(steps: &mut Vec<fn(&mut Process) -> Result<(), JournalError>>) {
+fn while_replacing(steps: &mut Vec<Step>) {
     steps.push(|process| {
         while process.engine.is_replacing() {
             process.write_piece()?;
