Control: records of the next life are used after a gap of the last

Cause: recovery ended at the first missing number.

Change: what doesn't follow is left out, and recovery goes on with the next record that does. A number after the gap can't follow before the missing one has been appended anew, behind it.

Test: records_of_the_next_life_are_used_after_a_gap_of_the_last found 2 of 4 records before.

--- a/crates/woadreach-control/src/durable_log.rs
+++ b/crates/woadreach-control/src/durable_log.rs
@@ -1,7 +1,8 @@
 //! A member's durable state in the journal: numbered records after a snapshot.
 //!
-//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), nothing
-//! after the gap is used: the driver reported none of it as synced.
+//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), those after
+//! the gap are left out: the driver reported none of them as synced. The life that starts from there appends
+//! the missing number anew, behind what was left out; recovery goes on with it.
 
 use woadreach_chain::{Durable, Record, RecordError};
 
@@ -32,11 +33,8 @@
     let mut durable = Durable::decode(body)?;
     for bytes in records {
         let (next, body) = split_number(bytes)?;
-        if next <= number {
-            continue;
-        }
         if next != number + 1 {
-            break;
+            continue;
         }
         durable.apply(&Record::decode(body)?);
         number = next;
--- a/crates/woadreach-control/tests/durable_log.rs
+++ b/crates/woadreach-control/tests/durable_log.rs
@@ -44,6 +44,19 @@
     assert_eq!((recovered.number, recovered.durable.state.generation()), (2, 2));
 }
 
+/// One life appends 1 and 2, fails at 3, and has 4 and 5 on the disk. The next one appends 3 and 4 anew and
+/// reports both as synced.
+#[test]
+fn records_of_the_next_life_are_used_after_a_gap_of_the_last() {
+    let mut records = [1, 2, 4, 5].map(|number| encode_record(number, &write(number))).to_vec();
+    let first = recover(&encode_snapshot(0, &empty()), &records).expect("own records");
+    assert_eq!(first.number, 2);
+    records.extend([3, 4].map(|number| encode_record(number, &write(number))));
+    let second = recover(&encode_snapshot(0, &empty()), &records).expect("own records");
+    assert_eq!((second.number, second.durable.state.generation()), (4, 4));
+    assert_eq!(second.durable.state.taken.len(), 4);
+}
+
 quickcheck! {
     fn foreign_bytes_are_an_error_or_a_prefix(snapshot: Vec<u8>, records: Vec<Vec<u8>>) -> bool {
         recover(&snapshot, &records).is_err() || recover(&encode_snapshot(0, &empty()), &[]).is_ok()
