--- a/crates/woadreach-control/src/lib.rs
+++ b/crates/woadreach-control/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod command_line;
 pub mod committed;
+pub mod compaction;
 pub mod core_role;
 pub mod durable_log;
 pub mod error;
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -21,14 +21,13 @@
 use woadreach_journal::{Journal, JournalError, Synced};
 use woadreach_rpc::{Client, ServiceId};
 
+use crate::compaction::Compaction;
 use crate::durable_log::{RecoveredMember, encode_record, encode_snapshot};
 
 /// A disk that has not synced for so long is not healthy.
 const STALL: Duration = Duration::from_secs(1);
 /// Pause between two tries to make a failed journal whole.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(500);
-/// The log is replaced by a snapshot when it is longer than this and twice as long as the last snapshot.
-const COMPACTION_BYTES: u64 = 8 << 20;
 
 type SyncFuture = Pin<Box<dyn Future<Output = Result<Synced, JournalError>> + Send>>;
 
@@ -45,6 +44,7 @@
     journal: Journal,
     state: Mutex<State>,
     syncs: mpsc::UnboundedSender<PendingSync>,
+    snapshots: mpsc::UnboundedSender<SyncFuture>,
     wake: Notify,
     changes: watch::Sender<u64>,
 }
@@ -55,9 +55,7 @@
     first_number: u64,
     /// Number of the last record that the member made.
     last_number: u64,
-    snapshot_bytes: u64,
-    /// An append failed: nothing more is appended before a snapshot has made the journal whole.
-    is_journal_broken: bool,
+    compaction: Compaction,
     is_disk_healthy: bool,
     replies: HashMap<RequestId, oneshot::Sender<Reply>>,
     next_request: u64,
@@ -89,6 +87,7 @@
         rpc: Client,
     ) -> Arc<MemberDriver> {
         let (syncs, pending) = mpsc::unbounded_channel();
+        let (snapshots, pending_snapshots) = mpsc::unbounded_channel();
         let (changes, _) = watch::channel(0);
         let member = Member::new(Duration::ZERO, options, recovered.durable);
         let started = Instant::now();
@@ -100,18 +99,19 @@
                 member,
                 first_number: recovered.number,
                 last_number: recovered.number,
-                snapshot_bytes: 0,
-                is_journal_broken: false,
+                compaction: Compaction::new(),
                 is_disk_healthy: true,
                 replies: HashMap::new(),
                 next_request: 0,
                 armed: started,
             }),
             syncs,
+            snapshots,
             wake: Notify::new(),
             changes,
         });
         tokio::spawn(Arc::clone(&driver).await_syncs(pending));
+        tokio::spawn(Arc::clone(&driver).await_snapshots(pending_snapshots));
         tokio::spawn(Arc::clone(&driver).keep_time());
         driver
     }
@@ -129,6 +129,7 @@
         let mut state = self.state.lock();
         let outputs = state.member.handle(self.started.elapsed(), input);
         let is_changed = self.carry_out(&mut state, outputs);
+        self.compact(&mut state);
         let wake = self.started + state.member.next_wake();
         let must_wake = wake < state.armed;
         drop(state);
@@ -217,24 +218,38 @@
     fn persist(&self, state: &mut State, member_number: u64, record: &Record) {
         let number = state.first_number + member_number;
         state.last_number = number;
-        if state.is_journal_broken {
+        if !state.compaction.takes_records() {
             return;
         }
-        let is_long = self.journal.log_bytes() > COMPACTION_BYTES.max(2 * state.snapshot_bytes);
-        if is_long {
-            return self.replace(state);
-        }
         let synced = self.journal.append(encode_record(number, record));
         self.expect_sync(number, Box::pin(synced));
     }
 
-    /// Writes a snapshot of everything so far.
-    fn replace(&self, state: &mut State) {
-        let number = state.last_number;
-        let snapshot = encode_snapshot(number, state.member.durable());
-        state.snapshot_bytes = snapshot.len() as u64;
-        let synced = self.journal.replace(snapshot);
-        self.expect_sync(number, Box::pin(synced));
+    /// Replaces a long log by a snapshot, while records are appended. Called when every record that the member
+    /// has made is appended, so that the snapshot holds none that is still to come.
+    fn compact(&self, state: &mut State) {
+        if !state.compaction.is_due(self.started.elapsed(), self.journal.log_bytes()) {
+            return;
+        }
+        let snapshot = encode_snapshot(state.last_number, state.member.durable());
+        state.compaction.begin(snapshot.len() as u64);
+        // The receiving task lives as long as this driver.
+        let _ = self.snapshots.send(Box::pin(self.journal.replace(snapshot)));
+    }
+
+    /// Awaits the snapshots that replace the log. One that gives way to that of a repair has failed in nothing.
+    async fn await_snapshots(self: Arc<Self>, mut pending: mpsc::UnboundedReceiver<SyncFuture>) {
+        while let Some(replaced) = pending.recv().await {
+            let outcome = replaced.await;
+            let mut state = self.state.lock();
+            match outcome {
+                Ok(_) | Err(JournalError::Superseded) => state.compaction.end(),
+                Err(error) => {
+                    tracing::warn!(%error, "the log could not be replaced by a snapshot");
+                    state.compaction.fail(self.started.elapsed());
+                }
+            }
+        }
     }
 
     fn expect_sync(&self, number: u64, synced: SyncFuture) {
@@ -261,37 +276,32 @@
 
     /// Replaces the journal by a snapshot until that succeeds; what was queued behind the failure is in it.
     async fn repair(&self, pending: &mut mpsc::UnboundedReceiver<PendingSync>) {
-        self.state.lock().is_journal_broken = true;
         loop {
-            while pending.try_recv().is_ok() {}
-            let (number, synced) = {
-                let state = self.state.lock();
-                let number = state.last_number;
-                (number, self.journal.replace(encode_snapshot(number, state.member.durable())))
-            };
+            let (number, synced) = self.begin_repair(pending);
             match synced.await {
                 Ok(_receipt) => {
-                    self.report_synced(number);
-                    let is_whole = self.end_repair(number);
-                    if is_whole {
-                        tracing::info!(number, "journal is whole again");
-                        return;
-                    }
+                    self.state.lock().compaction.end_repair();
+                    tracing::info!(number, "journal is whole again");
+                    return self.report_synced(number);
                 }
                 Err(error) => {
                     tracing::warn!(%error, "journal still fails");
+                    self.state.lock().compaction.break_off();
                     tokio::time::sleep(REPAIR_INTERVAL).await;
                 }
             }
         }
     }
 
-    /// Whether nothing came after record `number`, so that records may be appended again.
-    fn end_repair(&self, number: u64) -> bool {
+    /// Queues a snapshot of everything so far. Later records are appended behind it, and their syncs count
+    /// only once the snapshot's has: until then they may stand behind a gap.
+    fn begin_repair(&self, pending: &mut mpsc::UnboundedReceiver<PendingSync>) -> (u64, SyncFuture) {
         let mut state = self.state.lock();
-        let is_whole = state.last_number == number;
-        state.is_journal_broken = !is_whole;
-        is_whole
+        while pending.try_recv().is_ok() {}
+        let number = state.last_number;
+        let snapshot = encode_snapshot(number, state.member.durable());
+        state.compaction.begin_repair(snapshot.len() as u64);
+        (number, Box::pin(self.journal.replace(snapshot)))
     }
 
     async fn keep_time(self: Arc<Self>) {
@@ -321,7 +331,7 @@
     fn check_disk(&self) {
         let is_healthy = {
             let mut state = self.state.lock();
-            let is_healthy = !state.is_journal_broken && self.journal.stalled_for() < STALL;
+            let is_healthy = state.compaction.is_sound() && self.journal.stalled_for() < STALL;
             if is_healthy == state.is_disk_healthy {
                 return;
             }
--- a/crates/woadreach-journal/src/journal.rs
+++ b/crates/woadreach-journal/src/journal.rs
@@ -45,6 +45,8 @@
     waiting_appends: usize,
     waiting_bytes: usize,
     oldest: Option<Instant>,
+    /// Start of what the disk is doing for a snapshot.
+    piece_begun: Option<Instant>,
     log_bytes: u64,
 }
 
@@ -135,10 +137,13 @@
         self.progress.lock().log_bytes
     }
 
-    /// How long the oldest request that is not synced has waited; zero if none waits.
+    /// How long the oldest record that is not synced has waited, or the disk has been at one piece of a
+    /// snapshot if that is longer; zero if there is neither.
     #[must_use]
     pub fn stalled_for(&self) -> Duration {
-        self.progress.lock().oldest.map_or(Duration::ZERO, |since| since.elapsed())
+        let progress = self.progress.lock();
+        let since = progress.oldest.into_iter().chain(progress.piece_begun).min();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     fn enqueue(&self, record: Vec<u8>, reply: Reply) -> Result<(), JournalError> {
@@ -211,7 +216,10 @@
 }
 
 fn continue_replacement(engine: &mut Engine, reply: Reply, progress: &Mutex<Progress>) -> Option<Reply> {
-    let Some(outcome) = engine.continue_replacement() else { return Some(reply) };
+    progress.lock().piece_begun = Some(Instant::now());
+    let outcome = engine.continue_replacement();
+    progress.lock().piece_begun = None;
+    let Some(outcome) = outcome else { return Some(reply) };
     progress.lock().log_bytes = engine.log_bytes();
     let _ = reply.send(outcome);
     None
