A connection to a replica carries a request once

A replica may say an answer once more in the place of the next one; the id tells them apart only if the next one has another id. A request that a replica rejected could go back to it over the same connection, so that a second copy of the rejection was taken for the answer to the second send: the request was held to not have run, and was sent a third time.

Each request now knows the connections that have carried it; the pool gives it another one, closing the one idle for longest if no more may be opened. An informational status that reaches the head's judgement is no answer either.

--- a/crates/woadreach-proxy/src/attempt.rs
+++ b/crates/woadreach-proxy/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: a request at one replica.
 
 use crate::replica_answer::{ConnectionReuse, HeadVerdict, connection_reuse, judge, server_load};
-use crate::replica_connection::SendFailure;
+use crate::replica_connection::{ConnectionNumber, SendFailure};
 use crate::replica_pool::{PooledConnection, ReplicaPool};
 use crate::request_headers::{EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, TIMEOUT_MS};
 use bytes::{Bytes, BytesMut};
@@ -10,6 +10,7 @@
 use http::{Method, Request, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
+use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 const STALE_CONNECTIONS: usize = 8;
 
 /// A client's request as it goes to replicas.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct OutgoingRequest {
     /// Its method.
     pub method: Method,
@@ -36,6 +37,8 @@
     pub request_id: String,
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
+    /// Connections that have carried it. Each carries it once, so that the id of an answer names one send.
+    pub carried_by: Mutex<Vec<ConnectionNumber>>,
 }
 
 /// Where and how an attempt is sent.
@@ -131,9 +134,11 @@
     order: &SendOrder,
 ) -> (AttemptResult, Option<ServerLoad>) {
     for _ in 0..STALE_CONNECTIONS {
-        let Some(mut pooled) = pool.take(&order.replica, order.address, order.most_connections) else {
-            return (failed(Outcome::NeverSent), None);
+        let taken = {
+            let carried = request.carried_by.lock();
+            pool.take(&order.replica, order.address, order.most_connections, &carried)
         };
+        let Some(mut pooled) = taken else { return (failed(Outcome::NeverSent), None) };
         let connection = match pooled.connection().await {
             Ok(connection) => connection,
             Err(error) => {
@@ -142,6 +147,7 @@
             }
         };
         let was_new = connection.is_new();
+        request.carried_by.lock().push(connection.number());
         match connection.send(build(request, order)).await {
             Ok(response) => return receive(pooled, request, response).await,
             Err(SendFailure::NotSent) if was_new => return (failed(Outcome::Unreachable), None),
--- a/crates/woadreach-proxy/src/client_request.rs
+++ b/crates/woadreach-proxy/src/client_request.rs
@@ -4,6 +4,7 @@
 use crate::request_headers::{RequestFacts, end_to_end_headers, identity_number};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -84,6 +85,7 @@
             body,
             request_id: self.facts.request_id.clone(),
             is_stream: self.route.route_type == RouteType::Streaming,
+            carried_by: Mutex::default(),
         }
     }
 }
--- a/crates/woadreach-proxy/src/replica_answer.rs
+++ b/crates/woadreach-proxy/src/replica_answer.rs
@@ -31,7 +31,7 @@
 /// Judges the head of an answer to the request `request_id`.
 pub fn judge(head: &Parts, request_id: &str) -> HeadVerdict {
     let answers = head.headers.get(&REQUEST_ID).is_some_and(|id| id.as_bytes() == request_id.as_bytes());
-    if !answers {
+    if !answers || head.status.is_informational() {
         return HeadVerdict::Foreign;
     }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/woadreach-proxy/src/replica_connection.rs
+++ b/crates/woadreach-proxy/src/replica_connection.rs
@@ -66,9 +66,21 @@
     Broken,
 }
 
+/// Number of a connection; never used twice in a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    fn next() -> Self {
+        static OPENED: AtomicU64 = AtomicU64::new(0);
+        ConnectionNumber(OPENED.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// A connection that serves one request at a time. It is reset when it is dropped, which stops the replica's
 /// work and takes back what the network still holds of the request.
 pub struct ReplicaConnection {
+    number: ConnectionNumber,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     written: Arc<AtomicU64>,
@@ -94,8 +106,15 @@
             }
         });
         let driver = driver.abort_handle();
-        let idle_since = Instant::now();
-        Ok(ReplicaConnection { sender, driver, written, idle_since, expires: None, requests: 0 })
+        Ok(ReplicaConnection {
+            number: ConnectionNumber::next(),
+            sender,
+            driver,
+            written,
+            idle_since: Instant::now(),
+            expires: None,
+            requests: 0,
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -118,6 +137,11 @@
         })
     }
 
+    /// Its number.
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
     /// Whether it has carried no request yet.
     pub fn is_new(&self) -> bool {
         self.requests == 0
--- a/crates/woadreach-proxy/src/replica_pool.rs
+++ b/crates/woadreach-proxy/src/replica_pool.rs
@@ -3,7 +3,7 @@
 //! The one used last is taken first, so that the others age and are closed. Each replica takes a bounded
 //! number of connections from all edges together; this process keeps to its share.
 
-use crate::replica_connection::ReplicaConnection;
+use crate::replica_connection::{ConnectError, ConnectionNumber, ReplicaConnection};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -23,6 +23,27 @@
     open: usize,
 }
 
+impl ReplicaEntry {
+    /// Closes the idle connections that `keeps` does not name.
+    fn keep(&mut self, keeps: impl Fn(&ReplicaConnection) -> bool) {
+        let before = self.idle.len();
+        self.idle.retain(keeps);
+        self.open -= before - self.idle.len();
+    }
+
+    /// Closes the connection idle for longest if `most` are open; nothing if all of them are in use.
+    fn make_room(&mut self, most: usize) -> Option<()> {
+        if self.open >= most {
+            if self.idle.is_empty() {
+                return None;
+            }
+            self.idle.remove(0);
+            self.open -= 1;
+        }
+        Some(())
+    }
+}
+
 /// The pool of all replicas, by address and id.
 #[derive(Default)]
 pub struct ReplicaPool {
@@ -38,42 +59,38 @@
 
 impl ReplicaPool {
     /// An idle connection, or the right to open one while fewer than `most` are open; otherwise nothing.
+    ///
+    /// None of `carried` is given: these have carried the request before, and an answer that the replica sends
+    /// late or twice bears the same id. If all idle ones have and no more may be opened, one of them gives way.
     pub fn take(
         self: &Arc<Self>,
         replica: &Arc<str>,
         address: SocketAddr,
         most: usize,
+        carried: &[ConnectionNumber],
     ) -> Option<PooledConnection> {
-        let now = Instant::now();
         let key = (replica.clone(), address);
         let mut entries = self.entries.lock();
         let entry = entries.entry(key.clone()).or_default();
-        while let Some(connection) = entry.idle.pop() {
-            if connection.is_usable(now) {
-                return Some(PooledConnection {
-                    pool: self.clone(),
-                    replica: key,
-                    connection: Some(connection),
-                });
-            }
-            entry.open -= 1;
-        }
-        if entry.open >= most {
-            return None;
+        let now = Instant::now();
+        entry.keep(|connection| connection.is_usable(now));
+        let mut newest_first = (0..entry.idle.len()).rev();
+        let fit = newest_first.find(|index| !carried.contains(&entry.idle[*index].number()));
+        let connection = fit.map(|index| entry.idle.remove(index));
+        if connection.is_none() {
+            entry.make_room(most)?;
+            entry.open += 1;
         }
-        entry.open += 1;
-        Some(PooledConnection { pool: self.clone(), replica: key, connection: None })
+        Some(PooledConnection { pool: self.clone(), replica: key, connection })
     }
 
     /// Closes connections that have rested too long, and forgets replicas without any.
     pub fn sweep(&self) {
         let now = Instant::now();
         self.entries.lock().retain(|_, entry| {
-            let before = entry.idle.len();
-            entry.idle.retain(|connection| {
+            entry.keep(|connection| {
                 connection.is_usable(now) && now.duration_since(connection.idle_since()) < LONGEST_REST
             });
-            entry.open -= before - entry.idle.len();
             entry.open > 0
         });
     }
@@ -86,9 +103,7 @@
 
 impl PooledConnection {
     /// The connection, opened if need be.
-    pub async fn connection(
-        &mut self,
-    ) -> Result<&mut ReplicaConnection, crate::replica_connection::ConnectError> {
+    pub async fn connection(&mut self) -> Result<&mut ReplicaConnection, ConnectError> {
         let address = self.replica.1;
         let opened = match self.connection.take() {
             Some(connection) => connection,
--- a/crates/woadreach-proxy/tests/support/replica.rs
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -37,7 +37,8 @@
     Hang,
 }
 
-type Script = dyn Fn(usize, &Received) -> Vec<Step> + Send + Sync;
+/// Gets the number of the connection, the number of the request (both from 0) and the request.
+type Script = dyn Fn(usize, usize, &Received) -> Vec<Step> + Send + Sync;
 
 /// A replica on loopback.
 #[derive(Clone)]
@@ -53,6 +54,13 @@
 impl Replica {
     /// Starts a replica; `script` gets the number of the request (from 0) and the request.
     pub async fn start(script: impl Fn(usize, &Received) -> Vec<Step> + Send + Sync + 'static) -> Self {
+        Self::start_by_connection(move |_, number, request| script(number, request)).await
+    }
+
+    /// Starts a replica whose script also gets the number of the connection (from 0), before the others.
+    pub async fn start_by_connection(
+        script: impl Fn(usize, usize, &Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let replica = Replica {
             address: listener.local_addr().expect("an address"),
@@ -65,10 +73,11 @@
         let script: Arc<Script> = Arc::new(script);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                let connection = serving.connections();
                 serving.connections.send_modify(|count| *count += 1);
                 let (serving, script) = (serving.clone(), script.clone());
                 tokio::spawn(async move {
-                    serving.serve(stream, &*script).await;
+                    serving.serve(connection, stream, &*script).await;
                     serving.closed.send_modify(|count| *count += 1);
                 });
             }
@@ -112,7 +121,7 @@
         super::wait_for("closed connections", closed.wait_for(|count| *count >= wanted)).await.expect("open");
     }
 
-    async fn serve(&self, mut stream: TcpStream, script: &Script) {
+    async fn serve(&self, connection: usize, mut stream: TcpStream, script: &Script) {
         let mut unread = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut unread).await {
             let number = {
@@ -121,7 +130,7 @@
                 received.len() - 1
             };
             self.count.send_modify(|count| *count += 1);
-            for step in script(number, &request) {
+            for step in script(connection, number, &request) {
                 match step {
                     Step::Write(bytes) => {
                         if stream.write_all(&bytes).await.is_err() {
