No 408 in the middle of an answer

A connection counts as idle once its answer has been handed over, which may be before it has been written. A head that is slow while written bytes wait now ends the connection without an answer of its own.

The first of the two new tests fails without the change (SlowHead for Stalled).

--- a/crates/woadreach-proxy/src/client_connection.rs
+++ b/crates/woadreach-proxy/src/client_connection.rs
@@ -37,7 +37,7 @@
 pub enum Overdue {
     /// It has been idle for too long, or the process is closing.
     Idle,
-    /// A head has not come whole in time.
+    /// A head has not come whole in time, and the answers before it have been written whole.
     SlowHead,
     /// It does not read, or did not end when told to.
     Stalled,
@@ -125,7 +125,9 @@
         } else {
             match track.activity {
                 Activity::Idle if closing || age > limits.idle_timeout.as_secs_f64() => Some(Overdue::Idle),
-                Activity::ReadingHead if age > limits.header_timeout.as_secs_f64() => Some(Overdue::SlowHead),
+                Activity::ReadingHead if age > limits.header_timeout.as_secs_f64() => {
+                    Some(if track.blocked_since.is_some() { Overdue::Stalled } else { Overdue::SlowHead })
+                }
                 _ => None,
             }
         };
--- /dev/null
+++ b/crates/woadreach-proxy/tests/client_connection.rs
@@ -0,0 +1,86 @@
+//! What a client's connection is told when its time is over.
+
+use hyper::rt::{Read, ReadBuf, Write};
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use woadreach_config::ClientLimits;
+use woadreach_proxy::client_connection::{ConnectionTrack, Overdue, TrackedSocket};
+use woadreach_proxy::deadline::Clock;
+
+struct Scene {
+    clock: Clock,
+    track: Arc<ConnectionTrack>,
+    socket: TrackedSocket,
+    client: TcpStream,
+}
+
+async fn scene() -> Scene {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (accepted, _) = listener.accept().await.unwrap();
+    let clock = Clock::start();
+    let track = Arc::new(ConnectionTrack::new(clock));
+    let socket = TrackedSocket::new(accepted, track.clone());
+    Scene { clock, track, socket, client }
+}
+
+impl Scene {
+    /// Reads a part of a head that the client sends.
+    async fn read_part_of_a_head(&mut self) {
+        self.client.write_all(b"GET / HT").await.unwrap();
+        let mut bytes = [0; 64];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        poll_fn(|context| Pin::new(&mut self.socket).poll_read(context, buffer.unfilled())).await.unwrap();
+    }
+
+    /// Writes until the client's side takes no more.
+    async fn write_until_blocked(&mut self) {
+        let bytes = [b'x'; 65536];
+        poll_fn(|context| {
+            while Pin::new(&mut self.socket).poll_write(context, &bytes).is_ready() {}
+            Poll::Ready(())
+        })
+        .await;
+    }
+
+    /// Reads all that has been written.
+    async fn read_all(&mut self) {
+        let mut bytes = vec![0; 1 << 20];
+        while poll_fn(|context| match Pin::new(&mut self.socket).poll_write(context, b"y") {
+            Poll::Ready(_) => Poll::Ready(false),
+            Poll::Pending => Poll::Ready(true),
+        })
+        .await
+        {
+            self.client.read(&mut bytes).await.unwrap();
+        }
+    }
+
+    async fn overdue_later(&self) -> Overdue {
+        let limits = ClientLimits::default();
+        self.track.sweep(self.clock.now() + limits.header_timeout.as_secs_f64() + 0.1, &limits, false);
+        self.track.overdue().await
+    }
+}
+
+#[tokio::test]
+async fn a_slow_head_behind_an_answer_that_is_not_written_whole_gets_no_answer_of_its_own() {
+    let mut scene = scene().await;
+    scene.write_until_blocked().await;
+    scene.read_part_of_a_head().await;
+    // An answer now would stand in the middle of the one before.
+    assert_eq!(scene.overdue_later().await, Overdue::Stalled);
+}
+
+#[tokio::test]
+async fn a_slow_head_behind_a_whole_answer_is_answered() {
+    let mut scene = scene().await;
+    scene.write_until_blocked().await;
+    scene.read_all().await;
+    scene.read_part_of_a_head().await;
+    assert_eq!(scene.overdue_later().await, Overdue::SlowHead);
+}
