A stream without a length that ends inside an event is broken off

A replica that crashes may end its connection in order. Where the body has no length, that was taken for the end of the stream even in the middle of an event: the answer looked whole, and a kept turn was stored without the piece. It is now a stream that broke off: taken up elsewhere if it may be, cut otherwise. An end between two events can't be told from a whole answer.

The new test ends such a stream at each byte; it fails without the change.

--- a/crates/woadreach-proxy/src/request_task.rs
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -16,6 +16,7 @@
 use crate::event_stream::{EventReader, StreamPosition};
 use crate::own_answer::plain;
 use crate::proxy::Proxy;
+use crate::replica_answer::tells_its_length;
 use crate::request_state::{RequestEnd, RequestProgress, RequestState};
 use crate::turn_store::{PreparedTurn, TurnError};
 use bytes::Bytes;
@@ -37,6 +38,14 @@
     reader: EventReader,
 }
 
+impl ActiveStream {
+    /// Whether an orderly end of the body is none: a replica that crashes in the middle of an event may end its
+    /// connection in order, which looks like the end of a body without a length.
+    fn ends_inside_event(&self) -> bool {
+        self.reader.is_inside_event() && !tells_its_length(&self.open.head)
+    }
+}
+
 /// What the task waits for.
 enum TaskEvent {
     Command(Command),
--- a/crates/woadreach-proxy/src/request_task/streaming.rs
+++ b/crates/woadreach-proxy/src/request_task/streaming.rs
@@ -35,6 +35,9 @@
 
     /// The body has ended as its framing says: the turn is made durable, then the answer ends.
     pub(super) async fn finish_stream(&mut self) -> Option<RequestEnd> {
+        if self.stream.as_ref()?.ends_inside_event() {
+            return self.drop_broken_stream();
+        }
         let active = self.stream.take()?;
         let attempt = active.attempt;
         let rest = active.reader.into_rest();
--- a/crates/woadreach-proxy/tests/streams.rs
+++ b/crates/woadreach-proxy/tests/streams.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use support::replica::{Received, Replica, Step, chunk, stream_end, stream_head, success};
+use support::replica::{Received, Replica, Step, chunk, head, stream_end, stream_head, success};
 use support::tier::Tier;
 use support::{Client, Seen, ask, on_one_thread};
 
@@ -189,3 +189,37 @@
         assert_eq!((seen.text(), seen.whole), (EVENTS.concat(), false));
     });
 }
+
+/// A stream without a length whose connection ends in order after so many bytes; asked again, it is whole.
+async fn ended_in_order_after(path: &str, length: usize) -> (support::Seen, usize) {
+    let begin = |request: &Received| {
+        Step::Write(head(
+            request,
+            "200 OK",
+            &["Response-Signature: stamp", "Content-Type: text/event-stream"],
+        ))
+    };
+    let script = move |number: usize, request: &Received| {
+        let whole = EVENTS.concat();
+        let end = if number == 0 { length } else { whole.len() };
+        vec![begin(request), Step::Write(whole.as_bytes()[..end].to_vec()), Step::Close]
+    };
+    let replica = Replica::start(script).await;
+    let tier = Tier::start(&[("i-1", &replica)]).await;
+    (ask(tier.front, &post(path)).await, replica.received().len())
+}
+
+#[test]
+fn a_stream_without_length_is_not_whole_when_it_ends_inside_an_event() {
+    let whole = EVENTS.concat();
+    let ends: Vec<usize> = (0..=EVENTS.len()).map(|count| EVENTS[..count].concat().len()).collect();
+    for length in 0..=whole.len() {
+        on_one_thread(async {
+            let (seen, requests) = ended_in_order_after("/once/", length).await;
+            assert_eq!(requests, 1);
+            let looks_whole = seen.whole && seen.status() == 200;
+            assert_eq!(looks_whole, ends.contains(&length), "ended at {length}: {seen:?}");
+            assert!(seen.status() != 200 || whole.starts_with(&seen.text()), "ended at {length}");
+        });
+    }
+}
