Core: a ballot is on disk before anyone hears of it; searches of the real member

Cause: a proposer told its ballot to the voters before its own promise was on disk. Killed in between, it began again with the same ballot, and could propose another view under it: votes name the ballot alone, so two views could be decided for one epoch.

Change: the own promise is persisted first, above every ballot that this disk has promised; Prepare leaves after the sync. tests/ballots.rs has the trace; tests/member_model searches it.

--- a/crates/woadreach-chain/src/agreement.rs
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -80,6 +80,18 @@
         &self.phase
     }
 
+    /// The proposer without its times.
+    pub fn canonical(&self) -> impl std::fmt::Debug + '_ {
+        let phase = match &self.phase {
+            Phase::Idle => None,
+            Phase::Preparing { ballot, reports, .. } => Some((ballot, Some(reports), None)),
+            Phase::Accepting { ballot, view, accepted_by, .. } => {
+                Some((ballot, None, Some((view, accepted_by))))
+            }
+        };
+        (phase, self.highest_round)
+    }
+
     /// Ballot of the present proposal.
     pub fn ballot(&self) -> Option<Ballot> {
         match self.phase {
--- a/crates/woadreach-chain/src/election.rs
+++ b/crates/woadreach-chain/src/election.rs
@@ -231,6 +231,15 @@
         if are_expected > 0 && now.saturating_sub(*since) < REPORT_WAIT {
             return;
         }
+        self.propose_from_reports(now);
+    }
+
+    /// Chooses the view from the reports of at least a majority.
+    pub(crate) fn propose_from_reports(&mut self, now: Duration) {
+        let Phase::Preparing { reports, .. } = self.proposal_phase() else { return };
+        if reports.len() < self.durable.view.majority() {
+            return;
+        }
         let next = Proposer::bound_view(reports).or_else(|| self.planned_view(now, reports));
         match next {
             Some(view) => self.propose(now, view),
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -34,6 +34,8 @@
 pub use agreement::{Ballot, Promise};
 pub use blob::Blob;
 pub use durable::{Accepted, Durable, Record, RecordError};
+#[doc(hidden)]
+pub use member::TimedStep;
 pub use member::{Input, Member, MemberOptions, Output, Status};
 pub use message::{Body, DecodeError, Envelope, Ping};
 pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -13,8 +13,11 @@
 mod head;
 mod messages;
 mod signs_of_life;
+mod steps;
 mod views;
 
+pub use steps::TimedStep;
+
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -103,7 +106,7 @@
 }
 
 /// One core machine.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Member {
     pub(crate) id: MemberId,
     pub(crate) seeds: Vec<SocketAddrV4>,
@@ -259,6 +262,11 @@
             Input::Seeds(seeds) => self.seeds = seeds,
             Input::Leave => self.leave(now),
         }
+        self.finish(now)
+    }
+
+    /// Takes this member's messages to itself, then gives back what is to be done.
+    fn finish(&mut self, now: Duration) -> Vec<Output> {
         while let Some(envelope) = self.loopback.pop_front() {
             self.receive(now, envelope);
         }
--- /dev/null
+++ b/crates/woadreach-chain/src/member/steps.rs
@@ -0,0 +1,67 @@
+//! Steps that a member takes when their time has come, one by one: for exhaustive searches, which have no clock.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use super::{Member, Output};
+use crate::agreement::Phase;
+
+/// A step that [`Input::Tick`](super::Input::Tick) takes at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[doc(hidden)]
+pub enum TimedStep {
+    /// Nothing but the time has passed.
+    Nothing,
+    /// The wait before a proposal is over.
+    Propose,
+    /// The wait for reports beyond a majority is over.
+    EndReportWait,
+    /// The successor has made no progress for long enough.
+    Resend,
+}
+
+impl Member {
+    /// Takes one timed step, whatever the time.
+    #[doc(hidden)]
+    pub fn take_step(&mut self, now: Duration, step: TimedStep) -> Vec<Output> {
+        self.last_tick = now;
+        match step {
+            TimedStep::Nothing => self.peers.expire(now),
+            TimedStep::Propose if self.is_eligible_voter() => self.start_proposal(now),
+            TimedStep::Propose => {}
+            TimedStep::EndReportWait => self.propose_from_reports(now),
+            TimedStep::Resend => {
+                self.replication.resend();
+                self.drive(now);
+            }
+        }
+        self.finish(now)
+    }
+
+    /// Whether this member may go on with a proposal once it waits for no more reports.
+    #[doc(hidden)]
+    pub fn has_majority_of_reports(&self) -> bool {
+        let Phase::Preparing { reports, .. } = self.proposer.phase() else { return false };
+        reports.len() >= self.durable.view.majority()
+    }
+
+    /// Writes everything on which a decision depends, but for the time and what is known of who is alive.
+    #[doc(hidden)]
+    pub fn write_canonical(&self, text: &mut String) {
+        let written = write!(
+            text,
+            "{:?} {:?} {:?} {:?} {:?} {:?} {:?}",
+            self.durable,
+            self.proposer.canonical(),
+            self.replication.canonical(self.record_number),
+            self.waiting,
+            self.published.stamp,
+            self.barrier_session,
+            self.is_fit(),
+        );
+        written.expect("a string takes any text");
+        for (number, to, body) in &self.deferred {
+            write!(text, "{} {to:?} {body:?}", self.record_number - number).expect("a string takes any text");
+        }
+    }
+}
--- a/crates/woadreach-chain/src/member/views.rs
+++ b/crates/woadreach-chain/src/member/views.rs
@@ -93,10 +93,17 @@
         }
     }
 
+    /// Begins a proposal. The own promise is on disk before anyone hears of the ballot: after a restart no
+    /// ballot may stand for a second view.
     pub(crate) fn start_proposal(&mut self, now: Duration) {
+        if let Some(promise) = self.durable.current_promise() {
+            self.proposer.saw(promise.ballot);
+        }
         let ballot = self.proposer.start(now, self.id);
+        let epoch = self.durable.view.epoch;
+        self.persist(Record::Promise(Promise { epoch, ballot }));
         for voter in self.durable.view.voters.clone() {
-            self.send_now(voter.address, Body::Prepare { ballot });
+            self.send_after_sync(voter, Body::Prepare { ballot });
         }
     }
 
--- a/crates/woadreach-chain/src/replication.rs
+++ b/crates/woadreach-chain/src/replication.rs
@@ -183,6 +183,20 @@
         };
     }
 
+    /// The place without its times, with numbers of records counted back from `newest`.
+    pub fn canonical(&self, newest: u64) -> impl std::fmt::Debug + '_ {
+        let unsynced: Vec<_> =
+            self.unsynced.iter().map(|(record, epoch, stamp)| (newest - record, epoch, stamp)).collect();
+        let state = (&self.base, self.is_base_committed, &self.pending, self.persisted, unsynced);
+        let link = (self.link, self.last_sent.is_zero());
+        (state, link, self.sent_barrier, self.barrier, self.confirmed)
+    }
+
+    /// What the successor lacks is due now.
+    pub fn resend(&mut self) {
+        self.last_sent = Duration::ZERO;
+    }
+
     /// What is to be sent to the successor now.
     pub fn next_message(&mut self, now: Duration, epoch: u64) -> Option<Body> {
         let own = self.persisted_in(epoch)?;
--- /dev/null
+++ b/crates/woadreach-chain/tests/ballots.rs
@@ -0,0 +1,84 @@
+//! A ballot stands for one view, through restarts too.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use woadreach_chain::{
+    Ballot, Body, Durable, Input, Member, MemberId, MemberOptions, Output, Place, Record, TimedStep, Tolerance,
+    View,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn id(number: u8) -> MemberId {
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7000);
+    MemberId { address, identity: u64::from(number) }
+}
+
+/// The disk of the head of a view of three.
+fn disk() -> Durable {
+    let members = vec![id(1), id(2), id(3)];
+    let view = View { epoch: 1, voters: members.clone(), chain: members, floor: 0 };
+    let mut durable = Durable::new(1, true, View::default());
+    durable.apply(&Record::View(view));
+    durable.apply(&Record::Activate(1));
+    durable
+}
+
+fn head(durable: Durable) -> Member {
+    let options = MemberOptions {
+        address: id(1).address,
+        seeds: Vec::new(),
+        tolerance: Tolerance { machines: 1, ..Tolerance::default() },
+        place: Place::default(),
+        random_seed: 1,
+    };
+    Member::new(NOW, options, durable)
+}
+
+fn prepared(outputs: &[Output]) -> Option<Ballot> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send { envelope, .. } => match envelope.body {
+            Body::Prepare { ballot } => Some(ballot),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+fn records(outputs: &[Output]) -> Vec<(u64, Record)> {
+    let persisted = outputs.iter().filter_map(|output| match output {
+        Output::Persist { number, record } => Some((*number, record.clone())),
+        _ => None,
+    });
+    persisted.collect()
+}
+
+#[test]
+fn nobody_hears_of_a_ballot_that_is_not_on_disk() {
+    let mut member = head(disk());
+    let outputs = member.take_step(NOW, TimedStep::Propose);
+    assert_eq!(prepared(&outputs), None);
+    let last = records(&outputs).last().expect("the own promise").0;
+    let outputs = member.handle(NOW, Input::Persisted(last));
+    assert!(prepared(&outputs).is_some());
+}
+
+#[test]
+fn a_ballot_is_not_used_again_after_a_restart() {
+    let mut durable = disk();
+    let mut member = head(durable.clone());
+    let outputs = member.take_step(NOW, TimedStep::Propose);
+    // The disk gets the record, and the process ends right after the ballot is told.
+    for (_, record) in records(&outputs) {
+        durable.apply(&record);
+    }
+    let last = records(&outputs).last().expect("the own promise").0;
+    let first = prepared(&member.handle(NOW, Input::Persisted(last))).expect("a ballot");
+
+    let mut member = head(durable);
+    let outputs = member.take_step(NOW, TimedStep::Propose);
+    let last = records(&outputs).last().expect("the own promise").0;
+    let second = prepared(&member.handle(NOW, Input::Persisted(last))).expect("a ballot");
+    assert!(second > first);
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/member_model/core.rs
@@ -0,0 +1,269 @@
+//! The machines, the messages between them, and what may happen next.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use woadreach_chain::{
+    Body, Durable, Envelope, Input, MemberId, Output, Ping, Place, RequestId, Stamp, TimedStep, View,
+};
+
+use super::machine::{Machine, address, first_identity, index_of};
+use super::oracle::Oracle;
+use super::world::World;
+
+/// Epoch of the first view.
+const FIRST_EPOCH: u64 = 2;
+const START: Duration = Duration::from_secs(10);
+const GREETING_INTERVAL: Duration = Duration::from_millis(200);
+/// After so many signs of life a machine counts as steady, and one that was silent meanwhile as suspected.
+const GREETINGS: usize = 6;
+
+/// How often each thing has happened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Counts {
+    pub proposals: u8,
+    pub crashes: u8,
+    pub wipes: u8,
+    pub leaves: u8,
+    pub repeats: u8,
+    pub orders: u8,
+    pub reads: u8,
+}
+
+/// A message on its way.
+pub type Letter = (usize, Arc<Vec<u8>>);
+
+/// A state of the searched core.
+#[derive(Clone)]
+pub struct Core {
+    pub now: Duration,
+    pub machines: Vec<Arc<Machine>>,
+    /// Messages on their way; the same message twice counts once.
+    pub letters: BTreeSet<Letter>,
+    pub counts: Counts,
+    pub oracle: Oracle,
+}
+
+impl Hash for Core {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.machines.iter().for_each(|machine| machine.digest().hash(state));
+        self.letters.hash(state);
+        self.counts.hash(state);
+        format!("{:?}", self.oracle.canonical()).hash(state);
+    }
+}
+
+impl PartialEq for Core {
+    fn eq(&self, other: &Core) -> bool {
+        let digests = |core: &Core| core.machines.iter().map(|machine| machine.digest()).collect::<Vec<_>>();
+        digests(self) == digests(other) && self.letters == other.letters && self.counts == other.counts
+    }
+}
+
+impl std::fmt::Debug for Core {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for machine in &self.machines {
+            let durable = machine.member.durable();
+            writeln!(
+                formatter,
+                "{:?} {:?} promise {:?} active {} state {:?}",
+                machine.id(),
+                durable.view,
+                durable.promise,
+                durable.active_epoch,
+                durable.state.stamp
+            )?;
+        }
+        for (to, bytes) in &self.letters {
+            writeln!(formatter, "  to {to}: {:?}", Envelope::decode(bytes))?;
+        }
+        write!(formatter, "{:?}", self.oracle.violation)
+    }
+}
+
+impl Core {
+    /// All members of the first chain are active in it, but for those that the world names.
+    pub fn first(world: &World) -> Core {
+        let voters: Vec<MemberId> = (0..world.voters).map(first_identity).collect();
+        let chain: Vec<MemberId> = voters.iter().copied().take(world.chain).collect();
+        let view = View { epoch: FIRST_EPOCH, voters, chain, floor: FIRST_EPOCH - 1 };
+        let machine = |index: usize| {
+            let is_active = view.chain.contains(&first_identity(index)) && !world.inactive.contains(&index);
+            let disk = Machine::first_disk(index, &view, is_active);
+            Arc::new(Machine::start(START, index, world.faults, disk))
+        };
+        let mut core = Core {
+            now: START,
+            machines: (0..world.machines).map(machine).collect(),
+            letters: BTreeSet::new(),
+            counts: Counts::default(),
+            oracle: Oracle::default(),
+        };
+        core.oracle.installed(&view, None);
+        core.plant(world, 0..world.machines);
+        core.greet_for_long(world);
+        if world.inactive.is_empty() {
+            core.settle(world);
+        }
+        core
+    }
+
+    #[cfg(feature = "plants")]
+    fn plant(&mut self, world: &World, machines: std::ops::Range<usize>) {
+        for index in machines {
+            if let Some(plant) = world.plant {
+                Arc::make_mut(&mut self.machines[index]).member.plant(plant);
+            }
+        }
+    }
+
+    #[cfg(not(feature = "plants"))]
+    fn plant(&mut self, _: &World, _: std::ops::Range<usize>) {}
+
+    fn sign_of_life(&self, from: usize) -> Envelope {
+        let machine = &self.machines[from];
+        let ping = Ping {
+            fit: !machine.is_leaving,
+            leaving: machine.is_leaving,
+            bootstrap: false,
+            place: Place::default(),
+            committed: Stamp::default(),
+            hears: self.machines.iter().map(|machine| machine.id()).collect(),
+        };
+        Envelope { from: machine.id(), epoch: machine.epoch(), body: Body::Ping(ping) }
+    }
+
+    /// Everyone hears a sign of life of everyone.
+    pub fn greet(&mut self, world: &World) {
+        let pings: Vec<Envelope> = (0..self.machines.len()).map(|from| self.sign_of_life(from)).collect();
+        for to in 0..self.machines.len() {
+            Arc::make_mut(&mut self.machines[to]).has_greeted = true;
+            for ping in pings.iter().filter(|ping| ping.from.address != address(to)) {
+                self.input(world, to, Input::Message(ping.clone()));
+            }
+        }
+    }
+
+    /// So much time passes that machines count as steady, or as silent.
+    fn greet_for_long(&mut self, world: &World) {
+        for _ in 0..GREETINGS {
+            self.now += GREETING_INTERVAL;
+            for index in 0..self.machines.len() {
+                self.step(world, index, TimedStep::Nothing);
+            }
+            self.greet(world);
+        }
+    }
+
+    pub fn input(&mut self, world: &World, index: usize, input: Input) {
+        let now = self.now;
+        let outputs = Arc::make_mut(&mut self.machines[index]).member.handle(now, input);
+        self.carry_out(world, index, outputs);
+    }
+
+    pub fn step(&mut self, world: &World, index: usize, step: TimedStep) {
+        let now = self.now;
+        let outputs = Arc::make_mut(&mut self.machines[index]).member.take_step(now, step);
+        self.carry_out(world, index, outputs);
+    }
+
+    /// Does what the member asks for; disks that are not slow sync at once.
+    fn carry_out(&mut self, world: &World, index: usize, outputs: Vec<Output>) {
+        let mut outputs = VecDeque::from(outputs);
+        while let Some(output) = outputs.pop_front() {
+            self.carry_out_one(index, output);
+            let is_done = outputs.is_empty() && !world.slow_disks.contains(&index);
+            if is_done && let Some(through) = Arc::make_mut(&mut self.machines[index]).sync() {
+                let now = self.now;
+                let machine = Arc::make_mut(&mut self.machines[index]);
+                outputs.extend(machine.member.handle(now, Input::Persisted(through)));
+            }
+        }
+        Arc::make_mut(&mut self.machines[index]).seal_digest();
+    }
+
+    fn carry_out_one(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Persist { number, record } => {
+                Arc::make_mut(&mut self.machines[index]).unsynced.push((number, record));
+            }
+            Output::Send { to, envelope } => self.send(index_of(to), &envelope),
+            Output::Reply { id, reply } => {
+                let published = Arc::clone(self.machines[index].member.published());
+                self.oracle.replies(id.0, &reply, &published);
+            }
+            Output::Committed(state) => {
+                let view = &self.machines[index].member.durable().view;
+                let epoch = view.epoch;
+                if view.is_tail(self.machines[index].id()) {
+                    self.oracle.commits(epoch, &state);
+                }
+            }
+            Output::ViewInstalled(view) => {
+                let machine = &self.machines[index];
+                let is_head = view.head() == Some(machine.id());
+                let head = is_head.then(|| machine.member.durable().state.clone());
+                self.oracle.installed(&view, head.as_ref());
+            }
+        }
+    }
+
+    fn send(&mut self, to: usize, envelope: &Envelope) {
+        match &envelope.body {
+            Body::Ping(_) | Body::RequestState | Body::Committed(_) => return,
+            Body::Accept(accepted) if accepted.ballot.proposer == envelope.from => {
+                self.oracle.proposes(envelope.epoch, accepted.ballot, &accepted.view);
+            }
+            _ => {}
+        }
+        self.letters.insert((to, Arc::new(envelope.encode())));
+    }
+
+    pub fn deliver(&mut self, world: &World, letter: &Letter) {
+        let envelope = Envelope::decode(&letter.1).expect("a message that a member has sent");
+        self.input(world, letter.0, Input::Message(envelope));
+    }
+
+    pub fn sync(&mut self, world: &World, index: usize) {
+        if let Some(through) = Arc::make_mut(&mut self.machines[index]).sync() {
+            self.input(world, index, Input::Persisted(through));
+        }
+    }
+
+    /// The process ends and starts again at once, with the first `kept` of the records on their way.
+    pub fn crash(&mut self, world: &World, index: usize, kept: usize) {
+        let disk = self.machines[index].disk_after_crash(kept);
+        self.start(world, index, disk);
+    }
+
+    /// The disk is lost; the process starts with an empty one.
+    pub fn wipe(&mut self, world: &World, index: usize) {
+        let identity = if world.identity_survives { index as u64 + 1 } else { 100 + index as u64 };
+        self.start(world, index, Durable::new(identity, false, View::default()));
+        self.greet_for_long(world);
+    }
+
+    fn start(&mut self, world: &World, index: usize, disk: Durable) {
+        self.machines[index] = Arc::new(Machine::start(self.now, index, world.faults, disk));
+        self.plant(world, index..index + 1);
+    }
+
+    pub fn leave(&mut self, world: &World, index: usize) {
+        Arc::make_mut(&mut self.machines[index]).is_leaving = true;
+        self.input(world, index, Input::Leave);
+        self.greet(world);
+    }
+
+    pub fn ask(&mut self, world: &World, index: usize, (number, request): (u64, woadreach_chain::Request)) {
+        self.input(world, index, Input::Request(RequestId(number), request));
+    }
+
+    /// Delivers every message, in their order, until none is left.
+    pub fn deliver_all(&mut self, world: &World) {
+        while let Some(letter) = self.letters.pop_first() {
+            self.deliver(world, &letter);
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/member_model/machine.rs
@@ -0,0 +1,115 @@
+//! One machine of the searched core: the real member, and its disk with what is synced and what is not.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use woadreach_chain::{Durable, Member, MemberId, MemberOptions, Place, Record, Tolerance, View};
+
+/// A machine in one life of its process.
+#[derive(Clone)]
+pub struct Machine {
+    pub member: Member,
+    /// What a loss of power leaves.
+    pub synced: Durable,
+    /// Records on their way to the disk.
+    pub unsynced: Vec<(u64, Record)>,
+    pub is_leaving: bool,
+    /// Whether it has exchanged signs of life with the others in this life.
+    pub has_greeted: bool,
+    /// Hash of everything above.
+    digest: u64,
+}
+
+pub fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index as u8 + 1), 7000)
+}
+
+pub fn index_of(address: SocketAddrV4) -> usize {
+    usize::from(address.ip().octets()[3]) - 1
+}
+
+pub fn first_identity(index: usize) -> MemberId {
+    MemberId { address: address(index), identity: index as u64 + 1 }
+}
+
+impl Machine {
+    /// The process starts with what is synced.
+    pub fn start(now: Duration, index: usize, faults: usize, durable: Durable) -> Machine {
+        let options = MemberOptions {
+            address: address(index),
+            seeds: Vec::new(),
+            tolerance: Tolerance { machines: faults, ..Tolerance::default() },
+            place: Place::default(),
+            random_seed: index as u64,
+        };
+        let member = Member::new(now, options, durable.clone());
+        let mut machine = Machine {
+            member,
+            synced: durable,
+            unsynced: Vec::new(),
+            is_leaving: false,
+            has_greeted: false,
+            digest: 0,
+        };
+        machine.seal_digest();
+        machine
+    }
+
+    /// The disk of a machine in the first view. Voters were active in the epoch before.
+    pub fn first_disk(index: usize, view: &View, is_active: bool) -> Durable {
+        let identity = first_identity(index);
+        let mut durable = Durable::new(identity.identity, true, View::default());
+        if view.is_voter(identity) {
+            durable.apply(&Record::Activate(view.epoch - 1));
+        }
+        durable.apply(&Record::View(view.clone()));
+        if is_active {
+            durable.apply(&Record::Activate(view.epoch));
+        }
+        durable
+    }
+
+    /// What is left when the process ends and `kept` of the records on their way have reached the disk.
+    pub fn disk_after_crash(&self, kept: usize) -> Durable {
+        let mut durable = self.synced.clone();
+        self.unsynced.iter().take(kept).for_each(|(_, record)| durable.apply(record));
+        durable
+    }
+
+    /// Everything on its way has reached the disk; gives the last number.
+    pub fn sync(&mut self) -> Option<u64> {
+        let last = self.unsynced.last().map(|(number, _)| *number);
+        for (_, record) in self.unsynced.drain(..) {
+            self.synced.apply(&record);
+        }
+        last
+    }
+
+    pub fn id(&self) -> MemberId {
+        self.member.id()
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.member.durable().view.epoch
+    }
+
+    /// Whether the member is the head of its view, active and not sealed.
+    pub fn is_serving_head(&self, now: Duration) -> bool {
+        self.member.status(now).is_head
+    }
+
+    pub fn seal_digest(&mut self) {
+        let mut text = String::with_capacity(4096);
+        self.member.write_canonical(&mut text);
+        let mut hasher = DefaultHasher::new();
+        text.hash(&mut hasher);
+        (self.unsynced.len(), self.is_leaving, self.has_greeted).hash(&mut hasher);
+        self.digest = hasher.finish();
+    }
+
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/member_model/oracle.rs
@@ -0,0 +1,198 @@
+//! What must hold of everything that the members say and do.
+
+use std::collections::BTreeMap;
+
+use woadreach_chain::{
+    Ballot, Command, ControlState, Digest, PutConfiguration, Rejection, Reply, Request, TakenConfiguration,
+    View,
+};
+
+/// A request that was handed to a head.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Asked {
+    /// Position in the list of orders; none for a read.
+    order: Option<usize>,
+    /// Acknowledged configurations when it was handed over.
+    acknowledged: usize,
+    is_answered: bool,
+}
+
+/// Everything that was said so far.
+#[derive(Clone, Debug, Default)]
+pub struct Oracle {
+    pub violation: Option<String>,
+    /// The longest history that a tail has committed.
+    committed: Vec<(u64, Digest)>,
+    /// Epochs in which something was committed, with the length of the history.
+    commits: BTreeMap<u64, usize>,
+    /// The longest history that was acknowledged.
+    acknowledged: usize,
+    refused: Vec<usize>,
+    asked: Vec<Asked>,
+    decided: BTreeMap<u64, View>,
+    /// Views that a ballot has proposed.
+    proposed: BTreeMap<(u64, Ballot), View>,
+}
+
+/// The operators' orders, in the order in which they are sent: two on one generation, one sent again, and one
+/// that goes on.
+pub fn order(position: usize) -> PutConfiguration {
+    let (base, generation, name) = [(0, 1, b'a'), (0, 1, b'b'), (0, 1, b'a'), (1, 2, b'c')][position];
+    PutConfiguration { base, generation, digest: [name; 16], body: vec![name].into() }
+}
+
+fn history(state: &ControlState) -> Vec<(u64, Digest)> {
+    let pair = |taken: &TakenConfiguration| (taken.generation, taken.digest);
+    state.taken.iter().map(pair).collect()
+}
+
+impl Oracle {
+    fn fail(&mut self, what: impl Into<String>) {
+        self.violation.get_or_insert(what.into());
+    }
+
+    pub fn canonical(&self) -> impl std::fmt::Debug + '_ {
+        (&self.committed, &self.commits, self.acknowledged, &self.refused, &self.asked, &self.proposed)
+    }
+
+    pub fn newest_epoch(&self) -> u64 {
+        self.decided.keys().next_back().copied().unwrap_or_default()
+    }
+
+    pub fn is_anything_acknowledged(&self) -> bool {
+        self.acknowledged > 0
+    }
+
+    /// A ballot proposes a view.
+    pub fn proposes(&mut self, epoch: u64, ballot: Ballot, view: &View) {
+        let first = self.proposed.entry((epoch, ballot)).or_insert_with(|| view.clone());
+        if first != view {
+            let first = first.clone();
+            self.fail(format!("{ballot:?} of epoch {epoch} proposes {first:?} and {view:?}"));
+        }
+    }
+
+    /// A view comes into force at a member, whose state is `state` after that if it is the head.
+    pub fn installed(&mut self, view: &View, head: Option<&ControlState>) {
+        let first = self.decided.entry(view.epoch).or_insert_with(|| view.clone());
+        if first != view {
+            let first = first.clone();
+            self.fail(format!("two views for one epoch: {first:?} and {view:?}"));
+        }
+        let Some(state) = head else { return };
+        let before = self.commits.range(..view.epoch).map(|(_, length)| *length).max().unwrap_or(0);
+        if !history(state).starts_with(&self.committed[..before]) {
+            self.fail(format!("the head of {view:?} lacks what was committed"));
+        }
+    }
+
+    /// A tail has committed `state` in `epoch`.
+    pub fn commits(&mut self, epoch: u64, state: &ControlState) {
+        let found = history(state);
+        let common = found.len().min(self.committed.len());
+        if found[..common] != self.committed[..common] {
+            self.fail(format!("two histories: {found:?} and {:?}", self.committed));
+        }
+        if found.windows(2).any(|pair| pair[0].0 >= pair[1].0) {
+            self.fail(format!("generations do not rise: {found:?}"));
+        }
+        if self.refused.iter().any(|&refused| found.iter().any(|(_, digest)| *digest == order(refused).digest))
+        {
+            self.fail("a refused order is in force");
+        }
+        if self.commits.range(epoch + 1..).next().is_some() && found.len() > self.committed.len() {
+            self.fail("an older epoch commits after a newer one");
+        }
+        let length = self.commits.entry(epoch).or_default();
+        *length = found.len().max(*length);
+        if found.len() > self.committed.len() {
+            self.committed = found;
+        }
+    }
+
+    /// The request that is handed over next, with its number.
+    pub fn asks_order(&mut self, position: usize) -> (u64, Request) {
+        let number = self.note(Some(position));
+        (number, Request::Submit(Command::PutConfiguration(order(position))))
+    }
+
+    pub fn asks_read(&mut self) -> (u64, Request) {
+        (self.note(None), Request::ReadConfiguration)
+    }
+
+    pub fn asks_confirmation(&mut self) -> (u64, Request) {
+        (self.note(None), Request::Confirm)
+    }
+
+    fn note(&mut self, order: Option<usize>) -> u64 {
+        self.asked.push(Asked { order, acknowledged: self.acknowledged, is_answered: false });
+        self.asked.len() as u64 - 1
+    }
+
+    /// Whether request `number` has a clear answer.
+    pub fn is_answered(&self, number: u64) -> bool {
+        self.asked[number as usize].is_answered
+    }
+
+    /// A head answers; `published` is the state that it has published.
+    pub fn replies(&mut self, number: u64, reply: &Reply, published: &ControlState) {
+        let asked = self.asked[number as usize].clone();
+        if *reply == Reply::Unavailable {
+            return;
+        }
+        self.asked[number as usize].is_answered = true;
+        match (reply, asked.order) {
+            (Reply::Taken | Reply::AlreadyTaken, Some(position)) => self.acknowledges(position),
+            (Reply::Rejected(rejection), Some(position)) => self.refuses(position, &asked, *rejection),
+            (Reply::Configuration(found), None) => {
+                let generation = found.as_ref().map_or(0, |(generation, _)| *generation);
+                self.reads(&asked, generation);
+            }
+            (Reply::Confirmed, None) => self.reads(&asked, published.generation()),
+            _ => self.fail(format!("{reply:?} to {asked:?}")),
+        }
+    }
+
+    fn acknowledges(&mut self, position: usize) {
+        let order = order(position);
+        match self.committed.iter().position(|(_, digest)| *digest == order.digest) {
+            Some(place) => self.acknowledged = self.acknowledged.max(place + 1),
+            None => self.fail("acknowledged and not committed"),
+        }
+    }
+
+    fn refuses(&mut self, position: usize, asked: &Asked, rejection: Rejection) {
+        let order = order(position);
+        let is_known = |(_, digest): &(u64, Digest)| *digest == order.digest;
+        if self.committed[..asked.acknowledged].iter().any(is_known) {
+            self.fail("an acknowledged order is refused when it is sent again");
+        }
+        let current = match rejection {
+            Rejection::BaseMismatch { current } | Rejection::StaleGeneration { current } => current,
+            Rejection::StorageEpochMismatch { .. } => return self.fail("a refusal of another kind"),
+        };
+        self.reads(asked, current);
+        if self.committed.iter().any(is_known) {
+            // The first copy of it may have been taken since; the same order is then taken, not refused.
+            self.fail("a committed order is refused");
+        }
+        let is_sent_twice = self.asked.iter().filter(|other| {
+            other.order.is_some_and(|other| self::order(other).digest == order.digest)
+        });
+        if is_sent_twice.count() == 1 {
+            self.refused.push(position);
+        }
+    }
+
+    /// An answer was based on `generation` as the newest.
+    fn reads(&mut self, asked: &Asked, generation: u64) {
+        let newest = self.committed[..asked.acknowledged].last().map_or(0, |(generation, _)| *generation);
+        if generation < newest {
+            self.fail(format!("generation {generation} is told when {newest} was acknowledged"));
+        }
+        let is_committed = self.committed.iter().any(|(committed, _)| *committed == generation);
+        if generation > 0 && !is_committed {
+            self.fail(format!("generation {generation} is told and is not committed"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/member_model/recovery.rs
@@ -0,0 +1,68 @@
+//! Whether a state leads back to service once all faults end.
+
+use std::sync::Arc;
+
+use woadreach_chain::TimedStep;
+
+use super::core::Core;
+use super::world::World;
+
+/// Elections that are tried.
+const ROUNDS: usize = 8;
+
+impl Core {
+    /// Every process is up, every disk syncs and every message comes: whether a head confirms a request.
+    pub fn recovers(&self, world: &World) -> bool {
+        let world = World { slow_disks: Vec::new(), ..world.clone() };
+        let mut core = self.clone();
+        for index in 0..core.machines.len() {
+            core.sync(&world, index);
+        }
+        core.greet(&world);
+        core.settle(&world);
+        for round in 0..ROUNDS {
+            if core.serves(&world) {
+                return true;
+            }
+            core.elect(&world, round);
+        }
+        core.serves(&world)
+    }
+
+    /// Delivers everything, and what is sent again after a pause.
+    pub fn settle(&mut self, world: &World) {
+        self.deliver_all(world);
+        for index in 0..self.machines.len() {
+            self.step(world, index, TimedStep::Resend);
+        }
+        self.deliver_all(world);
+    }
+
+    fn elect(&mut self, world: &World, round: usize) {
+        let newest = self.oracle.newest_epoch();
+        let is_voter = |index: &usize| {
+            let machine = &self.machines[*index];
+            let view = &machine.member.durable().view;
+            view.epoch == newest && view.is_voter(machine.id())
+        };
+        let voters: Vec<usize> = (0..self.machines.len()).filter(is_voter).collect();
+        let Some(&proposer) = voters.get(round % voters.len().max(1)) else { return };
+        self.step(world, proposer, TimedStep::Propose);
+        self.deliver_all(world);
+        self.step(world, proposer, TimedStep::EndReportWait);
+        self.settle(world);
+    }
+
+    fn serves(&mut self, world: &World) -> bool {
+        let newest = self.oracle.newest_epoch();
+        let now = self.now;
+        let is_head =
+            |machine: &Arc<super::machine::Machine>| machine.epoch() == newest && machine.is_serving_head(now);
+        let Some(head) = self.machines.iter().position(is_head) else { return false };
+        let request = self.oracle.asks_confirmation();
+        let number = request.0;
+        self.ask(world, head, request);
+        self.settle(world);
+        self.oracle.is_answered(number)
+    }
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/member_model/world.rs
@@ -0,0 +1,195 @@
+//! The search: what may happen, how often, and what must hold.
+
+use std::sync::Arc;
+
+use stateright::{Model, Property};
+use woadreach_chain::{Body, Envelope, TimedStep};
+
+use super::core::{Core, Counts, Letter};
+use super::machine::Machine;
+
+/// One world to search.
+#[derive(Clone)]
+pub struct World {
+    pub machines: usize,
+    /// The first of the machines vote in the first view.
+    pub voters: usize,
+    /// The first of the voters replicate in it.
+    pub chain: usize,
+    /// Members of the first chain that are not yet active in it, though in the epoch before.
+    pub inactive: Vec<usize>,
+    pub faults: usize,
+    /// Machines whose syncs take time; those of others are done at once.
+    pub slow_disks: Vec<usize>,
+    /// Machines that may open an election.
+    pub proposers: Vec<usize>,
+    /// Machines that may be killed or wiped.
+    pub victims: Vec<usize>,
+    pub most: Counts,
+    /// Planted: a member that lost its disk keeps its identity.
+    pub identity_survives: bool,
+    /// Whether each state must lead back to service once everyone is up and every message comes.
+    pub is_recovery_checked: bool,
+    #[cfg(feature = "plants")]
+    pub plant: Option<woadreach_chain::Plant>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Deliver(Letter),
+    /// A message comes, and will come again.
+    Repeat(Letter),
+    Sync(usize),
+    Propose(usize),
+    /// The proposer goes on with the reports that it has.
+    EndReportWait(usize),
+    Resend(usize),
+    Crash { index: usize, kept: usize },
+    /// A machine that was started anew exchanges signs of life.
+    Greet,
+    Wipe(usize),
+    Leave(usize),
+    Order(usize),
+    Read(usize),
+}
+
+impl World {
+    fn timed(&self, core: &Core, actions: &mut Vec<Action>) {
+        for (index, machine) in core.machines.iter().enumerate() {
+            let can_propose = self.proposers.contains(&index) && core.counts.proposals < self.most.proposals;
+            if can_propose && machine.member.durable().view.is_voter(machine.id()) {
+                actions.push(Action::Propose(index));
+            }
+            if machine.member.has_majority_of_reports() {
+                actions.push(Action::EndReportWait(index));
+            }
+            if !machine.unsynced.is_empty() {
+                actions.push(Action::Sync(index));
+            }
+            if !machine.has_greeted {
+                actions.push(Action::Greet);
+                actions.push(Action::Resend(index));
+            }
+        }
+    }
+
+    fn faults(&self, core: &Core, actions: &mut Vec<Action>) {
+        for &index in &self.victims {
+            let machine: &Arc<Machine> = &core.machines[index];
+            if core.counts.crashes < self.most.crashes {
+                let kept = 0..=machine.unsynced.len();
+                actions.extend(kept.map(|kept| Action::Crash { index, kept }));
+            }
+            if core.counts.wipes < self.most.wipes {
+                actions.push(Action::Wipe(index));
+            }
+            if core.counts.leaves < self.most.leaves && !machine.is_leaving {
+                actions.push(Action::Leave(index));
+            }
+        }
+    }
+
+    fn requests(&self, core: &Core, actions: &mut Vec<Action>) {
+        for (index, machine) in core.machines.iter().enumerate() {
+            if !machine.is_serving_head(core.now) {
+                continue;
+            }
+            if core.counts.orders < self.most.orders {
+                actions.push(Action::Order(index));
+            }
+            if core.counts.reads < self.most.reads && core.oracle.is_anything_acknowledged() {
+                actions.push(Action::Read(index));
+            }
+        }
+    }
+}
+
+impl Model for World {
+    type State = Core;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<Core> {
+        vec![Core::first(self)]
+    }
+
+    fn actions(&self, core: &Core, actions: &mut Vec<Action>) {
+        if core.oracle.violation.is_some() {
+            return;
+        }
+        actions.extend(core.letters.iter().cloned().map(Action::Deliver));
+        if core.counts.repeats < self.most.repeats {
+            actions.extend(core.letters.iter().cloned().map(Action::Repeat));
+        }
+        self.timed(core, actions);
+        self.faults(core, actions);
+        self.requests(core, actions);
+    }
+
+    fn next_state(&self, core: &Core, action: Action) -> Option<Core> {
+        let mut next = core.clone();
+        match action {
+            Action::Deliver(letter) => {
+                next.letters.remove(&letter);
+                next.deliver(self, &letter);
+            }
+            Action::Repeat(letter) => {
+                next.counts.repeats += 1;
+                next.deliver(self, &letter);
+            }
+            Action::Sync(index) => next.sync(self, index),
+            Action::Propose(index) => {
+                next.counts.proposals += 1;
+                next.step(self, index, TimedStep::Propose);
+            }
+            Action::EndReportWait(index) => next.step(self, index, TimedStep::EndReportWait),
+            Action::Resend(index) => next.step(self, index, TimedStep::Resend),
+            Action::Crash { index, kept } => {
+                next.counts.crashes += 1;
+                next.crash(self, index, kept);
+            }
+            Action::Greet => next.greet(self),
+            Action::Wipe(index) => {
+                next.counts.wipes += 1;
+                next.wipe(self, index);
+            }
+            Action::Leave(index) => {
+                next.counts.leaves += 1;
+                next.leave(self, index);
+            }
+            Action::Order(index) => {
+                let position = usize::from(next.counts.orders);
+                next.counts.orders += 1;
+                let request = next.oracle.asks_order(position);
+                next.ask(self, index, request);
+            }
+            Action::Read(index) => {
+                next.counts.reads += 1;
+                let request = next.oracle.asks_read();
+                next.ask(self, index, request);
+            }
+        }
+        if self.is_recovery_checked && next.oracle.violation.is_none() && !next.recovers(self) {
+            next.oracle.violation = Some("the core cannot go on though everyone is back".to_owned());
+        }
+        Some(next)
+    }
+
+    fn format_action(&self, action: &Action) -> String {
+        match action {
+            Action::Deliver((to, bytes)) | Action::Repeat((to, bytes)) => {
+                let envelope = Envelope::decode(bytes).expect("a message that a member has sent");
+                let kind = if matches!(action, Action::Repeat(_)) { "again" } else { "deliver" };
+                let body = match &envelope.body {
+                    Body::Transfer { state, .. } => format!("Transfer {:?}", state.stamp),
+                    body => format!("{body:?}"),
+                };
+                format!("{kind} {:?} -> {to} in {}: {body}", envelope.from, envelope.epoch)
+            }
+            action => format!("{action:?}"),
+        }
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![Property::<Self>::always("holds", |_, core| core.oracle.violation.is_none())]
+    }
+}
