Core: one lost disk doesn't leave the others without a complete member

Cause: the floor of a view rose to the epoch before unless a member of its chain reported that it had never been active there. Two cases left the only active member as the only complete one, and its disk's loss ended service for good although every acknowledged write was on the two others: - the head of [A, B] goes on with C before B is active and before B reports; A then loses its disk; - a machine just started, which hears nobody yet, becomes a chain of its own; it then loses its disk. Both found by the search of the real member (213 states, 4 steps; 748 states, 4 steps).

Change: a member remembers, on disk and in its reports, epochs in whose chain it was without ever being active (at most eight, at the end of the formats, which earlier versions read and write without it); the floor goes below them. A chain that doesn't meet every majority of the voters commits nothing and doesn't raise the floor. A machine whose disk stalls says so at once and opens no election, which would need its disk.

--- a/crates/woadreach-chain/src/agreement.rs
+++ b/crates/woadreach-chain/src/agreement.rs
@@ -17,7 +17,7 @@
 
 use speedy::{Readable, Writable};
 
-use crate::durable::Accepted;
+use crate::durable::{Accepted, IdleEpoch};
 use crate::state::Stamp;
 use crate::view::{MemberId, View};
 
@@ -48,6 +48,9 @@
     pub fit: bool,
     /// Members that it has heard lately.
     pub hears: Vec<MemberId>,
+    /// Epochs in which it knows that nothing was committed. At the end, as earlier messages lack it.
+    #[speedy(default_on_eof)]
+    pub idle_epochs: Vec<IdleEpoch>,
 }
 
 /// Phase of a proposer.
--- a/crates/woadreach-chain/src/durable.rs
+++ b/crates/woadreach-chain/src/durable.rs
@@ -45,6 +45,17 @@
     Write { stamp: Stamp, command: Command },
 }
 
+/// An epoch in whose chain a member was without ever having been active: nothing was committed in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct IdleEpoch {
+    pub epoch: u64,
+    /// The floor of its view: whoever was active there holds what was committed up to `epoch` too.
+    pub floor: u64,
+}
+
+/// How many idle epochs are remembered.
+const IDLE_EPOCHS: usize = 8;
+
 /// The state of a member's disk: the result of its records, in order.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Durable {
@@ -61,6 +72,9 @@
     pub active_epoch: u64,
     /// The state with every write, committed or not.
     pub state: ControlState,
+    /// Epochs known to have committed nothing, oldest first. At the end, as earlier snapshots lack it.
+    #[speedy(default_on_eof)]
+    pub idle_epochs: Vec<IdleEpoch>,
 }
 
 impl Durable {
@@ -74,6 +88,7 @@
             accepted: None,
             active_epoch: 0,
             state: ControlState::default(),
+            idle_epochs: Vec::new(),
         }
     }
 
@@ -83,6 +98,7 @@
             Record::Promise(promise) => self.promise = Some(*promise),
             Record::Accept(accepted) => self.accepted = Some(accepted.clone()),
             Record::View(view) => {
+                self.note_idle_epoch();
                 self.view = view.clone();
                 self.accepted = None;
             }
@@ -95,6 +111,18 @@
         }
     }
 
+    /// The current epoch ends here. If this member was in the chain and never active, that is for good.
+    fn note_idle_epoch(&mut self) {
+        let View { epoch, floor, .. } = self.view;
+        let is_in_chain = self.view.chain.iter().any(|member| member.identity == self.identity);
+        if is_in_chain && self.active_epoch < epoch {
+            if self.idle_epochs.len() == IDLE_EPOCHS {
+                self.idle_epochs.remove(0);
+            }
+            self.idle_epochs.push(IdleEpoch { epoch, floor });
+        }
+    }
+
     /// The promise that binds in the current view.
     pub fn current_promise(&self) -> Option<Promise> {
         self.promise.filter(|promise| promise.epoch == self.view.epoch)
--- a/crates/woadreach-chain/src/election.rs
+++ b/crates/woadreach-chain/src/election.rs
@@ -12,8 +12,10 @@
 use std::time::Duration;
 
 use crate::agreement::{Phase, Proposer, Report};
+use crate::durable::IdleEpoch;
 use crate::member::Member;
-use crate::plan::{Candidate, next_view};
+
+use crate::plan::{Candidate, lowered_floor, next_view};
 use crate::state::Stamp;
 use crate::view::{MemberId, View};
 
@@ -138,6 +140,10 @@
         if !view.is_voter(self.id) || self.reachable_voters(now) < view.majority() {
             return None;
         }
+        if !self.is_disk_healthy {
+            // A proposal begins with a promise on the own disk.
+            return None;
+        }
         if self.durable.is_sealed() {
             return Some(Reason::Sealed);
         }
@@ -282,6 +288,14 @@
             let is_first_known = self.durable.view.epoch == 0;
             is_first_known || (hears(first, second) && hears(second, first))
         };
-        next_view(&self.durable.view, &voters, &learners, self.policy, &linked).ok()
+        next_view(&self.view_with_known_floor(reports), &voters, &learners, self.policy, &linked).ok()
+    }
+
+    /// The current view, its floor lowered below the epochs that committed nothing as reported.
+    fn view_with_known_floor(&self, reports: &BTreeMap<MemberId, Report>) -> View {
+        let idle_epochs: Vec<IdleEpoch> =
+            reports.values().flat_map(|report| report.idle_epochs.iter().copied()).collect();
+        let view = &self.durable.view;
+        View { floor: lowered_floor(view.floor, &idle_epochs), ..view.clone() }
     }
 }
--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use agreement::{Ballot, Promise};
 pub use blob::Blob;
-pub use durable::{Accepted, Durable, Record, RecordError};
+pub use durable::{Accepted, Durable, IdleEpoch, Record, RecordError};
 #[doc(hidden)]
 pub use member::TimedStep;
 pub use member::{Input, Member, MemberOptions, Output, Status};
--- a/crates/woadreach-chain/src/member/chain.rs
+++ b/crates/woadreach-chain/src/member/chain.rs
@@ -122,7 +122,8 @@
         let Some(persisted) = self.replication.persisted_in(epoch) else { return };
         let Some(successor) = self.successor() else {
             let barrier = self.replication.barrier();
-            if self.durable.view.chain.len() >= self.policy.minimum {
+            let view = &self.durable.view;
+            if view.chain.len() >= self.policy.minimum && view.meets_every_majority() {
                 self.chain_confirmed(now, Some(persisted), barrier);
             }
             return;
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -120,7 +120,7 @@
     waiting: WaitingRequests,
     published: Arc<ControlState>,
     barrier_session: u64,
-    is_disk_healthy: bool,
+    pub(crate) is_disk_healthy: bool,
     pub(crate) is_leaving: bool,
     record_number: u64,
     synced_number: u64,
@@ -258,7 +258,7 @@
             Input::Request(id, request) => self.take_request(now, id, request),
             Input::Cancel(id) => self.waiting.cancel(id),
             Input::Persisted(through) => self.synced(now, through),
-            Input::DiskHealth { is_healthy } => self.is_disk_healthy = is_healthy,
+            Input::DiskHealth { is_healthy } => self.disk_health(now, is_healthy),
             Input::Seeds(seeds) => self.seeds = seeds,
             Input::Leave => self.leave(now),
         }
@@ -299,6 +299,15 @@
         self.drive(now);
     }
 
+    /// The others hear at once of a disk that stalls: this member can't open an election without it.
+    fn disk_health(&mut self, now: Duration, is_healthy: bool) {
+        let has_changed = self.is_disk_healthy != is_healthy;
+        self.is_disk_healthy = is_healthy;
+        if has_changed {
+            self.ping_all(now);
+        }
+    }
+
     fn leave(&mut self, now: Duration) {
         self.is_leaving = true;
         self.ping_all(now);
--- a/crates/woadreach-chain/src/member/views.rs
+++ b/crates/woadreach-chain/src/member/views.rs
@@ -41,6 +41,7 @@
             stamp: self.durable.state.stamp,
             fit: self.is_fit(),
             hears: self.peers.heard_lately(self.last_tick),
+            idle_epochs: self.durable.idle_epochs.clone(),
         }
     }
 
--- a/crates/woadreach-chain/src/plan.rs
+++ b/crates/woadreach-chain/src/plan.rs
@@ -5,6 +5,7 @@
 use snafu::Snafu;
 use speedy::{Readable, Writable};
 
+use crate::durable::IdleEpoch;
 use crate::state::Stamp;
 use crate::view::{MemberId, View};
 
@@ -108,9 +109,23 @@
     Ok(View { epoch: current.epoch + 1, voters, chain, floor })
 }
 
-/// The floor of the next view. A commit needs every member of the chain: if one of them has sealed the epoch
-/// without ever having been active in it, nothing was committed in it, and the earlier floor holds.
+/// The floor without epochs in which nothing was committed: whoever was active in the floor of such an epoch
+/// holds what was committed before it, and so all that was.
+pub fn lowered_floor(floor: u64, idle_epochs: &[IdleEpoch]) -> u64 {
+    let mut floor = floor;
+    while let Some(idle) = idle_epochs.iter().find(|idle| idle.epoch == floor && idle.floor < floor) {
+        floor = idle.floor;
+    }
+    floor
+}
+
+/// The floor of the next view. A commit needs every member of a chain that meets every majority: if the chain
+/// doesn't, or if one of them has sealed the epoch without ever having been active in it, nothing was
+/// committed in it, and the earlier floor holds.
 fn next_floor(current: &View, voters: &[Candidate]) -> u64 {
+    if !current.meets_every_majority() {
+        return current.floor;
+    }
     let mut chain = voters.iter().filter(|voter| current.chain.contains(&voter.member));
     if chain.any(|voter| voter.active_epoch < current.epoch) { current.floor } else { current.epoch }
 }
--- a/crates/woadreach-chain/tests/ballots.rs
+++ b/crates/woadreach-chain/tests/ballots.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use woadreach_chain::{
-    Ballot, Body, Durable, Input, Member, MemberId, MemberOptions, Output, Place, Record, TimedStep, Tolerance,
-    View,
+    Ballot, Body, Durable, Input, Member, MemberId, MemberOptions, Output, Place, Record, TimedStep,
+    Tolerance, View,
 };
 
 const NOW: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/woadreach-chain/tests/idle_epochs.rs
@@ -0,0 +1,57 @@
+//! Epochs that ended before a member of their chain was active: nothing was committed in them.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use woadreach_chain::{Durable, IdleEpoch, MemberId, Record, View};
+
+fn id(number: u8) -> MemberId {
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7000);
+    MemberId { address, identity: u64::from(number) }
+}
+
+fn view(epoch: u64, chain: &[u8]) -> View {
+    let voters = vec![id(1), id(2), id(3)];
+    View { epoch, voters, chain: chain.iter().copied().map(id).collect(), floor: epoch - 1 }
+}
+
+/// The disk of member 1, in the chain of epoch 5.
+fn disk() -> Durable {
+    let mut durable = Durable::new(1, true, View::default());
+    durable.apply(&Record::View(view(5, &[2, 1])));
+    durable
+}
+
+#[test]
+fn a_member_that_was_never_active_remembers_the_epoch() {
+    let mut durable = disk();
+    durable.apply(&Record::View(view(6, &[2, 3])));
+    assert_eq!(durable.idle_epochs, [IdleEpoch { epoch: 5, floor: 4 }]);
+    // In epoch 6 it was outside the chain and proves nothing.
+    durable.apply(&Record::View(view(7, &[2, 3])));
+    assert_eq!(durable.idle_epochs.len(), 1);
+}
+
+#[test]
+fn an_active_member_proves_nothing() {
+    let mut durable = disk();
+    durable.apply(&Record::Activate(5));
+    durable.apply(&Record::View(view(6, &[2, 3])));
+    assert_eq!(durable.idle_epochs, []);
+}
+
+#[test]
+fn a_few_epochs_are_remembered() {
+    let mut durable = disk();
+    (6..30).for_each(|epoch| durable.apply(&Record::View(view(epoch, &[2, 1]))));
+    assert_eq!(durable.idle_epochs.len(), 8);
+    assert_eq!(durable.idle_epochs.last(), Some(&IdleEpoch { epoch: 28, floor: 27 }));
+}
+
+#[test]
+fn snapshots_of_before_are_read() {
+    let durable = disk();
+    let bytes = durable.encode();
+    // The count of idle epochs ends the snapshot.
+    let earlier = &bytes[..bytes.len() - 4];
+    assert_eq!(Durable::decode(earlier).expect("a snapshot"), durable);
+}
--- a/crates/woadreach-chain/tests/member_model/oracle.rs
+++ b/crates/woadreach-chain/tests/member_model/oracle.rs
@@ -96,7 +96,10 @@
         if found.windows(2).any(|pair| pair[0].0 >= pair[1].0) {
             self.fail(format!("generations do not rise: {found:?}"));
         }
-        if self.refused.iter().any(|&refused| found.iter().any(|(_, digest)| *digest == order(refused).digest))
+        if self
+            .refused
+            .iter()
+            .any(|&refused| found.iter().any(|(_, digest)| *digest == order(refused).digest))
         {
             self.fail("a refused order is in force");
         }
@@ -176,9 +179,10 @@
             // The first copy of it may have been taken since; the same order is then taken, not refused.
             self.fail("a committed order is refused");
         }
-        let is_sent_twice = self.asked.iter().filter(|other| {
-            other.order.is_some_and(|other| self::order(other).digest == order.digest)
-        });
+        let is_sent_twice = self
+            .asked
+            .iter()
+            .filter(|other| other.order.is_some_and(|other| self::order(other).digest == order.digest));
         if is_sent_twice.count() == 1 {
             self.refused.push(position);
         }
--- a/crates/woadreach-chain/tests/member_model/recovery.rs
+++ b/crates/woadreach-chain/tests/member_model/recovery.rs
@@ -56,8 +56,9 @@
     fn serves(&mut self, world: &World) -> bool {
         let newest = self.oracle.newest_epoch();
         let now = self.now;
-        let is_head =
-            |machine: &Arc<super::machine::Machine>| machine.epoch() == newest && machine.is_serving_head(now);
+        let is_head = |machine: &Arc<super::machine::Machine>| {
+            machine.epoch() == newest && machine.is_serving_head(now)
+        };
         let Some(head) = self.machines.iter().position(is_head) else { return false };
         let request = self.oracle.asks_confirmation();
         let number = request.0;
--- a/crates/woadreach-chain/tests/member_model/world.rs
+++ b/crates/woadreach-chain/tests/member_model/world.rs
@@ -44,7 +44,10 @@
     /// The proposer goes on with the reports that it has.
     EndReportWait(usize),
     Resend(usize),
-    Crash { index: usize, kept: usize },
+    Crash {
+        index: usize,
+        kept: usize,
+    },
     /// A machine that was started anew exchanges signs of life.
     Greet,
     Wipe(usize),
--- a/crates/woadreach-chain/tests/plan.rs
+++ b/crates/woadreach-chain/tests/plan.rs
@@ -77,6 +77,17 @@
     assert_eq!(view.floor, 4);
 }
 
+#[test]
+fn a_chain_that_does_not_meet_every_majority_has_committed_nothing() {
+    // 1 was alone in the chain and has lost its disk; the others hold what was committed up to epoch 4.
+    let mut view = current();
+    view.chain = vec![id(1)];
+    let voters = [candidate(id(2), 4), candidate(id(3), 4)];
+    let next = next_view(&view, &voters, &[], one_machine(), &everyone).expect("a view");
+    assert_eq!(next.chain, [id(3), id(2)]);
+    assert_eq!(next.floor, 4);
+}
+
 #[test]
 fn the_chain_begins_with_the_longest_state() {
     let longer = Candidate { stamp: Stamp { epoch: 5, number: 9 }, ..candidate(id(3), 5) };
