Decisions: an answer counts for its replica's queue however quick it was

Cause of the flaky daemon test late_and_second_answers_are_ignored: an answer's time is taken from the kernel, which tells it in steps of its own clock, so an answer that comes at once may lie before its send and has latency 0. The decisions passed over latency 0 as "not measured", so that only the part given up just before was left as a sample of the replica's queue: the next search was shed, nothing was sent, and the idle connection closed.

Now every answer is a sample; a part given up in the moment of its send still is none. The new cases of an_answer_counts_however_quick fail before (within_the_clocks_grain: shed) and pass after.

--- a/src/decide/search_steps.rs
+++ b/src/decide/search_steps.rs
@@ -51,7 +51,7 @@
                 self.unloaded.record(now, &o.replica, o.latency, ejected);
             }
         }
-        if matches!(o.ending, Ending::Answered | Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0 {
+        if answered || (matches!(o.ending, Ending::TimedOut | Ending::Cancelled) && o.latency > 0.0) {
             push(&mut known.loaded, Sample { at: now, value: o.latency }, 8);
         }
         if matches!(o.ending, Ending::Full | Ending::TimedOut) {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -627,6 +627,23 @@
     assert_eq!(b.place(1.0 + age, &mut late).reply.is_some(), shed);
 }
 
+/// An answer counts however quick it was: after one that the clock cannot tell from its send, the part that
+/// was given up before it is not all that is known of its replica's queue.
+#[rstest]
+#[case::told_by_the_clock(0.0005)]
+#[case::within_the_clocks_grain(0.0)]
+fn an_answer_counts_however_quick(#[case] latency: f64) {
+    let mut b = balancer(settings(), &["a"]);
+    let mut first = search(1, 1, 0.0, 3.0);
+    let p = b.place(0.0, &mut first).send[0].clone();
+    b.after(0.98, Some(&mut first), &ended(&p, 0, Ending::Cancelled, 0.98));
+    let mut second = search(2, 1, 0.98, 3.0);
+    let p = b.place(0.98, &mut second).send[0].clone();
+    b.after(0.98 + latency, Some(&mut second), &ended(&p, 0, Ending::Answered, latency));
+    let now = 1.0 + latency;
+    assert_eq!(b.place(now, &mut search(3, 1, now, 3.0)).reply, None);
+}
+
 /// Odd facts do no harm: outcomes of unknown replicas and parts, zero weights, unknown cells.
 #[rstest]
 fn odd_input_is_harmless() {
