Daemon tests: times changed by their key; a failing test shows its program's log

Two tests replaced digits in the whole configuration, in which the same digits may stand in a port (250 is in one of some 600 ports of the ephemeral range, three ports a test). They now change the keys.

--- a/crates/woadreachd/tests/scene/mod.rs
+++ b/crates/woadreachd/tests/scene/mod.rs
@@ -59,6 +59,15 @@
     config.replacen("\"instances\":[", &format!("\"instances\":[{},", others().join(",")), 1)
 }
 
+/// With this aim for each query type and this connect time-out, in ms. By their keys: the same digits may
+/// stand in a port.
+pub fn with_times(config: &str, aim: u32, connect: u32) -> String {
+    let aims = config.replace("\"aimMs\":3000", &format!("\"aimMs\":{aim}"));
+    let times = aims.replace("\"connectTimeoutMs\":250", &format!("\"connectTimeoutMs\":{connect}"));
+    assert!(!times.contains("\"aimMs\":3000") && !times.contains("\"connectTimeoutMs\":250"));
+    times
+}
+
 pub fn scene() -> Scene {
     scene_with(|c| c)
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -328,8 +328,13 @@
 }
 
 impl Drop for Program {
+    /// A test that fails shows what the program has logged.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            let rest: Vec<String> = self.log.iter().collect();
+            eprintln!("{}{}", self.seen, rest.join("\n"));
+        }
     }
 }
