Storage: a reservation settles itself when it is dropped

Cause: the open reservations were a map from turn to numbers, emptied by `put_turn` before its write was durable and read by `settle`. A deadline that came during `put_turn` dropped its future between the two, so nothing was left to settle; a client that left while its chain was read, after its reservation had been granted, dropped the grant on its way to the request. Both left the most of the turn counted until the budget is forgotten (300 s), and the program got 402 for turns that fit. A settlement that met no quorum was given up after 8 s, and a withdrawal before a 402 after 200 ms.

Change: `reserve` gives a `HeldReservation`, which settles itself in the background when it is dropped, at what was given until then; `put_turn` borrows it and marks it settled once the turn is durable. The map, `settle` and the proxy's task around `reserve` are gone. `a_budget_is_spent_once_across_clients` holds its reservations now, as dropping one settles it; what it asks is the same.

--- a/crates/woadreach-proxy/src/request_task.rs
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -103,7 +103,6 @@
         let end = self.drive().await;
         self.proxy.dispatcher.cancelled(self.id);
         self.proxy.dispatcher.forget(self.id);
-        self.turn.close(&self.proxy.turns);
         self.proxy.counters.count(end);
         tracing::debug!(
             request = %self.client.facts.request_id,
--- a/crates/woadreach-proxy/src/turn_store.rs
+++ b/crates/woadreach-proxy/src/turn_store.rs
@@ -6,8 +6,9 @@
 use crate::token_ledger::TokenLedger;
 use bytes::Bytes;
 use std::sync::Arc;
-use tokio::sync::oneshot;
-use woadreach_storage::{ChainError, ReserveError, ReserveRequest, StorageClient, Turn, TurnKey};
+use woadreach_storage::{
+    ChainError, HeldReservation, ReserveError, ReserveRequest, StorageClient, Turn, TurnKey,
+};
 
 /// Why a request stops at its storage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +30,8 @@
     kept: bool,
     previous: Option<TurnKey>,
     events: Vec<Bytes>,
-    /// A reservation has been sent and not settled.
-    reserved: bool,
+    /// What it holds of the program's budget.
+    reservation: Option<HeldReservation>,
 }
 
 impl PreparedTurn {
@@ -44,7 +45,7 @@
             kept: client.route.kept,
             previous: None,
             events: Vec::new(),
-            reserved: false,
+            reservation: None,
         }
     }
 
@@ -61,7 +62,7 @@
             }
         };
         let (reserved, chain) = match client.facts.budget {
-            None => (Ok(()), chain.await),
+            None => (Ok(None), chain.await),
             Some(budget) => {
                 let request = ReserveRequest {
                     program: self.program.clone(),
@@ -69,11 +70,11 @@
                     budget,
                     most: u64::from(client.facts.tokens.unwrap_or_default().output),
                 };
-                tokio::join!(reserve(store, request), chain)
+                let reserve = async { store.reserve(&request).await.map(Some) };
+                tokio::join!(reserve, chain)
             }
         };
-        reserved.map_err(reserve_error)?;
-        self.reserved = client.facts.budget.is_some();
+        self.reservation = reserved.map_err(reserve_error)?;
         let chain = chain?;
         self.previous = chain.last().map(|turn| turn.key());
         Ok(replay_body(&chain, &client.body))
@@ -82,6 +83,9 @@
     /// Notes events that have been passed on to the client.
     pub fn take_events(&mut self, events: Vec<Event>) {
         self.ledger.add_events(events.len());
+        if let Some(reservation) = &mut self.reservation {
+            reservation.set_given(self.ledger.given());
+        }
         if self.kept {
             self.events.extend(events.into_iter().map(|event| event.data));
         }
@@ -101,34 +105,11 @@
             events: std::mem::take(&mut self.events),
             retention: client.route.retention,
         };
-        let given = self.reserved.then(|| self.ledger.given());
-        store.put_turn(turn, given).await.map_err(|_| TurnError::Unavailable)?;
-        self.reserved = false;
-        Ok(())
-    }
-
-    /// Settles the reservation at what has been given, unless that has been done.
-    pub fn close(&mut self, store: &StorageClient) {
-        if std::mem::take(&mut self.reserved) {
-            store.settle(&self.program, &self.request_id, self.ledger.given());
-        }
+        let stored = store.put_turn(turn, self.reservation.as_mut()).await;
+        stored.map_err(|_| TurnError::Unavailable)
     }
 }
 
-/// Reserves in a task of its own: if the request ends meanwhile, what was reserved is given back.
-async fn reserve(store: &StorageClient, request: ReserveRequest) -> Result<(), ReserveError> {
-    let (sender, receiver) = oneshot::channel();
-    let store = store.clone();
-    tokio::spawn(async move {
-        let reserved = store.reserve(&request).await;
-        let was_reserved = reserved.is_ok();
-        if sender.send(reserved).is_err() && was_reserved {
-            store.settle(&request.program, &request.request_id, 0);
-        }
-    });
-    receiver.await.unwrap_or(Err(ReserveError::Unavailable))
-}
-
 fn chain_error(error: ChainError) -> TurnError {
     match error {
         ChainError::NotFound => TurnError::UnknownTurn,
--- /dev/null
+++ b/crates/woadreach-proxy/tests/budgets.rs
@@ -0,0 +1,94 @@
+//! Budgets of turns that end before their answer is whole: nothing but what was given stays counted.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use support::replica::{Received, Replica, chunk, stream_end, stream_head};
+use support::storage::Storage;
+use support::tier::Tier;
+use support::{Client, ask, on_one_thread, wait_for};
+use woadreach_storage::message::Operation;
+
+const TWO_EVENTS: &[u8] = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+/// A turn that generates four tokens at most and gives two.
+fn turn(id: &str, headers: &str) -> String {
+    format!(
+        "POST /kept/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: {id}\r\nProgram: 3fa81c\r\nSession: 77d20b\r\n\
+         Token-Usage: 10,4\r\n{headers}Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+async fn answering() -> Replica {
+    let script = |_: usize, request: &Received| vec![stream_head(request), chunk(TWO_EVENTS), stream_end()];
+    Replica::start(script).await
+}
+
+/// Sends turns with this budget until one is not answered 402.
+async fn wait_until_it_fits(tier: &Tier, budget: u64) {
+    wait_for("a turn that fits", async {
+        for number in 0.. {
+            let request = turn(&format!("later-{number}"), &format!("Budget: {budget}\r\n"));
+            if ask(tier.front, &request).await.status() == 200 {
+                return;
+            }
+        }
+    })
+    .await;
+}
+
+#[test]
+fn a_turn_whose_deadline_comes_while_it_is_made_durable_counts_for_what_it_gave() {
+    on_one_thread(async {
+        let replica = answering().await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let swallows = |operation: &Operation| match operation {
+            Operation::PutTurns { turns, .. } => turns.iter().any(|turn| turn.request_id == "a1"),
+            _ => false,
+        };
+        let _storage = Storage::swallowing(&tier, &[("i-1", &replica)], swallows).await;
+        let seen = ask(tier.front, &turn("a1", "Budget: 6\r\nTimeout-Ms: 400\r\n")).await;
+        assert_eq!((seen.status(), seen.whole), (200, false), "what is not durable does not look whole");
+        wait_until_it_fits(&tier, 6).await;
+    });
+}
+
+#[test]
+fn a_client_that_leaves_while_its_chain_is_read_leaves_nothing_reserved() {
+    on_one_thread(async {
+        let replica = answering().await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let swallows = |operation: &Operation| matches!(operation, Operation::ReadChain { .. });
+        let mut storage = Storage::swallowing(&tier, &[("i-1", &replica)], swallows).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(turn("a1", "Budget: 6\r\nPrevious: a0\r\n").as_bytes()).await;
+        storage.wait_for_swallowed(1).await;
+        // Another turn's way to the storage machine and back: the first one's reservation is granted by now.
+        assert_eq!(ask(tier.front, &turn("b1", "Budget: 6\r\n")).await.status(), 402);
+        drop(client);
+        wait_until_it_fits(&tier, 4).await;
+        assert_eq!(replica.received().len(), 1, "the turn of the client that has left is not run");
+    });
+}
+
+#[test]
+fn a_reservation_that_is_granted_after_its_client_has_left_is_withdrawn() {
+    on_one_thread(async {
+        let replica = answering().await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let open = Arc::new(AtomicBool::new(false));
+        let gate = open.clone();
+        let swallows = move |operation: &Operation| {
+            matches!(operation, Operation::Reserve { .. }) && !gate.load(Ordering::Relaxed)
+        };
+        let mut storage = Storage::swallowing(&tier, &[("i-1", &replica)], swallows).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(turn("a1", "Budget: 6\r\n").as_bytes()).await;
+        storage.wait_for_swallowed(1).await;
+        drop(client);
+        open.store(true, Ordering::Relaxed);
+        wait_until_it_fits(&tier, 4).await;
+        assert_eq!(replica.received().len(), 1);
+    });
+}
--- a/crates/woadreach-proxy/tests/kept.rs
+++ b/crates/woadreach-proxy/tests/kept.rs
@@ -2,41 +2,13 @@
 
 mod support;
 
-use std::sync::Arc;
 use support::replica::{Received, Replica, Step, chunk, stream_end, stream_head};
-use support::tier::{Tier, snapshot};
+use support::storage::Storage;
+use support::tier::Tier;
 use support::{Client, Seen, ask, on_one_thread};
-use tempfile::TempDir;
-use tokio::net::TcpListener;
-use woadreach_discovery::ControlSnapshot;
-use woadreach_rpc::{ClientOptions, Router, serve};
-use woadreach_storage::StorageView;
-use woadreach_storage::server::{Server, ServerOptions};
 
 const TWO_EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 
-/// Starts a storage machine and tells the tier of it.
-async fn with_storage(tier: &Tier, replicas: &[(&str, &Replica)]) -> TempDir {
-    let folder = tempfile::tempdir().expect("a folder");
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let options = ServerOptions {
-        node: "store-1".to_owned(),
-        address: listener.local_addr().expect("an address"),
-        zone: "a".to_owned(),
-        tolerated: 0,
-        disk_bytes: 50 << 20,
-    };
-    let rpc = woadreach_rpc::Client::new(ClientOptions::default());
-    let server = Server::open(folder.path(), rpc, options).await.expect("a disk");
-    let current = vec![server.announcement().member];
-    let view = StorageView { epoch: 1, current, ..StorageView::default() };
-    let router = server.routes(Router::new());
-    tokio::spawn(async move { tokio::join!(serve(listener, router), server.run()) });
-    let known = ControlSnapshot { storage_view: Some(Arc::new(view)), ..snapshot(replicas) };
-    tier.proxy.learn(&known);
-    folder
-}
-
 fn turn(id: &str, input: &str, headers: &str) -> String {
     format!(
         "POST /kept/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: {id}\r\nProgram: 3fa81c\r\nSession: 77d20b\r\n\
@@ -56,7 +28,7 @@
 ) -> (Vec<Seen>, Vec<Received>) {
     let replica = Replica::start(script).await;
     let tier = Tier::start(&[("i-1", &replica)]).await;
-    let _folder = with_storage(&tier, &[("i-1", &replica)]).await;
+    let _storage = Storage::start(&tier, &[("i-1", &replica)]).await;
     let mut seen = Vec::new();
     for request in requests {
         seen.push(ask(tier.front, request).await);
--- a/crates/woadreach-proxy/tests/support/mod.rs
+++ b/crates/woadreach-proxy/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod replica;
+pub mod storage;
 pub mod tier;
 
 use std::future::Future;
--- /dev/null
+++ b/crates/woadreach-proxy/tests/support/storage.rs
@@ -0,0 +1,92 @@
+//! A storage machine on real files, behind a relay that may leave requests unanswered.
+
+use super::replica::Replica;
+use super::tier::{Tier, snapshot};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use woadreach_discovery::ControlSnapshot;
+use woadreach_rpc::{Client, ClientOptions, Router, ServiceId, serve};
+use woadreach_storage::StorageView;
+use woadreach_storage::message::{Operation, Request, decode};
+use woadreach_storage::server::{Server, ServerOptions};
+
+/// How long the relay waits for the machine behind it.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A storage machine that a tier knows.
+pub struct Storage {
+    _folder: TempDir,
+    swallowed: watch::Receiver<usize>,
+}
+
+impl Storage {
+    /// Starts a storage machine and tells the tier of it.
+    pub async fn start(tier: &Tier, replicas: &[(&str, &Replica)]) -> Self {
+        Self::swallowing(tier, replicas, |_| false).await
+    }
+
+    /// The same; requests that `swallows` names neither reach it nor are answered.
+    pub async fn swallowing(
+        tier: &Tier,
+        replicas: &[(&str, &Replica)],
+        swallows: impl Fn(&Operation) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let options = ServerOptions {
+            node: "store-1".to_owned(),
+            address: listener.local_addr().expect("an address"),
+            zone: "a".to_owned(),
+            tolerated: 0,
+            disk_bytes: 50 << 20,
+        };
+        let rpc = Client::new(ClientOptions::default());
+        let server = Server::open(folder.path(), rpc, options).await.expect("a disk");
+        let mut member = server.announcement().member;
+        let router = server.routes(Router::new());
+        tokio::spawn(async move { tokio::join!(serve(listener, router), server.run()) });
+        let (address, swallowed) = relay(member.address, Arc::new(swallows)).await;
+        member.address = address;
+        let view = StorageView { epoch: 1, current: vec![member], ..StorageView::default() };
+        let known = ControlSnapshot { storage_view: Some(Arc::new(view)), ..snapshot(replicas) };
+        tier.proxy.learn(&known);
+        Storage { _folder: folder, swallowed }
+    }
+
+    /// Waits until so many requests have been swallowed.
+    pub async fn wait_for_swallowed(&mut self, wanted: usize) {
+        super::wait_for("swallowed requests", self.swallowed.wait_for(|count| *count >= wanted))
+            .await
+            .expect("the relay runs");
+    }
+}
+
+/// Passes requests on to `machine` unless `swallows` names them.
+async fn relay(
+    machine: SocketAddr,
+    swallows: Arc<dyn Fn(&Operation) -> bool + Send + Sync>,
+) -> (SocketAddr, watch::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let client = Client::new(ClientOptions::default());
+    let (count, swallowed) = watch::channel(0);
+    let count = Arc::new(count);
+    let router = Router::new().route(ServiceId::STORAGE, move |_, body: bytes::Bytes| {
+        let (client, count, swallows) = (client.clone(), count.clone(), swallows.clone());
+        async move {
+            let request: Request = decode(&body).expect("a request");
+            if swallows(&request.operation) {
+                count.send_modify(|count| *count += 1);
+                std::future::pending::<()>().await;
+            }
+            let answer = client.call(machine, ServiceId::STORAGE, body.to_vec(), RELAY_TIMEOUT).await;
+            answer.map(|answer| answer.to_vec()).unwrap_or_default()
+        }
+    });
+    tokio::spawn(serve(listener, router));
+    (address, swallowed)
+}
--- a/crates/woadreach-storage/src/client/mod.rs
+++ b/crates/woadreach-storage/src/client/mod.rs
@@ -3,9 +3,9 @@
 mod chain;
 mod exchange;
 mod peers;
+mod reservation;
 mod write;
 
-use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::sync::Arc;
@@ -23,6 +23,7 @@
 use crate::view::StorageView;
 
 use self::peers::SilentPeers;
+pub use self::reservation::HeldReservation;
 
 /// Memory for turns that were seen.
 const CACHE_BYTES: usize = 16 << 20;
@@ -32,8 +33,6 @@
 const PUT_WITHIN: Duration = Duration::from_secs(2);
 /// How long a withdrawal is waited for before the refusal is told.
 const WITHDRAW_WITHIN: Duration = Duration::from_millis(200);
-/// How long the end of a turn is told to machines that do not answer.
-const SETTLE_WITHIN: Duration = Duration::from_secs(8);
 
 /// Tokens that a turn may generate.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -90,7 +89,6 @@
     started: Instant,
     view: watch::Sender<Arc<StorageView>>,
     cache: Mutex<TurnCache>,
-    open: Mutex<HashMap<TurnKey, Vec<u64>>>,
     random: Mutex<Rand64>,
     silent: Mutex<SilentPeers>,
 }
@@ -109,7 +107,6 @@
             started: Instant::now(),
             view,
             cache: Mutex::new(TurnCache::new(CACHE_BYTES)),
-            open: Mutex::default(),
             random: Mutex::new(Rand64::new(seed)),
             silent: Mutex::default(),
         };
@@ -133,55 +130,45 @@
         self.shared.view.borrow().clone()
     }
 
-    /// Reserves what a turn may generate, durably, before it is sent on.
+    /// Reserves what a turn may generate, durably, before it is sent on. Cancelling this withdraws it.
     ///
     /// # Errors
     /// See [`ReserveError`].
-    pub async fn reserve(&self, request: &ReserveRequest) -> Result<(), ReserveError> {
+    pub async fn reserve(&self, request: &ReserveRequest) -> Result<HeldReservation, ReserveError> {
+        let program = &request.program;
         let id = self.shared.random.lock().rand_u64();
-        let operation =
-            Operation::Reserve { program: request.program.clone(), reservation: id, most: request.most };
-        let Ok(write) = self.write(&request.program, operation, RESERVE_WITHIN).await else {
-            let withdrawal = settle_operation(request.program.clone(), id, 0);
-            self.write_in_background(request.program.clone(), withdrawal, SETTLE_WITHIN);
-            return Err(ReserveError::Unavailable);
-        };
-        if !write.reservation_fits(id, request.most, request.budget) {
-            let withdrawal = settle_operation(request.program.clone(), id, 0);
-            let _ = self.write(&request.program, withdrawal, WITHDRAW_WITHIN).await;
-            return Err(ReserveError::Spent);
+        let mut reservation = HeldReservation::new(self.clone(), program.clone(), id);
+        let operation = Operation::Reserve { program: program.clone(), reservation: id, most: request.most };
+        let written = self.write(program, operation, RESERVE_WITHIN).await;
+        let write = written.map_err(|_| ReserveError::Unavailable)?;
+        if write.reservation_fits(id, request.most, request.budget) {
+            return Ok(reservation);
         }
-        let key = TurnKey { program: request.program.clone(), request_id: request.request_id.clone() };
-        self.shared.open.lock().entry(key).or_default().push(id);
-        Ok(())
-    }
-
-    /// Tells the tokens that a reserved turn has given; in the background.
-    pub fn settle(&self, program: &str, request_id: &str, given: u64) {
-        let key = TurnKey { program: program.to_owned(), request_id: request_id.to_owned() };
-        if let Some(id) = self.take_reservation(&key) {
-            let operation = settle_operation(key.program.clone(), id, given);
-            self.write_in_background(key.program, operation, SETTLE_WITHIN);
+        let withdrawal = settle_operation(program.clone(), reservation.settlement());
+        if self.write(program, withdrawal, WITHDRAW_WITHIN).await.is_ok() {
+            reservation.set_settled();
         }
+        Err(ReserveError::Spent)
     }
 
-    /// Stores a turn and, with `given`, settles its reservation. When this returns, the turn is durable.
+    /// Stores a turn and settles its reservation. When this returns, the turn is durable.
     ///
     /// # Errors
-    /// [`Unavailable`]; the turn must then not be answered as whole.
-    pub async fn put_turn(&self, turn: Turn, given: Option<u64>) -> Result<(), Unavailable> {
+    /// [`Unavailable`]; the turn must then not be answered as whole, and its reservation is settled when it is
+    /// dropped.
+    pub async fn put_turn(
+        &self,
+        turn: Turn,
+        reservation: Option<&mut HeldReservation>,
+    ) -> Result<(), Unavailable> {
         let program = turn.program.clone();
         let mut records = self.adopted_ancestors(&turn).await?;
         records.push(turn.to_record(&program));
-        let reservation = given.and_then(|tokens| Some((self.take_reservation(&turn.key())?, tokens)));
-        let settlement = reservation.map(|(reservation, given)| Settlement { reservation, given });
+        let settlement = reservation.as_ref().map(|held| held.settlement());
         let operation = Operation::PutTurns { program: program.clone(), turns: records.clone(), settlement };
-        if self.write(&program, operation, PUT_WITHIN).await.is_err() {
-            // Nothing tells whether the settlement arrives: the caller may settle once more.
-            if let Some(settlement) = settlement {
-                self.shared.open.lock().entry(turn.key()).or_default().push(settlement.reservation);
-            }
-            return Err(Unavailable);
+        self.write(&program, operation, PUT_WITHIN).await?;
+        if let Some(held) = reservation {
+            held.set_settled();
         }
         let now = self.now();
         let mut cache = self.shared.cache.lock();
@@ -212,23 +199,13 @@
         Ok(others.map(|ancestor| ancestor.to_record(&turn.program)).collect())
     }
 
-    fn take_reservation(&self, key: &TurnKey) -> Option<u64> {
-        let mut open = self.shared.open.lock();
-        let ids = open.get_mut(key)?;
-        let id = ids.pop();
-        if ids.is_empty() {
-            open.remove(key);
-        }
-        id
-    }
-
     fn now(&self) -> Duration {
         self.shared.started.elapsed()
     }
 }
 
-fn settle_operation(program: String, reservation: u64, given: u64) -> Operation {
-    Operation::Settle { program, settlement: Settlement { reservation, given } }
+fn settle_operation(program: String, settlement: Settlement) -> Operation {
+    Operation::Settle { program, settlement }
 }
 
 /// A number that no other process draws, from the standard library's source of randomness and `salt`.
--- a/crates/woadreach-storage/src/client/write.rs
+++ b/crates/woadreach-storage/src/client/write.rs
@@ -41,14 +41,6 @@
         Ok(write)
     }
 
-    /// Writes without waiting.
-    pub(super) fn write_in_background(&self, program: String, operation: Operation, within: Duration) {
-        let client = self.clone();
-        tokio::spawn(async move {
-            let _ = client.write(&program, operation, within).await;
-        });
-    }
-
     fn send_to_all(&self, write: &Write, sender: &super::peers::Sender) {
         let request = EncodedRequest::new(write.epoch(), write.operation());
         for member in write.members() {
--- a/crates/woadreach-storage/tests/loopback.rs
+++ b/crates/woadreach-storage/tests/loopback.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::channel;
+use std::task::Poll;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -14,7 +15,8 @@
 use woadreach_rpc::{Client, ClientOptions, Router, serve};
 use woadreach_storage::server::{Server, ServerOptions};
 use woadreach_storage::{
-    ChainError, ReserveError, ReserveRequest, StorageClient, StorageMember, StorageView, Turn, TurnKey,
+    ChainError, HeldReservation, ReserveError, ReserveRequest, StorageClient, StorageMember, StorageView,
+    Turn, TurnKey, Unavailable,
 };
 
 const TOLERATED: usize = 1;
@@ -139,12 +141,73 @@
 async fn a_budget_is_spent_once_across_clients() {
     let (_machines, view) = machines(4);
     let (one, two) = (client(&view), client(&view));
-    one.reserve(&request("p", "a", 100, 60)).await.unwrap();
-    assert_eq!(two.reserve(&request("p", "b", 100, 60)).await, Err(ReserveError::Spent));
-    one.put_turn(turn("p", "a", None), Some(30)).await.unwrap();
-    two.reserve(&request("p", "c", 100, 60)).await.unwrap();
-    assert_eq!(one.reserve(&request("p", "d", 100, 60)).await, Err(ReserveError::Spent));
-    one.reserve(&request("p", "e", 100, 10)).await.unwrap();
+    let mut first = one.reserve(&request("p", "a", 100, 60)).await.unwrap();
+    assert_eq!(two.reserve(&request("p", "b", 100, 60)).await.unwrap_err(), ReserveError::Spent);
+    first.set_given(30);
+    one.put_turn(turn("p", "a", None), Some(&mut first)).await.unwrap();
+    let _second = two.reserve(&request("p", "c", 100, 60)).await.unwrap();
+    assert_eq!(one.reserve(&request("p", "d", 100, 60)).await.unwrap_err(), ReserveError::Spent);
+    let _third = one.reserve(&request("p", "e", 100, 10)).await.unwrap();
+}
+
+/// Waits until a turn is granted, which it is once others of its program are settled.
+async fn wait_until_granted(client: &StorageClient, request: &ReserveRequest) -> HeldReservation {
+    let granted = async {
+        loop {
+            match client.reserve(request).await {
+                Ok(reservation) => return reservation,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), granted).await.expect("it fits once the others are settled")
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_reservation_that_is_dropped_counts_for_what_was_given() {
+    let (_machines, view) = machines(3);
+    let (one, two) = (client(&view), client(&view));
+    let mut held = one.reserve(&request("p", "a", 100, 60)).await.unwrap();
+    held.set_given(30);
+    assert_eq!(two.reserve(&request("p", "b", 100, 60)).await.unwrap_err(), ReserveError::Spent);
+    drop(held);
+    let _next = wait_until_granted(&two, &request("p", "c", 100, 70)).await;
+    assert_eq!(two.reserve(&request("p", "d", 100, 1)).await.unwrap_err(), ReserveError::Spent);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_reservation_whose_future_is_cancelled_is_withdrawn() {
+    let (_machines, view) = machines(3);
+    let (one, two) = (client(&view), client(&view));
+    let never_polled_again = async {
+        let asked = request("p", "a", 100, 60);
+        let mut reserve = std::pin::pin!(one.reserve(&asked));
+        let polled = std::future::poll_fn(|context| Poll::Ready(reserve.as_mut().poll(context))).await;
+        assert!(polled.is_pending(), "no machine has answered");
+    };
+    never_polled_again.await;
+    let _next = wait_until_granted(&two, &request("p", "b", 100, 100)).await;
+}
+
+/// The machines are away for longer than one round of telling them.
+#[tokio::test(flavor = "current_thread")]
+async fn a_turn_that_could_not_be_stored_counts_for_what_it_gave_once_the_machines_are_back() {
+    let (machines, view) = machines(3);
+    let (one, two) = (client(&view), client(&view));
+    let mut held = one.reserve(&request("p", "a", 100, 60)).await.unwrap();
+    held.set_given(30);
+    let stopped: Vec<_> = machines.into_iter().map(Machine::stop).collect();
+    tokio::time::pause();
+    assert_eq!(one.put_turn(turn("p", "a", None), Some(&mut held)).await, Err(Unavailable));
+    drop(held);
+    // The first round of telling them begins, and is over long before they are back.
+    tokio::time::advance(Duration::from_millis(1)).await;
+    tokio::time::advance(Duration::from_secs(20)).await;
+    tokio::time::resume();
+    let start_again =
+        |(node, address, folder): (String, SocketAddr, TempDir)| start(&node, folder, Some(address));
+    let _machines: Vec<Machine> = stopped.into_iter().map(start_again).collect();
+    let _next = wait_until_granted(&two, &request("p", "b", 100, 70)).await;
 }
 
 #[tokio::test(flavor = "current_thread")]
