Chain: what is long under way isn't sent again, and signs of life don't wait behind it

Cause: without progress for 0.3 s the whole state or every unacknowledged write was sent again, and a member outside the chain asked for the state every 0.15 s, however long the first copy took. All of it went over the one connection to a peer, with the signs of life behind it: a change of 4 MB takes 1.1 s on 30 Mbit/s, the silence after which a member is suspected is 0.6 s. On such a link a core with large changes never got a chain, and copies piled up at the sender.

Change: a probe goes behind what is under way; only an answer to it without news says that something was lost, and has it sent again. Requests for the state back off from 0.15 s to 2.4 s until one comes. Messages that may hold a configuration go over connections of their own.

Test: tests/catch_up.rs, with links and disks that carry a bounded number of bytes (Capacity in the simulated world). Plants found: one queue for all messages, digests lost by a restart.

--- a/crates/woadreach-chain/src/member/chain.rs
+++ b/crates/woadreach-chain/src/member/chain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Member, Output};
+use super::{Member, Output, STATE_REQUEST_PAUSE};
 use crate::durable::Record;
 use crate::message::{Barrier, Body, Write};
 use crate::state::{ControlState, Stamp};
@@ -154,6 +154,8 @@
             return;
         }
         self.published = Arc::clone(&state);
+        self.next_state_request = self.next_state_request.min(now + STATE_REQUEST_PAUSE);
+        self.state_request_pause = STATE_REQUEST_PAUSE;
         self.outputs.push(Output::Committed(state));
         if self.is_active() && self.successor().is_none() {
             self.ping_others_than_chain(now);
--- a/crates/woadreach-chain/src/member/messages.rs
+++ b/crates/woadreach-chain/src/member/messages.rs
@@ -7,6 +7,7 @@
 use super::{Member, Output};
 use crate::durable::Record;
 use crate::message::{Body, Envelope};
+use crate::replication::Progress;
 use crate::state::ControlState;
 use crate::view::MemberId;
 
@@ -52,7 +53,8 @@
             Body::Transfer { state, barrier } => self.take_transfer(now, from, state, barrier),
             Body::Replicated { active, persisted, committed, barrier } => {
                 if self.successor() == Some(from) && self.is_active() {
-                    self.replication.successor_reported(active, persisted);
+                    let progress = Progress { is_active: active, persisted, committed, barrier };
+                    self.replication.successor_reported(now, progress);
                     self.chain_confirmed(now, committed, barrier);
                 }
             }
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -35,8 +35,11 @@
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// A tick that comes so much after the last one tells that this process stood still.
 const STANDSTILL: Duration = Duration::from_millis(450);
-/// Shortest pause between two requests for the committed state.
-const STATE_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+/// Pause between two requests for the committed state. It doubles while no state comes, up to
+/// [`LONGEST_STATE_REQUEST_PAUSE`]: a state may be long under way.
+const STATE_REQUEST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause between two requests for the committed state.
+const LONGEST_STATE_REQUEST_PAUSE: Duration = Duration::from_millis(2400);
 
 /// What a member is told.
 #[derive(Clone, Debug)]
@@ -128,7 +131,9 @@
     outputs: Vec<Output>,
     last_tick: Duration,
     next_ping: Duration,
-    state_requested: Duration,
+    /// When the committed state may be asked for again.
+    next_state_request: Duration,
+    state_request_pause: Duration,
     random: oorandom::Rand64,
     #[cfg(feature = "plants")]
     plant: Option<crate::plants::Plant>,
@@ -165,7 +170,8 @@
             outputs: Vec::new(),
             last_tick: now,
             next_ping: now,
-            state_requested: Duration::ZERO,
+            next_state_request: Duration::ZERO,
+            state_request_pause: STATE_REQUEST_PAUSE,
             random,
             #[cfg(feature = "plants")]
             plant: None,
--- a/crates/woadreach-chain/src/member/signs_of_life.rs
+++ b/crates/woadreach-chain/src/member/signs_of_life.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use super::{Member, STATE_REQUEST_INTERVAL};
+use super::{LONGEST_STATE_REQUEST_PAUSE, Member};
 use crate::message::{Body, Ping};
 use crate::plan::Place;
 use crate::view::MemberId;
@@ -67,8 +67,9 @@
     pub(super) fn take_ping(&mut self, now: Duration, from: MemberId, ping: &Ping) {
         self.peers.pinged(now, from, ping);
         let wants_state = ping.committed > self.published.stamp && !self.is_active();
-        if wants_state && now.saturating_sub(self.state_requested) >= STATE_REQUEST_INTERVAL {
-            self.state_requested = now;
+        if wants_state && now >= self.next_state_request {
+            self.next_state_request = now + self.state_request_pause;
+            self.state_request_pause = (2 * self.state_request_pause).min(LONGEST_STATE_REQUEST_PAUSE);
             self.send_now(from.address, Body::RequestState);
         }
     }
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -114,6 +114,14 @@
     pub body: Body,
 }
 
+impl Body {
+    /// Whether it may hold a configuration, and so may take long on its way. Such messages go over a
+    /// connection of their own, in order, so that signs of life and votes don't wait behind them.
+    pub fn is_bulk(&self) -> bool {
+        matches!(self, Body::Replicate { .. } | Body::Transfer { .. } | Body::Committed(_))
+    }
+}
+
 impl Envelope {
     /// The message as it is sent.
     pub fn encode(&self) -> Vec<u8> {
--- a/crates/woadreach-chain/src/replication.rs
+++ b/crates/woadreach-chain/src/replication.rs
@@ -9,7 +9,12 @@
 //! | `Unknown` | probe sent, answered "inactive" | `Transferring` |
 //! | `Unknown`, `Transferring` | answered "active" | `Streaming` |
 //! | `Streaming` | answered "inactive" (it has lost its place) | `Transferring` |
-//! | any | no progress for [`RESEND`] | the same, from what is persisted there |
+//! | any | unsettled, nothing sent for [`RESEND`] | the same, and a probe is sent |
+//! | any | a report without news, [`RESEND`] after sending or progress | the same, and what it lacks is sent |
+//!
+//! A state or a write may be long under way, on a slow link or to a slow disk. A probe goes behind it on the
+//! same connection and is answered once everything before it has come and is synced. So an answer without news
+//! says that something was lost; silence says nothing, and nothing long is sent twice for it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,7 +22,8 @@
 use crate::message::{Barrier, Body, Write};
 use crate::state::{Command, ControlState, Stamp};
 
-/// After so long without progress at the successor, what it lacks is sent again.
+/// After so long without a message to a successor that isn't up to date, it is probed. What it lacks isn't
+/// sent again sooner after the first time.
 pub const RESEND: Duration = Duration::from_millis(300);
 /// Bytes of writes that are put into one message, unless a single write is larger.
 const MESSAGE_BYTES: usize = 1 << 20;
@@ -34,6 +40,16 @@
     Streaming { persisted: Stamp, sent: Stamp },
 }
 
+/// What the successor reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Whether it has activated the epoch.
+    pub is_active: bool,
+    pub persisted: Stamp,
+    pub committed: Option<Stamp>,
+    pub barrier: Barrier,
+}
+
 /// A member's place in the chain of one epoch.
 #[derive(Clone, Debug)]
 pub struct Replication {
@@ -49,6 +65,12 @@
     unsynced: VecDeque<(u64, u64, Stamp)>,
     link: Link,
     last_sent: Duration,
+    /// Since when a state or writes are under way without progress.
+    under_way_since: Duration,
+    /// What the successor reported last.
+    last_report: Option<Progress>,
+    /// The successor lacks what was sent to it.
+    must_resend: bool,
     sent_barrier: Barrier,
     /// The newest barrier that came from the head.
     barrier: Barrier,
@@ -67,6 +89,9 @@
             unsynced: VecDeque::new(),
             link: Link::Unknown,
             last_sent: Duration::ZERO,
+            under_way_since: Duration::ZERO,
+            last_report: None,
+            must_resend: false,
             sent_barrier: Barrier::default(),
             barrier: Barrier::default(),
             confirmed: Barrier::default(),
@@ -80,6 +105,8 @@
         self.pending.clear();
         self.unsynced.push_back((record, epoch, state.stamp));
         self.link = Link::Unknown;
+        self.last_report = None;
+        self.must_resend = false;
     }
 
     /// A write was added to the state, by record `record`.
@@ -168,18 +195,24 @@
     }
 
     /// Takes the successor's report.
-    pub fn successor_reported(&mut self, is_active: bool, persisted: Stamp) {
-        self.link = match (self.link, is_active) {
+    pub fn successor_reported(&mut self, now: Duration, report: Progress) {
+        let has_news = self.last_report.replace(report) != Some(report);
+        let is_overdue = now.saturating_sub(self.under_way_since) >= RESEND;
+        self.must_resend |= !has_news && is_overdue;
+        self.link = match (self.link, report.is_active) {
             (Link::Transferring, false) => Link::Transferring,
             (_, false) => {
-                self.last_sent = Duration::ZERO;
+                self.must_resend = true;
                 Link::Transferring
             }
             (Link::Streaming { persisted: earlier, sent }, true) => {
-                let persisted = persisted.max(earlier);
+                let persisted = report.persisted.max(earlier);
+                if persisted > earlier {
+                    self.under_way_since = now;
+                }
                 Link::Streaming { persisted, sent: sent.max(persisted) }
             }
-            (_, true) => Link::Streaming { persisted, sent: persisted },
+            (_, true) => Link::Streaming { persisted: report.persisted, sent: report.persisted },
         };
     }
 
@@ -187,16 +220,23 @@
     pub fn next_message(&mut self, now: Duration, epoch: u64) -> Option<Body> {
         let own = self.persisted_in(epoch)?;
         let is_due = self.last_sent.is_zero() || now.saturating_sub(self.last_sent) >= RESEND;
+        let is_first = match self.link {
+            Link::Streaming { persisted, sent } => sent <= persisted,
+            Link::Unknown | Link::Transferring => true,
+        };
         let body = match self.link {
-            Link::Unknown => is_due.then(|| self.replicate(own, Vec::new())),
-            Link::Transferring => is_due.then(|| self.transfer(own)),
+            Link::Unknown => is_due.then(|| self.probe(own)),
+            Link::Transferring if self.must_resend => Some(self.transfer(own)),
+            Link::Transferring => is_due.then(|| self.probe(own)),
             Link::Streaming { persisted, sent } => self.stream(own, persisted, sent, is_due),
-        };
-        if body.is_some() {
-            self.last_sent = now.max(Duration::from_nanos(1));
-            self.sent_barrier = self.barrier;
+        }?;
+        if has_content(&body) && (is_first || self.must_resend) {
+            self.under_way_since = now;
         }
-        body
+        self.must_resend = false;
+        self.last_sent = now.max(Duration::from_nanos(1));
+        self.sent_barrier = self.barrier;
+        Some(body)
     }
 
     /// When the successor may have to be reminded.
@@ -211,10 +251,10 @@
     fn stream(&mut self, own: Stamp, persisted: Stamp, sent: Stamp, is_due: bool) -> Option<Body> {
         let is_settled =
             persisted == own && self.committed_stamp() == Some(own) && self.confirmed == self.barrier;
-        let is_reminder = is_due && !is_settled;
-        let from = if is_reminder { persisted } else { sent };
+        let from = if self.must_resend { persisted } else { sent };
         let has_new_barrier = self.sent_barrier != self.barrier;
-        if from >= own && !has_new_barrier && !is_reminder {
+        let is_probe = is_due && !is_settled;
+        if from >= own && !has_new_barrier && !is_probe {
             return None;
         }
         let Some(writes) = self.writes_after(from, own) else {
@@ -244,6 +284,11 @@
         Some(writes)
     }
 
+    /// Asks the successor how far it is; one that has the same state activates the epoch.
+    fn probe(&self, own: Stamp) -> Body {
+        self.replicate(own, Vec::new())
+    }
+
     fn replicate(&self, after: Stamp, writes: Vec<Write>) -> Body {
         Body::Replicate { after, writes, barrier: self.barrier }
     }
@@ -257,6 +302,11 @@
     }
 }
 
+/// Whether a message has more than a barrier.
+fn has_content(body: &Body) -> bool {
+    !matches!(body, Body::Replicate { writes, .. } if writes.is_empty())
+}
+
 fn command_bytes(command: &Command) -> usize {
     match command {
         Command::PutConfiguration(put) => put.body.0.len(),
--- /dev/null
+++ b/crates/woadreach-chain/tests/catch_up.rs
@@ -0,0 +1,373 @@
+//! Members that were away while the state changed, back while writes go on, on links and disks that carry a
+//! bounded number of bytes.
+//!
+//! Simulated time. Every case writes without a pause, kills one member, starts it again after a number of
+//! changes, and waits until it is active in the chain; then the head is killed, so that an old state would
+//! show. At the end every machine holds every acknowledged change.
+
+mod simulation;
+
+use std::time::Duration;
+
+use simulation::capacity::{Capacity, state_bytes};
+use simulation::world::{PlantedBug, World};
+use woadreach_chain::{
+    Blob, Command, Input, PutConfiguration, Request, RequestId, Stamp, TakenConfiguration,
+};
+
+/// 120 MB a second.
+const DISK_RATE: u64 = 120_000_000;
+/// 1,000 Mbit/s.
+const FAST_LINK: u64 = 125_000_000;
+/// 30 Mbit/s.
+const SLOW_LINK: u64 = 3_750_000;
+const SMALL: usize = 1_000;
+const LARGE: usize = 4 << 20;
+/// Small changes come so often; the next large one comes as soon as the one before is committed.
+const SMALL_PAUSE: Duration = Duration::from_millis(50);
+const STEP: Duration = Duration::from_millis(5);
+/// Longest time in which something that is waited for must happen.
+const LONGEST: Duration = Duration::from_secs(300);
+
+/// Writes one change after the other.
+struct Writer {
+    body: Blob,
+    pause: Duration,
+    next_at: Duration,
+    /// Changes that are known to be committed, oldest first.
+    acknowledged: Vec<TakenConfiguration>,
+    /// The change under way, and when it was last sent.
+    sent: Option<(PutConfiguration, Duration)>,
+}
+
+impl Writer {
+    fn new(bytes: usize, pause: Duration) -> Writer {
+        let body = Blob::from(vec![7; bytes]);
+        Writer { body, pause, next_at: Duration::ZERO, acknowledged: Vec::new(), sent: None }
+    }
+
+    fn generation(&self) -> u64 {
+        self.acknowledged.last().map_or(0, |taken| taken.generation)
+    }
+
+    fn step(&mut self, world: &mut World) {
+        if let Some((put, _)) = &self.sent {
+            let taken = TakenConfiguration { generation: put.generation, digest: put.digest };
+            if head_has_committed(world, put.generation) {
+                self.acknowledged.push(taken);
+                self.sent = None;
+            }
+        }
+        if self.sent.is_none() && world.now >= self.next_at {
+            let generation = self.generation() + 1;
+            let mut digest = [0; 16];
+            digest[..8].copy_from_slice(&generation.to_le_bytes());
+            let put = PutConfiguration { base: generation - 1, generation, digest, body: self.body.clone() };
+            self.sent = Some((put, Duration::ZERO));
+            self.next_at = world.now + self.pause;
+        }
+        self.send(world);
+    }
+
+    /// Sends what is under way to the head, and again after a second.
+    fn send(&mut self, world: &mut World) {
+        let Some((put, sent_at)) = &mut self.sent else { return };
+        if !sent_at.is_zero() && world.now - *sent_at < Duration::from_secs(1) {
+            return;
+        }
+        let Some(head) = head(world) else { return };
+        *sent_at = world.now;
+        let request = Request::Submit(Command::PutConfiguration(put.clone()));
+        world.input(head, Input::Request(RequestId(u64::MAX), request));
+    }
+}
+
+fn head(world: &World) -> Option<usize> {
+    (0..world.nodes.len()).find(|&node| {
+        let member = world.nodes[node].member.as_ref();
+        world.is_running(node) && member.is_some_and(|member| member.status(world.now).is_head)
+    })
+}
+
+fn head_has_committed(world: &World, generation: u64) -> bool {
+    let member = head(world).and_then(|head| world.nodes[head].member.as_ref());
+    member.is_some_and(|member| member.published().generation() >= generation)
+}
+
+fn is_active(world: &World, node: usize) -> bool {
+    world.nodes[node].member.as_ref().is_some_and(|member| {
+        let durable = member.durable();
+        durable.view.epoch > 0
+            && durable.view.chain.contains(&member.id())
+            && durable.active_epoch == durable.view.epoch
+            && !durable.is_sealed()
+    })
+}
+
+fn published(world: &World, node: usize) -> Stamp {
+    world.nodes[node].member.as_ref().map(|member| member.published().stamp).unwrap_or_default()
+}
+
+/// Writes until `is_done`; the time that it took, or none if it took too long.
+fn write_until(
+    world: &mut World,
+    writer: &mut Writer,
+    is_done: impl Fn(&World, &Writer) -> bool,
+) -> Option<Duration> {
+    let began = world.now;
+    while !is_done(world, writer) {
+        if world.now - began > LONGEST {
+            return None;
+        }
+        let next = world.now + STEP;
+        world.run_until(next);
+        writer.step(world);
+    }
+    Some(world.now - began)
+}
+
+/// What befalls the member while it catches up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// It is killed, what is not synced being lost in part, and starts again.
+    Killed,
+    /// Its disk does nothing for three seconds.
+    DiskStalls,
+    /// The member before it is killed, and starts again two seconds later.
+    SourceKilled,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    seed: u64,
+    link_rate: u64,
+    bytes: usize,
+    missed: u64,
+    /// Position in the chain of the member that is away.
+    position: usize,
+    /// What befalls it, so long after its start.
+    trouble: Option<(Trouble, Duration)>,
+    /// A defence that is switched off.
+    bug: Option<PlantedBug>,
+    /// Signs of life wait behind long messages.
+    has_one_queue: bool,
+}
+
+impl Case {
+    fn new(link_rate: u64, bytes: usize, missed: u64, position: usize) -> Case {
+        let seed = 1 + position as u64;
+        Case { seed, link_rate, bytes, missed, position, trouble: None, bug: None, has_one_queue: false }
+    }
+}
+
+/// What was measured.
+#[derive(Debug, Default)]
+struct Caught {
+    /// From the start of the member to the newest state of that moment.
+    to_state: Duration,
+    /// From the start of the member to its place in the chain.
+    to_active: Duration,
+    /// Most bytes that waited at one link.
+    most_waiting: u64,
+    sent_bytes: u64,
+    state_bytes: u64,
+}
+
+fn all_active(world: &World) -> bool {
+    (0..world.nodes.len()).all(|node| is_active(world, node))
+}
+
+fn play(case: Case) -> Result<Caught, String> {
+    let mut world = World::new(case.seed, 3, 0, 1, case.bug);
+    world.are_faults_over = true;
+    world.operators.is_stopped = true;
+    let mut capacity = Capacity::new(case.link_rate, DISK_RATE);
+    capacity.has_one_queue = case.has_one_queue;
+    world.capacity = Some(capacity);
+    let pause = if case.bytes == SMALL { SMALL_PAUSE } else { Duration::ZERO };
+    let mut writer = Writer::new(case.bytes, pause);
+    write_until(&mut world, &mut writer, |world, writer| all_active(world) && writer.generation() >= 3)
+        .ok_or("the core doesn't start")?;
+    let away = node_at(&world, case.position);
+    world.kill(away);
+    let target = writer.generation() + case.missed;
+    write_until(&mut world, &mut writer, |_, writer| writer.generation() >= target)
+        .ok_or("no writes without the member")?;
+
+    let capacity = world.capacity.as_mut().expect("set above");
+    (capacity.most_waiting, capacity.sent_bytes) = (0, 0);
+    world.start(away);
+    if let Some((trouble, after)) = case.trouble {
+        write_for(&mut world, &mut writer, after);
+        befall(&mut world, &mut writer, away, trouble);
+    }
+    let newest = (0..3).map(|node| published(&world, node)).max().expect("members");
+    let to_state = write_until(&mut world, &mut writer, |world, _| published(world, away) >= newest);
+    let to_active = write_until(&mut world, &mut writer, |world, _| is_active(world, away));
+    let (Some(to_state), Some(rest)) = (to_state, to_active) else {
+        return Err(format!("not active after {LONGEST:?}, state after {to_state:?}"));
+    };
+    let capacity = world.capacity.as_ref().expect("set above");
+    let (most_waiting, sent_bytes) = (capacity.most_waiting, capacity.sent_bytes);
+    check_leadership(&mut world, &mut writer)?;
+    let member = world.nodes[away].member.as_ref().expect("it runs");
+    Ok(Caught {
+        to_state,
+        to_active: to_state + rest,
+        most_waiting,
+        sent_bytes,
+        state_bytes: state_bytes(member.latest()),
+    })
+}
+
+fn write_for(world: &mut World, writer: &mut Writer, length: Duration) {
+    let end = world.now + length;
+    write_until(world, writer, |world, _| world.now >= end);
+}
+
+fn befall(world: &mut World, writer: &mut Writer, away: usize, trouble: Trouble) {
+    match trouble {
+        Trouble::Killed => {
+            world.kill(away);
+            world.start(away);
+        }
+        Trouble::DiskStalls => {
+            world.nodes[away].is_disk_stalled = true;
+            write_for(world, writer, Duration::from_secs(3));
+            world.nodes[away].is_disk_stalled = false;
+        }
+        Trouble::SourceKilled => {
+            let Some(source) = head(world).filter(|&head| head != away) else { return };
+            world.kill(source);
+            write_for(world, writer, Duration::from_secs(2));
+            world.start(source);
+        }
+    }
+}
+
+fn node_at(world: &World, position: usize) -> usize {
+    let member = world.nodes[0].member.as_ref().expect("it runs");
+    let address = member.durable().view.chain[position].address;
+    world.nodes.iter().position(|node| node.address == address).expect("a machine")
+}
+
+/// Kills one head after the other, so that each member leads; at the end everyone holds what was acknowledged.
+fn check_leadership(world: &mut World, writer: &mut Writer) -> Result<(), String> {
+    for _ in 0..3 {
+        write_until(world, writer, |world, _| all_active(world) && head(world).is_some())
+            .ok_or("not whole again")?;
+        let struck = head(world).expect("waited for");
+        world.kill(struck);
+        let target = writer.generation() + 2;
+        write_until(world, writer, |_, writer| writer.generation() >= target).ok_or("no writes")?;
+        world.start(struck);
+    }
+    let acknowledged = writer.generation();
+    let is_settled = |world: &World, _: &Writer| {
+        all_active(world) && (0..3).all(|node| generation(world, node) >= acknowledged)
+    };
+    write_until(world, writer, is_settled).ok_or("old state at the end")?;
+    for node in 0..3 {
+        let taken = &world.nodes[node].member.as_ref().expect("it runs").published().taken;
+        if !taken.starts_with(&writer.acknowledged[..acknowledged as usize]) {
+            return Err(format!("machine {node} lacks acknowledged changes"));
+        }
+    }
+    Ok(())
+}
+
+fn generation(world: &World, node: usize) -> u64 {
+    world.nodes[node].member.as_ref().map_or(0, |member| member.published().generation())
+}
+
+/// The worst of the three positions in the chain.
+fn measure(link_rate: u64, bytes: usize, missed: u64) -> Caught {
+    let mut worst = Caught::default();
+    for position in 0..3 {
+        let case = Case::new(link_rate, bytes, missed, position);
+        let caught = play(case).unwrap_or_else(|fault| panic!("{case:?}: {fault}"));
+        worst.to_state = worst.to_state.max(caught.to_state);
+        worst.to_active = worst.to_active.max(caught.to_active);
+        worst.most_waiting = worst.most_waiting.max(caught.most_waiting);
+        worst.sent_bytes = worst.sent_bytes.max(caught.sent_bytes);
+        worst.state_bytes = worst.state_bytes.max(caught.state_bytes);
+    }
+    println!("link {link_rate} bytes {bytes} missed {missed}: {worst:?}");
+    worst
+}
+
+/// Numbers of changes missed; 1,000 large ones only where `WOADREACH_LONG` is set.
+fn large_counts() -> &'static [u64] {
+    let is_long = std::env::var_os("WOADREACH_LONG").is_some();
+    if is_long { &[1, 10, 100, 1000] } else { &[1, 10, 100] }
+}
+
+#[test]
+fn small_changes_missed() {
+    for missed in [0, 1, 10, 100, 1000] {
+        let caught = measure(FAST_LINK, SMALL, missed);
+        assert!(caught.to_state <= Duration::from_millis(300), "{caught:?}");
+        assert!(caught.to_active <= Duration::from_millis(1500), "{caught:?}");
+    }
+}
+
+#[test]
+fn large_changes_missed() {
+    for &missed in large_counts() {
+        let caught = measure(FAST_LINK, LARGE, missed);
+        assert!(caught.to_state <= Duration::from_millis(500), "{caught:?}");
+        assert!(caught.to_active <= Duration::from_millis(2000), "{caught:?}");
+        assert!(caught.most_waiting <= 4 * caught.state_bytes, "{caught:?}");
+    }
+}
+
+#[test]
+fn small_changes_missed_on_a_slow_link() {
+    for missed in [1, 10, 100, 1000] {
+        let caught = measure(SLOW_LINK, SMALL, missed);
+        assert!(caught.to_active <= Duration::from_millis(1500), "{caught:?}");
+    }
+}
+
+/// A change takes over a second on its way, which is longer than the silence after which a member is
+/// suspected.
+#[test]
+fn large_changes_missed_on_a_slow_link() {
+    for missed in [1, 10, 100] {
+        let caught = measure(SLOW_LINK, LARGE, missed);
+        assert!(caught.to_active <= Duration::from_secs(12), "{caught:?}");
+        assert!(caught.most_waiting <= 5 * caught.state_bytes, "{caught:?}");
+    }
+}
+
+#[test]
+fn troubles_at_any_moment_of_catching_up() {
+    let mut longest = Duration::ZERO;
+    for trouble in [Trouble::Killed, Trouble::DiskStalls, Trouble::SourceKilled] {
+        for (number, bytes) in (0..15).flat_map(|number| [(number, SMALL), (number, LARGE)]) {
+            let after = Duration::from_millis(90 * number);
+            let position = number as usize % 3;
+            let case = Case { trouble: Some((trouble, after)), ..Case::new(FAST_LINK, bytes, 10, position) };
+            let caught = play(case).unwrap_or_else(|fault| panic!("{case:?}: {fault}"));
+            longest = longest.max(caught.to_active);
+        }
+    }
+    println!("longest after a trouble: {longest:?}");
+    assert!(longest <= Duration::from_secs(4), "{longest:?}");
+}
+
+#[test]
+fn signs_of_life_behind_long_messages_are_found() {
+    let case = Case { has_one_queue: true, ..Case::new(SLOW_LINK, LARGE, 1, 0) };
+    assert!(play(case).is_err());
+}
+
+#[cfg(feature = "plants")]
+#[test]
+fn digests_lost_by_a_restart_are_found() {
+    let bug = Some(PlantedBug::Member(woadreach_chain::Plant::DigestsForgotten));
+    // One that has missed something is sent the whole state.
+    let is_found =
+        (0..3).any(|position| play(Case { bug, ..Case::new(FAST_LINK, SMALL, 0, position) }).is_err());
+    assert!(is_found);
+}
--- /dev/null
+++ b/crates/woadreach-chain/tests/simulation/capacity.rs
@@ -0,0 +1,98 @@
+//! What a link and a disk can carry: long messages of one machine leave one after the other at the link's rate,
+//! short ones beside them; a sync takes as long as the bytes that it covers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use woadreach_chain::{Body, Command, ControlState, Envelope, Record};
+
+/// Bytes of a message or record without a configuration.
+const SMALL_BYTES: u64 = 200;
+/// Bytes of the digest and the number of one taken configuration.
+const TAKEN_BYTES: u64 = 24;
+/// Way of a message on an empty link.
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Rates, and what they are used for at present.
+#[derive(Clone, Debug)]
+pub struct Capacity {
+    /// Bytes a second that a machine can send.
+    pub link_rate: u64,
+    /// Bytes a second that a disk can write.
+    pub disk_rate: u64,
+    /// A defence switched off: signs of life and votes wait behind long messages.
+    pub has_one_queue: bool,
+    /// When each machine has sent everything.
+    sent_at: BTreeMap<usize, Duration>,
+    /// Most bytes that waited to be sent at one machine.
+    pub most_waiting: u64,
+    /// Bytes that were sent between machines.
+    pub sent_bytes: u64,
+}
+
+impl Capacity {
+    pub fn new(link_rate: u64, disk_rate: u64) -> Capacity {
+        Capacity {
+            link_rate,
+            disk_rate,
+            has_one_queue: false,
+            sent_at: BTreeMap::new(),
+            most_waiting: 0,
+            sent_bytes: 0,
+        }
+    }
+
+    /// How long a message of `from` takes to its receiver.
+    pub fn send(&mut self, now: Duration, from: usize, envelope: &Envelope) -> Duration {
+        let bytes = message_bytes(&envelope.body);
+        self.sent_bytes += bytes;
+        if !envelope.body.is_bulk() && !self.has_one_queue {
+            return LATENCY + duration(bytes, self.link_rate);
+        }
+        let free = self.sent_at.get(&from).copied().unwrap_or_default().max(now);
+        let sent = free + duration(bytes, self.link_rate);
+        self.sent_at.insert(from, sent);
+        let waiting = (sent - now).as_nanos() as u64 / 1000 * self.link_rate / 1_000_000;
+        self.most_waiting = self.most_waiting.max(waiting);
+        sent - now + LATENCY
+    }
+
+    /// How long a disk takes to write `bytes`, without the sync.
+    pub fn write(&self, bytes: u64) -> Duration {
+        duration(bytes, self.disk_rate)
+    }
+}
+
+fn duration(bytes: u64, rate: u64) -> Duration {
+    Duration::from_nanos(bytes * 1_000_000_000 / rate)
+}
+
+pub fn record_bytes(record: &Record) -> u64 {
+    match record {
+        Record::State { state, .. } => state_bytes(state),
+        Record::Write { command, .. } => SMALL_BYTES + command_bytes(command),
+        _ => SMALL_BYTES,
+    }
+}
+
+fn message_bytes(body: &Body) -> u64 {
+    match body {
+        Body::Transfer { state, .. } | Body::Committed(state) => state_bytes(state),
+        Body::Replicate { writes, .. } => {
+            SMALL_BYTES + writes.iter().map(|write| SMALL_BYTES + command_bytes(&write.command)).sum::<u64>()
+        }
+        _ => SMALL_BYTES,
+    }
+}
+
+pub fn state_bytes(state: &ControlState) -> u64 {
+    let configuration = state.configuration.as_ref().map_or(0, |configuration| configuration.body.0.len());
+    SMALL_BYTES + configuration as u64 + TAKEN_BYTES * state.taken.len() as u64
+}
+
+fn command_bytes(command: &Command) -> u64 {
+    match command {
+        Command::PutConfiguration(put) => put.body.0.len() as u64,
+        Command::PutStorageView(put) => put.bytes.0.len() as u64,
+    }
+}
--- a/crates/woadreach-chain/tests/simulation/disk.rs
+++ b/crates/woadreach-chain/tests/simulation/disk.rs
@@ -4,6 +4,8 @@
 
 use woadreach_chain::{Durable, Record};
 
+use super::capacity::record_bytes;
+
 /// Records with their numbers, on a disk that syncs after a while.
 #[derive(Clone, Debug)]
 pub struct SimulatedDisk {
@@ -44,6 +46,11 @@
         }
     }
 
+    /// Bytes of the records that wait.
+    pub fn waiting_bytes(&self) -> u64 {
+        self.unsynced.iter().map(|(_, record)| record_bytes(record)).sum()
+    }
+
     pub fn waiting(&self) -> usize {
         self.unsynced.len()
     }
--- a/crates/woadreach-chain/tests/simulation/mod.rs
+++ b/crates/woadreach-chain/tests/simulation/mod.rs
@@ -4,6 +4,7 @@
 // Each test program uses a part of this module.
 #![allow(dead_code)]
 
+pub mod capacity;
 pub mod disk;
 pub mod faults;
 pub mod history;
--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -10,6 +10,7 @@
     View,
 };
 
+use super::capacity::Capacity;
 use super::disk::SimulatedDisk;
 use super::history::History;
 use super::operator::{CallId, Operators};
@@ -119,6 +120,8 @@
     pub fault_tolerance: usize,
     /// Number of zones of which one may be lost; 0 if zones don't matter.
     pub zones: usize,
+    /// What links and disks can carry; without it, bytes cost nothing.
+    pub capacity: Option<Capacity>,
     /// No further fault strikes.
     pub are_faults_over: bool,
     is_traced: bool,
@@ -146,6 +149,7 @@
             bug,
             fault_tolerance,
             zones,
+            capacity: None,
             are_faults_over: false,
             is_traced: std::env::var_os("WOADREACH_TRACE").is_some(),
             queue: BinaryHeap::new(),
@@ -269,7 +273,9 @@
         self.nodes[node].sync_started = self.now;
         let base = Duration::from_millis(1) + self.random_duration(Duration::from_millis(5));
         let life = self.nodes[node].life;
-        let delay = base * self.nodes[node].disk_factor;
+        let written = self.nodes[node].disk.as_ref().map_or(0, SimulatedDisk::waiting_bytes);
+        let writing = self.capacity.as_ref().map_or(Duration::ZERO, |capacity| capacity.write(written));
+        let delay = (base + writing) * self.nodes[node].disk_factor;
         self.schedule(delay, Event::Synced { node, life, through });
     }
 
@@ -316,6 +322,12 @@
         if self.cuts.contains(&(from, to)) || self.chance(self.loss) {
             return;
         }
+        if self.nodes[to].member.is_some()
+            && let Some(capacity) = &mut self.capacity
+        {
+            let delay = capacity.send(self.now, from, &envelope);
+            return self.schedule(delay, Event::Deliver { to, from, envelope: Box::new(envelope) });
+        }
         let delay = Duration::from_micros(300) + self.random_duration(Duration::from_millis(2));
         let envelope = Box::new(envelope);
         if self.loss > 0.0 && self.chance(0.02) {
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -19,7 +19,7 @@
     Status,
 };
 use woadreach_journal::{Journal, JournalError, Synced};
-use woadreach_rpc::{Client, ServiceId};
+use woadreach_rpc::{Client, ClientOptions, ServiceId};
 
 use crate::compaction::Compaction;
 use crate::durable_log::{RecoveredMember, encode_record, encode_snapshot};
@@ -41,6 +41,8 @@
 pub struct MemberDriver {
     started: Instant,
     rpc: Client,
+    /// Connections for long messages, behind which nothing short waits.
+    bulk: Client,
     journal: Journal,
     state: Mutex<State>,
     syncs: mpsc::UnboundedSender<PendingSync>,
@@ -94,6 +96,7 @@
         let driver = Arc::new(MemberDriver {
             started,
             rpc,
+            bulk: Client::new(ClientOptions::default()),
             journal,
             state: Mutex::new(State {
                 member,
@@ -187,7 +190,8 @@
             match output {
                 Output::Persist { number, record } => self.persist(state, number, &record),
                 Output::Send { to, envelope } => {
-                    self.rpc.send(SocketAddr::V4(to), ServiceId::CHAIN, envelope.encode());
+                    let client = if envelope.body.is_bulk() { &self.bulk } else { &self.rpc };
+                    client.send(SocketAddr::V4(to), ServiceId::CHAIN, envelope.encode());
                 }
                 Output::Reply { id, reply } => {
                     if let Some(sender) = state.replies.remove(&id) {
