--- a/crates/woadreach-journal/src/engine.rs
+++ b/crates/woadreach-journal/src/engine.rs
@@ -147,13 +147,18 @@
         if end < replacement.snapshot.len() {
             let written = self.write(slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..end]);
             if let Err(error) = written.and_then(|()| self.sync(slot)) {
+                self.give_up(slot);
                 return Some(Err(error));
             }
             replacement.written = end;
             self.replacement = Some(replacement);
             return None;
         }
-        Some(self.end_replacement(&replacement))
+        let outcome = self.end_replacement(&replacement);
+        if outcome.is_err() && !self.replacement_in_doubt {
+            self.give_up(slot);
+        }
+        Some(outcome)
     }
 
     /// Writes the last piece and what was appended meanwhile, then the head, and goes on in the new slot.
@@ -234,12 +239,13 @@
         Ok(())
     }
 
-    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back. Failures
-    /// are left: the newer slot is durable, and is preferred by its generation.
+    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back, or in which
+    /// a replacement has failed, so that it takes no room. Failures are left: the slot in use is durable, and is
+    /// preferred by its generation.
     fn give_up(&mut self, slot: Slot) {
         let emptied = self.disk.truncate(slot, 0).and_then(|()| self.disk.sync(slot));
         if let Err(error) = emptied {
-            tracing::warn!(%slot, %error, "a replaced slot could not be emptied");
+            tracing::warn!(%slot, %error, "the slot that is not in use could not be emptied");
         }
     }
 
--- a/crates/woadreach-journal/tests/engine.rs
+++ b/crates/woadreach-journal/tests/engine.rs
@@ -171,6 +171,29 @@
     assert_eq!(found.snapshot, Some(vec![5; 100]));
 }
 
+/// Disk errors at each step of a snapshot: the log goes on, and what was written of the snapshot takes no room.
+#[test]
+fn a_snapshot_that_fails_gives_its_room_back() {
+    for pieces in 0..4 {
+        let disk = SimulatedDisk::default();
+        let (engine, _) = Engine::open(Box::new(disk.clone()), MAX_BYTES).unwrap();
+        let mut engine = engine.with_piece_bytes(100);
+        let _ = engine.commit(&[vec![1; 10]]).unwrap();
+        let before = disk.used_bytes();
+        engine.begin_replacement(vec![2; 350]).unwrap();
+        for _ in 0..pieces {
+            assert!(engine.continue_replacement().is_none());
+        }
+        disk.set_fault(DiskFault::Full);
+        assert!(matches!(engine.continue_replacement(), Some(Err(JournalError::Full { .. }))));
+        disk.set_fault(DiskFault::Healthy);
+        assert_eq!(disk.used_bytes(), before, "after {pieces} pieces");
+        let _ = engine.commit(&[vec![3; 10]]).unwrap();
+        let (_, found) = Engine::open(Box::new(disk), MAX_BYTES).unwrap();
+        assert_eq!(found.records, [vec![1; 10], vec![3; 10]]);
+    }
+}
+
 #[test]
 fn a_tail_of_an_earlier_life_does_not_come_back() {
     let disk = SimulatedDisk::default();
