Core: orders go over connections of their own; a due resend is one for searches too

An order of 4 MB that was passed on to the head went over the connection of the signs of life, and heartbeats waited behind it: the same as with long messages of the chain. For the exhaustive searches, which have no clock, a resend sends what is lacking at once, as before the probes, and is part of the state that they compare.

--- a/crates/woadreach-chain/src/replication.rs
+++ b/crates/woadreach-chain/src/replication.rs
@@ -197,8 +197,6 @@
     /// Takes the successor's report.
     pub fn successor_reported(&mut self, now: Duration, report: Progress) {
         let has_news = self.last_report.replace(report) != Some(report);
-        let is_overdue = now.saturating_sub(self.under_way_since) >= RESEND;
-        self.must_resend |= !has_news && is_overdue;
         self.link = match (self.link, report.is_active) {
             (Link::Transferring, false) => Link::Transferring,
             (_, false) => {
@@ -214,6 +212,8 @@
             }
             (_, true) => Link::Streaming { persisted: report.persisted, sent: report.persisted },
         };
+        let is_overdue = now.saturating_sub(self.under_way_since) >= RESEND;
+        self.must_resend |= !has_news && is_overdue && self.has_content_under_way();
     }
 
     /// The place without its times, with numbers of records counted back from `newest`.
@@ -221,23 +221,30 @@
         let unsynced: Vec<_> =
             self.unsynced.iter().map(|(record, epoch, stamp)| (newest - record, epoch, stamp)).collect();
         let state = (&self.base, self.is_base_committed, &self.pending, self.persisted, unsynced);
-        let link = (self.link, self.last_sent.is_zero());
+        let link = (self.link, self.last_sent.is_zero(), self.must_resend);
         (state, link, self.sent_barrier, self.barrier, self.confirmed)
     }
 
     /// What the successor lacks is due now.
     pub fn resend(&mut self) {
         self.last_sent = Duration::ZERO;
+        self.must_resend |= self.has_content_under_way();
+    }
+
+    /// Whether the successor has yet to report something that was sent to it.
+    fn has_content_under_way(&self) -> bool {
+        match self.link {
+            Link::Unknown => false,
+            Link::Transferring => true,
+            Link::Streaming { persisted, sent } => persisted < sent,
+        }
     }
 
     /// What is to be sent to the successor now.
     pub fn next_message(&mut self, now: Duration, epoch: u64) -> Option<Body> {
         let own = self.persisted_in(epoch)?;
         let is_due = self.last_sent.is_zero() || now.saturating_sub(self.last_sent) >= RESEND;
-        let is_first = match self.link {
-            Link::Streaming { persisted, sent } => sent <= persisted,
-            Link::Unknown | Link::Transferring => true,
-        };
+        let is_first = !self.has_content_under_way();
         let body = match self.link {
             Link::Unknown => is_due.then(|| self.probe(own)),
             Link::Transferring if self.must_resend => Some(self.transfer(own)),
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -64,7 +64,9 @@
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
     let tolerated = settings.fault_tolerance.machines;
     let own_address = settings.internal_address();
-    let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc.clone(), own_address, tolerated));
+    // An order may hold a configuration; signs of life and heartbeats don't wait behind it.
+    let orders_rpc = Client::new(ClientOptions::default());
+    let orders = Arc::new(OrderService::new(Arc::clone(&driver), orders_rpc, own_address, tolerated));
     let committed = Arc::new(PublishedState::new(Arc::clone(&driver)));
     let discovery = CoreDiscovery::new(&settings, random_number() | 1, rpc.clone(), committed);
     let seeds = settings.seed_internal_addresses();
