--- a/crates/woadreach-proxy/tests/budgets.rs
+++ b/crates/woadreach-proxy/tests/budgets.rs
@@ -64,7 +64,8 @@
         let mut client = Client::connect(tier.front).await;
         client.send(turn("a1", "Budget: 6\r\nPrevious: a0\r\n").as_bytes()).await;
         storage.wait_for_swallowed(1).await;
-        // Another turn's way to the storage machine and back: the first one's reservation is granted by now.
+        // The reservation is asked for beside the chain; it is the only request that is answered.
+        storage.wait_for_answered(1).await;
         assert_eq!(ask(tier.front, &turn("b1", "Budget: 6\r\n")).await.status(), 402);
         drop(client);
         wait_until_it_fits(&tier, 4).await;
