--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -12,4 +12,6 @@
     DigestsForgotten,
     /// A member that hears a majority takes itself for in quorum, whoever hears it.
     QuorumByHearing,
+    /// A read is answered without a barrier.
+    ReadWithoutBarrier,
 }
