--- a/crates/woadreach-cluster/src/lib.rs
+++ b/crates/woadreach-cluster/src/lib.rs
@@ -15,6 +15,7 @@
 mod scenario;
 mod tally;
 
+pub use relay::{Fares, Relay};
 pub use rig::{Plan, play};
 pub use scenario::{Act, Fault, Scenario, Step};
 pub use tally::Outcome;
--- a/crates/woadreach-cluster/src/relay.rs
+++ b/crates/woadreach-cluster/src/relay.rs
@@ -3,7 +3,7 @@
 //!
 //! A way that is cut holds back what connections carry, as a network does whose packets are lost, and passes
 //! it on when it is mended; datagrams on it are lost. A connection asked for meanwhile comes up at the relay
-//! and is silent: its SYN cannot be held back from here.
+//! and is silent: its SYN cannot be held back from here. Connections may also be reset, at both ends.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -32,6 +32,7 @@
 struct Way {
     fares: Cell<Fares>,
     changed: Notify,
+    reset: Notify,
 }
 
 #[derive(Clone)]
@@ -45,7 +46,7 @@
 
 impl Relay {
     pub fn new(zones: usize, seed: u64) -> Relay {
-        let way = |_| Way { fares: Cell::default(), changed: Notify::new() };
+        let way = |_| Way { fares: Cell::default(), changed: Notify::new(), reset: Notify::new() };
         let ways = (0..zones * zones).map(way).collect();
         Relay(Rc::new(Inner { zones, ways, chance: RefCell::new(Pcg64Mcg::seed_from_u64(seed)) }))
     }
@@ -66,6 +67,11 @@
         way.changed.notify_waiters();
     }
 
+    /// Resets the connections that were made from one zone to another and are up.
+    pub fn reset(&self, from: usize, to: usize) {
+        self.way(from, to).reset.notify_waiters();
+    }
+
     /// Passes on connections from one zone that are made to `listen`, to `to` in another. Gives the address
     /// that it listens at.
     pub async fn connections(
@@ -85,23 +91,29 @@
         Ok(at)
     }
 
-    async fn connection(self, near: TcpStream, to: SocketAddr, (from, into): (usize, usize)) {
+    async fn connection(self, mut near: TcpStream, to: SocketAddr, (from, into): (usize, usize)) {
         self.open(from, into).await;
         // Refused there: the drop of this one tells it.
-        let Ok(far) = TcpStream::connect(to).await else { return };
+        let Ok(mut far) = TcpStream::connect(to).await else { return };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let ((near_in, near_out), (far_in, far_out)) = (near.into_split(), far.into_split());
+        let reset = self.way(from, into).reset.notified();
+        let ((near_in, near_out), (far_in, far_out)) = (near.split(), far.split());
         // One side's end ends both, as a reset does; an orderly end has been passed on by then.
-        tokio::select! {
-            () = self.pump(near_in, far_out, (from, into)) => {}
-            () = self.pump(far_in, near_out, (into, from)) => {}
+        let is_reset = tokio::select! {
+            () = reset => true,
+            () = self.pump(near_in, far_out, (from, into)) => false,
+            () = self.pump(far_in, near_out, (into, from)) => false,
+        };
+        if is_reset {
+            // One that cannot be told so closes as ever.
+            let _ = (near.set_zero_linger(), far.set_zero_linger());
         }
     }
 
     async fn pump(
         &self,
-        mut from: tokio::net::tcp::OwnedReadHalf,
-        mut to: tokio::net::tcp::OwnedWriteHalf,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
         zones: (usize, usize),
     ) {
         let mut bytes = vec![0; 16 * 1024];
--- a/crates/woadreach-tier/src/client.rs
+++ b/crates/woadreach-tier/src/client.rs
@@ -70,6 +70,13 @@
         let call = self.client.get(format!("http://{}{path}", self.front));
         answer(call.header("host", host).header("request-id", request_id).header("timeout-ms", "2000")).await
     }
+
+    /// Sends a request that may not be repeated and reads the whole answer.
+    pub async fn post(&self, host: &str, path: &str, request_id: &str) -> Result<TurnAnswer, TierError> {
+        let call = self.client.post(format!("http://{}{path}", self.front)).header("host", host);
+        let call = call.header("request-id", request_id).header("timeout-ms", "3000");
+        answer(call.body(request_id.to_owned())).await
+    }
 }
 
 async fn answer(call: reqwest::RequestBuilder) -> Result<TurnAnswer, TierError> {
--- a/crates/woadreach-tier/src/lib.rs
+++ b/crates/woadreach-tier/src/lib.rs
@@ -23,6 +23,6 @@
 pub use operator::Operator;
 pub use process::NodeProcess;
 pub use programs::built_programs;
-pub use replica::{ReceivedRequest, ReplicaKind, StandInReplica};
+pub use replica::{ReceivedRequest, ReplicaKind, StandInReplica, pieces_of};
 pub use settings::{MachineClass, NodeSpec};
 pub use tier::{Tier, TierSize};
--- a/crates/woadreach-tier/src/process.rs
+++ b/crates/woadreach-tier/src/process.rs
@@ -70,6 +70,22 @@
         Ok(())
     }
 
+    /// Stops the process where it stands, as SIGSTOP does; it keeps its sockets.
+    pub fn suspend(&self) -> Result<(), TierError> {
+        self.signal("-STOP")
+    }
+
+    /// Lets a suspended process go on.
+    pub fn resume(&self) -> Result<(), TierError> {
+        self.signal("-CONT")
+    }
+
+    fn signal(&self, signal: &str) -> Result<(), TierError> {
+        let Some(id) = self.process_id() else { return Ok(()) };
+        let sent = std::process::Command::new("kill").args([signal, &id.to_string()]).status();
+        sent.context(SystemSnafu { what: format!("kill {signal} of {}", self.spec.name()) }).map(drop)
+    }
+
     /// Starts the process again after [`Self::kill`], with the disk as it is.
     pub fn restart(&mut self, network: u8, seeds: &[SocketAddr]) -> Result<(), TierError> {
         self.spec.bootstrap = false;
--- a/crates/woadreach-tier/src/replica.rs
+++ b/crates/woadreach-tier/src/replica.rs
@@ -8,11 +8,12 @@
 use axum::http::{HeaderMap, StatusCode};
 use axum::response::Response;
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use parking_lot::Mutex;
 use snafu::ResultExt;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -36,6 +37,22 @@
     },
     /// One short body.
     Plain,
+    /// A body of pieces, each of which names the request.
+    Pieces {
+        /// Number of pieces.
+        pieces: usize,
+        /// Pause before each piece, in ms.
+        pause_ms: u64,
+    },
+}
+
+/// The body of [`ReplicaKind::Pieces`] for a request.
+pub fn pieces_of(request_id: &str, pieces: usize) -> String {
+    (1..=pieces).map(|number| piece(request_id, number)).collect()
+}
+
+fn piece(request_id: &str, number: usize) -> String {
+    format!("{request_id} {number}\n")
 }
 
 /// A request that a stand-in has run.
@@ -81,6 +98,17 @@
         let listener =
             TcpListener::bind("127.0.0.1:0").await.with_context(|_| SystemSnafu { what: what() })?;
         let address = listener.local_addr().with_context(|_| SystemSnafu { what: what() })?;
+        Ok(Self::start_at(id, service, kind, control, (listener, address)))
+    }
+
+    /// Like [`Self::start`], on this listener, under the address at which others are to call it.
+    pub fn start_at(
+        id: &str,
+        service: &str,
+        kind: ReplicaKind,
+        control: Vec<SocketAddr>,
+        (listener, address): (TcpListener, SocketAddr),
+    ) -> Self {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -95,7 +123,7 @@
             let _ = axum::serve(listener, app).await;
         });
         let beating = tokio::spawn(send_heartbeats(shared.clone()));
-        Ok(StandInReplica { id: id.to_owned(), address, shared, tasks: vec![serving, beating] })
+        StandInReplica { id: id.to_owned(), address, shared, tasks: vec![serving, beating] }
     }
 
     /// The requests that have run here, in the order in which they came.
@@ -162,9 +190,13 @@
     let line = format!("{} {}", head.method, head.uri);
     shared.received.lock().push(ReceivedRequest { line, request_id: request_id.clone(), body });
     let response =
-        Response::builder().header("request-id", request_id).header("response-signature", signature);
+        Response::builder().header("request-id", &request_id).header("response-signature", signature);
     let response = match shared.kind {
         ReplicaKind::Plain => response.body(Body::from("done")),
+        ReplicaKind::Pieces { pieces, pause_ms } => {
+            let piece = move |number| piece(&request_id, number);
+            response.body(paused_body(1..=pieces, Duration::from_millis(pause_ms), piece))
+        }
         ReplicaKind::Model { events, pause_ms } => {
             let response = response.header("content-type", "text/event-stream");
             response.body(events_body(first_event, events, Duration::from_millis(pause_ms)))
@@ -174,12 +206,20 @@
 }
 
 fn events_body(first: usize, events: usize, pause: Duration) -> Body {
-    Body::from_stream(stream::unfold(first + 1, move |number| async move {
-        if number > events {
-            return None;
+    paused_body(first + 1..=events, pause, |number| format!("id: {number}\ndata: word-{number}\n\n"))
+}
+
+/// A body of the texts of these numbers, with a pause before each.
+fn paused_body(
+    numbers: RangeInclusive<usize>,
+    pause: Duration,
+    text: impl Fn(usize) -> String + Send + 'static,
+) -> Body {
+    Body::from_stream(stream::iter(numbers).then(move |number| {
+        let bytes = Bytes::from(text(number));
+        async move {
+            tokio::time::sleep(pause).await;
+            Ok::<_, Infallible>(bytes)
         }
-        tokio::time::sleep(pause).await;
-        let event = format!("id: {number}\ndata: word-{number}\n\n");
-        Some((Ok::<_, Infallible>(Bytes::from(event)), number + 1))
     }))
 }
--- /dev/null
+++ b/crates/woadreach-tier/tests/replica_path.rs
@@ -0,0 +1,198 @@
+//! The way from the edges to replicas is cut, stalled and reset in the middle of answers to requests that may
+//! not be repeated: none runs twice, and no answer reaches the caller of another request.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use support::*;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, LocalSet};
+use woadreach_cluster::Relay;
+use woadreach_tier::{
+    Client, Operator, ReplicaKind, StandInReplica, Tier, TierError, TurnAnswer, example, pieces_of,
+};
+
+/// Zone of the edges and zone of the replicas, between which the relay stands.
+const EDGES: usize = 0;
+const REPLICAS: usize = 1;
+const PIECES: usize = 8;
+const KIND: ReplicaKind = ReplicaKind::Pieces { pieces: PIECES, pause_ms: 25 };
+/// Requests sent before the way fails, and as many after.
+const AT_ONCE: usize = 20;
+/// Of the first so many have begun to run when the way fails.
+const BEGUN: usize = 10;
+
+/// What befalls the way while answers are under way.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    /// Answers stop, and come once all requests have been given up.
+    AnswersStall,
+    /// Requests stop, and come once all have been given up; answers go on.
+    RequestsStall,
+    /// All connections are reset at both ends.
+    Reset,
+    /// Answers stop, and the connections on which they wait are reset.
+    StallThenReset,
+}
+
+impl Failure {
+    fn begin(self, relay: &Relay) {
+        match self {
+            Failure::AnswersStall | Failure::StallThenReset => cut(relay, (REPLICAS, EDGES), true),
+            Failure::RequestsStall => cut(relay, (EDGES, REPLICAS), true),
+            Failure::Reset => relay.reset(EDGES, REPLICAS),
+        }
+    }
+
+    fn end(self, relay: &Relay) {
+        if matches!(self, Failure::StallThenReset) {
+            relay.reset(EDGES, REPLICAS);
+        }
+        cut(relay, (REPLICAS, EDGES), false);
+        cut(relay, (EDGES, REPLICAS), false);
+    }
+}
+
+fn cut(relay: &Relay, (from, to): (usize, usize), is_cut: bool) {
+    relay.change(from, to, |fares| fares.cut = is_cut);
+}
+
+type Call = (String, JoinHandle<Result<TurnAnswer, TierError>>);
+
+/// Sends requests that may not be repeated, each under an id of its own, by turns to all edges.
+fn send(fronts: &[SocketAddr], round: usize, part: &str) -> Vec<Call> {
+    let one = |number: usize| {
+        let (id, front) = (format!("order-{round}-{part}-{number}"), fronts[number % fronts.len()]);
+        let sent = id.clone();
+        let call =
+            tokio::spawn(async move { Client::new(front).post(example::HOST, "/order/x", &sent).await });
+        (id, call)
+    };
+    (0..AT_ONCE).map(one).collect()
+}
+
+/// How often each request has run, over all replicas.
+fn runs(replicas: &[StandInReplica]) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for request in replicas.iter().flat_map(StandInReplica::received) {
+        *runs.entry(request.request_id).or_default() += 1;
+    }
+    runs
+}
+
+/// What a caller may see: its own answer and nothing of another's; a refusal only if nothing has run.
+fn check(id: &str, answer: &TurnAnswer, runs: usize) {
+    let whole = pieces_of(id, PIECES);
+    let body = answer.body.as_deref();
+    if answer.status == 200 {
+        assert!(answer.signature.as_deref().is_some_and(|signature| signature.ends_with(&format!(".{id}"))));
+        assert!(body.is_none_or(|body| body == whole), "{id}: {body:?}");
+    } else {
+        assert_eq!(answer.signature, None, "{id}: a status of the edge's own");
+        assert!(!body.unwrap_or_default().contains("order-"), "{id}: {body:?}");
+    }
+    if [408, 421, 429, 503].contains(&answer.status) {
+        assert_eq!(runs, 0, "{id} was refused and has run");
+    }
+}
+
+fn configuration() -> String {
+    let mut configuration: Value = serde_json::from_str(&example::configuration(2)).unwrap();
+    configuration["routes"].as_array_mut().unwrap().push(json!({
+        "name": "order", "domain": example::HOST, "path_prefix": "/order/", "route_type": "unsafe",
+        "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 1, "service": "orders", "max_retries": 2,
+    }));
+    configuration["services"].as_array_mut().unwrap().push(json!({
+        "name": "orders", "health_check": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false,
+    }));
+    configuration.to_string()
+}
+
+/// Replicas that can be reached through the relay alone.
+async fn replicas_behind(relay: &Relay, tier: &Tier) -> Vec<StandInReplica> {
+    let mut replicas = Vec::new();
+    for index in 0..2 {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = listener.local_addr().unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let announced = relay.connections(any, own, (EDGES, REPLICAS)).await.unwrap();
+        let id = format!("i-orders-{index}");
+        replicas.push(StandInReplica::start_at(&id, "orders", KIND, tier.control(), (listener, announced)));
+    }
+    replicas
+}
+
+/// Waits until every edge serves the route again.
+async fn wait_until_served(tier: &Tier, round: usize) {
+    let end = tokio::time::Instant::now() + PATIENCE;
+    for (number, front) in tier.fronts().into_iter().enumerate() {
+        for attempt in 0.. {
+            let id = format!("order-ready-{round}-{number}-{attempt}");
+            let answer = Client::new(front).post(example::HOST, "/order/x", &id).await;
+            if answer.is_ok_and(|answer| answer.status == 200 && answer.body == Some(pieces_of(&id, PIECES)))
+            {
+                break;
+            }
+            assert!(tokio::time::Instant::now() < end, "{front} does not serve orders\n{}", logs(tier));
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_path_that_fails_within_answers_repeats_nothing_and_crosses_nothing() {
+    LocalSet::new().run_until(play()).await;
+}
+
+async fn play() {
+    let tier = start(24);
+    let _replicas = example::bring_up(&tier).await.unwrap_or_else(|error| panic!("{error}\n{}", logs(&tier)));
+    let relay = Relay::new(2, 1);
+    let replicas = replicas_behind(&relay, &tier).await;
+    let status = Operator::new(tier.control()).put(1, &configuration(), PATIENCE).await;
+    assert_eq!(status.map(|status| status.as_u16()).ok(), Some(200), "{}", logs(&tier));
+
+    let failures = [
+        Failure::AnswersStall,
+        Failure::Reset,
+        Failure::RequestsStall,
+        Failure::StallThenReset,
+        Failure::Reset,
+    ];
+    let mut answers = Vec::new();
+    for (round, failure) in failures.into_iter().enumerate() {
+        wait_until_served(&tier, round).await;
+        let before = runs(&replicas).len();
+        let mut calls = send(&tier.fronts(), round, "before");
+        wait_for(&tier, "requests that run", || (runs(&replicas).len() >= before + BEGUN).then_some(()))
+            .await;
+        failure.begin(&relay);
+        calls.extend(send(&tier.fronts(), round, "after"));
+        let mut ended = Vec::new();
+        for (id, call) in calls {
+            ended.push((id, call.await.unwrap()));
+        }
+        failure.end(&relay);
+        // What was held back comes now, on connections that later requests may use.
+        wait_until_served(&tier, round + failures.len()).await;
+        let broken = check_all(&ended, &runs(&replicas));
+        println!("{failure:?}: {broken} of {} had run and got no whole answer", 2 * AT_ONCE);
+        assert!(broken > 0, "{failure:?} broke no answer off");
+        answers.extend(ended);
+    }
+    check_all(&answers, &runs(&replicas));
+}
+
+/// Checks all answers; gives how many requests have run without a whole answer to their caller.
+fn check_all(answers: &[(String, Result<TurnAnswer, TierError>)], runs: &BTreeMap<String, usize>) -> usize {
+    let twice: Vec<_> = runs.iter().filter(|(_, runs)| **runs > 1).collect();
+    assert!(twice.is_empty(), "ran more than once: {twice:?}");
+    let is_broken = |(id, answer): &&(String, Result<TurnAnswer, TierError>)| {
+        let ran = runs.get(id).copied().unwrap_or(0);
+        let Ok(answer) = answer else { return ran > 0 };
+        check(id, answer, ran);
+        ran > 0 && answer.body != Some(pieces_of(id, PIECES))
+    };
+    answers.iter().filter(is_broken).count()
+}
--- /dev/null
+++ b/crates/woadreach-tier/tests/support/mod.rs
@@ -0,0 +1,89 @@
+//! What the tests of losses share: a tier of real processes, conditions read from logs, configurations that
+//! can be told apart by their routes.
+
+#![allow(dead_code)]
+
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use woadreach_tier::{Client, MachineClass, Tier, TierSize, built_programs, example};
+
+/// A generous bound on anything that is waited for; no verdict depends on speed.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+/// Pause between two looks at a condition.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+pub const SMALL: TierSize = TierSize { edges: 2, core: 3, storage: 3 };
+
+pub fn start(network: u8) -> Tier {
+    Tier::start(&built_programs(), network, SMALL).unwrap()
+}
+
+/// The logs of all processes, shown where a test fails.
+pub fn logs(tier: &Tier) -> String {
+    tier.nodes.iter().map(|node| format!("== {}\n{}", node.spec.name(), node.log())).collect()
+}
+
+pub fn log_of(tier: &Tier, class: MachineClass, index: u8) -> String {
+    let node = tier.nodes.iter().find(|node| node.spec.class == class && node.spec.index == index);
+    node.map(|node| node.log()).unwrap_or_default()
+}
+
+/// Waits until `condition` gives something.
+pub async fn wait_for<T>(tier: &Tier, what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = condition() {
+            return found;
+        }
+        assert!(Instant::now() < end, "{what} did not come about\n{}", logs(tier));
+        sleep(LOOK_AGAIN).await;
+    }
+}
+
+/// The example's configuration with one more route, whose path holds the generation.
+pub fn configuration(generation: u64) -> String {
+    let mut configuration: Value = serde_json::from_str(&example::configuration(generation)).unwrap();
+    let route = json!({
+        "name": "newest", "domain": example::HOST, "path_prefix": newest_path(generation),
+        "route_type": "safe", "timeout_ms": 1200, "target_latency_ms": 150, "priority": 2, "service": "plain",
+        "max_retries": 2,
+    });
+    configuration["routes"].as_array_mut().unwrap().push(route);
+    configuration.to_string()
+}
+
+/// A path that this generation alone has a route for.
+pub fn newest_path(generation: u64) -> String {
+    format!("/generation-{generation}/")
+}
+
+/// Waits until every edge serves the route that only this generation has.
+pub async fn wait_until_in_force(tier: &Tier, generation: u64) {
+    let end = Instant::now() + PATIENCE;
+    for front in tier.fronts() {
+        let client = Client::new(front);
+        while client.get(example::HOST, &newest_path(generation), "g").await.map(|a| a.status).ok()
+            != Some(200)
+        {
+            assert!(Instant::now() < end, "{front} does not serve generation {generation}\n{}", logs(tier));
+            sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+/// The epoch and chain of the last view in a log: the last bytes of the members' addresses, head first.
+pub fn last_view(log: &str) -> Option<(u64, Vec<u8>)> {
+    let line = log.lines().rev().find(|line| line.contains("view installed"))?;
+    let epoch = number_after(line, "epoch=")?;
+    let (_, chain) = line.split_once("chain=[")?;
+    let (chain, _) = chain.split_once(']')?;
+    let member = |text: &str| text.trim().split(':').next()?.rsplit('.').next()?.parse().ok();
+    chain.split(',').map(member).collect::<Option<Vec<u8>>>().map(|chain| (epoch, chain))
+}
+
+/// The number behind the last `key` in a text.
+pub fn number_after(text: &str, key: &str) -> Option<u64> {
+    let (_, rest) = text.rsplit_once(key)?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
