Data plane: a body that comes slowly is given up at the route's timeout

Cause: the time for a request began at its head, but nothing looked at it until the body had been read whole; a body that trickled was waited for as long as each of its parts came within `header_timeout_ms`. Change: reading the body ends at the request's deadline with 408. `deadlines` also shows what held before: every state of a request ends at the route's timeout, and each attempt is told what is left.

--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -25,7 +25,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use woadreach_config::ClientLimits;
 
 /// Advice to a client when nothing can be served yet, in seconds.
@@ -147,9 +147,11 @@
     if route.kept && facts.program.is_none() {
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
     }
-    let body = read_body(proxy, body, &knowledge.limits()).await?;
+    let give_up = give_up_at(arrived, facts.timeout, route.timeout);
+    let body = timeout_at(give_up, read_body(proxy, body, &knowledge.limits())).await;
+    let body = body.unwrap_or(Err(Rejection::SlowBody))?;
     Ok(ClientRequest {
-        give_up: give_up_at(arrived, facts.timeout, route.timeout),
+        give_up,
         stride: knowledge.stride(&route),
         facts,
         route,
--- /dev/null
+++ b/crates/woadreach-proxy/tests/deadlines.rs
@@ -0,0 +1,121 @@
+//! Requests are answered at their route's timeout, and replicas are told no more time than is left.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::replica::{Received, Replica, Step, chunk, not_executed, stream_head, success};
+use support::tier::{CONFIGURATION, Tier, configured};
+use support::{Client, Seen, ask, on_one_thread};
+
+/// Timeout of every route here.
+const ROUTE_TIMEOUT: Duration = Duration::from_millis(400);
+/// An answer comes at the latest so long after the timeout.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// A tier whose routes have a short timeout.
+async fn tier(replicas: &[(&str, &Replica)]) -> Tier {
+    let configuration = CONFIGURATION.replace("\"timeout_ms\":5000", "\"timeout_ms\":400");
+    Tier::start_knowing(&configured(replicas, &configuration)).await
+}
+
+fn head_of(path: &str, headers: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\n{headers}")
+}
+
+fn post(path: &str, headers: &str) -> String {
+    head_of(path, headers) + "Content-Length: 2\r\n\r\nhi"
+}
+
+/// Sends a request whose client would wait for much longer; its answer, which comes at the timeout.
+async fn answered_at_the_timeout(tier: &Tier, request: &str) -> Seen {
+    let sent = Instant::now();
+    let seen = ask(tier.front, request).await;
+    let after = sent.elapsed();
+    assert!(after < ROUTE_TIMEOUT + SLACK, "{after:?}");
+    seen
+}
+
+#[test]
+fn a_silent_replica_is_given_up_at_the_routes_timeout() {
+    on_one_thread(async {
+        for path in ["/safe/", "/unsafe/", "/resumable/", "/once/"] {
+            let replica = Replica::start(|_, _| vec![Step::Hang]).await;
+            let tier = tier(&[("i-1", &replica)]).await;
+            let seen = answered_at_the_timeout(&tier, &post(path, "Timeout-Ms: 60000\r\n")).await;
+            assert_eq!(seen.status(), 504, "{path}");
+            replica.wait_for_closed(1).await;
+        }
+    });
+}
+
+#[test]
+fn a_stream_under_way_is_cut_at_the_routes_timeout() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| {
+            vec![stream_head(request), chunk(b"id: 1\ndata: one\n\n"), Step::Hang]
+        })
+        .await;
+        let tier = tier(&[("i-1", &replica)]).await;
+        for path in ["/resumable/", "/once/", "/kept/"] {
+            let seen = answered_at_the_timeout(&tier, &post(path, "")).await;
+            assert_eq!((seen.status(), seen.whole), (200, false), "{path}");
+        }
+        replica.wait_for_closed(3).await;
+    });
+}
+
+#[test]
+fn a_body_that_comes_slowly_is_given_up_at_the_routes_timeout() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let tier = tier(&[("i-1", &replica)]).await;
+        let sent = Instant::now();
+        let mut client = Client::connect(tier.front).await;
+        client.send((head_of("/unsafe/", "Content-Length: 5\r\n\r\n") + "he").as_bytes()).await;
+        let seen = client.answer().await;
+        assert_eq!((seen.status(), seen.header("connection")), (408, Some("close")));
+        assert!(sent.elapsed() < ROUTE_TIMEOUT + SLACK, "{:?}", sent.elapsed());
+        assert!(replica.received().is_empty());
+    });
+}
+
+/// The number in a header of milliseconds.
+fn handed(request: &Received) -> u64 {
+    request.header("timeout-ms").expect("a time").parse().expect("a number")
+}
+
+#[test]
+fn every_attempt_is_told_what_is_left_and_no_more() {
+    on_one_thread(async {
+        for (path, client, most) in [("/safe/", 250, 250), ("/unsafe/", 60_000, 400), ("/once/", 250, 250)] {
+            // Refuses twice, so that the pauses between attempts use time up.
+            let replica = Replica::start(|number, request| match number {
+                0 | 1 => vec![not_executed(request)],
+                _ => vec![success(request, "id: 1\ndata: one\n\n")],
+            })
+            .await;
+            let tier = tier(&[("i-1", &replica)]).await;
+            let sent = Instant::now();
+            let seen = ask(tier.front, &post(path, &format!("Timeout-Ms: {client}\r\n"))).await;
+            let elapsed = sent.elapsed().as_millis() as u64;
+            assert_eq!(seen.status(), 200, "{path}");
+            let times: Vec<u64> = replica.received().iter().map(handed).collect();
+            assert_eq!(times.len(), 3, "{path}");
+            assert!(times[0] <= most, "{path}: {times:?}");
+            assert!(times[1] + 30 <= times[0] + 1, "the first pause is not in it, {path}: {times:?}");
+            assert!(times[2] + 60 <= times[1] + 1, "the second pause is not in it, {path}: {times:?}");
+            assert!(times[2] + elapsed >= most, "less than is left, {path}: {times:?} after {elapsed} ms");
+        }
+    });
+}
+
+#[test]
+fn without_a_time_of_the_clients_the_routes_is_told() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let tier = tier(&[("i-1", &replica)]).await;
+        assert_eq!(ask(tier.front, &post("/safe/", "")).await.status(), 200);
+        let told = handed(&replica.received()[0]);
+        assert!((1..=400).contains(&told), "{told}");
+    });
+}
--- a/crates/woadreach-proxy/tests/support/replica.rs
+++ b/crates/woadreach-proxy/tests/support/replica.rs
@@ -2,8 +2,10 @@
 
 use super::find;
 use parking_lot::Mutex;
+use socket2::SockRef;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -31,6 +33,8 @@
     Write(Vec<u8>),
     /// End the connection.
     Close,
+    /// Reset the connection.
+    Reset,
     /// Wait until told to go on.
     Await(Arc<Notify>),
     /// Say nothing until the caller closes the connection.
@@ -129,6 +133,10 @@
                         }
                     }
                     Step::Close => return,
+                    Step::Reset => {
+                        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        return;
+                    }
                     Step::Await(notify) => notify.notified().await,
                     Step::Hang => {
                         let mut byte = [0];
--- a/crates/woadreach-proxy/tests/support/tier.rs
+++ b/crates/woadreach-proxy/tests/support/tier.rs
@@ -14,7 +14,7 @@
 use woadreach_storage::StorageClient;
 
 /// Routes: `/safe/`, `/unsafe/`, `/resumable/` and `/once/` (streams), `/kept/` at host `tier.example`.
-const CONFIGURATION: &str = r#"{"generation":7,"routes":[
+pub const CONFIGURATION: &str = r#"{"generation":7,"routes":[
  {"name":"safe","domain":"tier.example","path_prefix":"/safe/","route_type":"safe","timeout_ms":5000,
   "target_latency_ms":250,"priority":0,"service":"s","max_retries":3},
  {"name":"unsafe","domain":"tier.example","path_prefix":"/unsafe/","route_type":"unsafe","timeout_ms":5000,
@@ -44,11 +44,20 @@
         Self::start_within(replicas, limits()).await
     }
 
+    /// A data plane that has been told only this.
+    pub async fn start_knowing(known: &ControlSnapshot) -> Self {
+        Self::start_knowing_within(known, limits()).await
+    }
+
     /// The same in a process of these limits.
     pub async fn start_within(replicas: &[(&str, &Replica)], limits: ProcessLimits) -> Self {
+        Self::start_knowing_within(&snapshot(replicas), limits).await
+    }
+
+    async fn start_knowing_within(known: &ControlSnapshot, limits: ProcessLimits) -> Self {
         let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 0);
         let proxy = Arc::new(Proxy::new(1, "a", 256, storage));
-        proxy.learn(&snapshot(replicas));
+        proxy.learn(known);
         let connections = Front::new(proxy.clone(), &limits);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let front = listener.local_addr().expect("an address");
@@ -66,10 +75,15 @@
 
 /// What the control plane would tell.
 pub fn snapshot(replicas: &[(&str, &Replica)]) -> ControlSnapshot {
+    configured(replicas, CONFIGURATION)
+}
+
+/// The same with another configuration.
+pub fn configured(replicas: &[(&str, &Replica)], configuration: &str) -> ControlSnapshot {
     let records: BTreeMap<String, ReplicaRecord> =
         replicas.iter().map(|(id, replica)| ((*id).to_owned(), record(id, replica.address))).collect();
     ControlSnapshot {
-        configuration: Some(Arc::new(Configuration::parse(CONFIGURATION.as_bytes()).expect("valid"))),
+        configuration: Some(Arc::new(Configuration::parse(configuration.as_bytes()).expect("valid"))),
         replicas: Arc::new(records),
         warmed: true,
         ..ControlSnapshot::default()
