Data plane: a 421 to Expect-Version does not eject the replica

Cause: every 421 counted as another replica at this address, so that a client's `Expect-Version`, which is passed along, took each replica with other weights out until the list of replicas changed. Change: with `Expect-Version` in the request a 421 counts as not run, without a word on who the replica is. Result: `another_version_of_the_weights_is_no_sign_of_another_replica` fails without it (503 for the next request).

--- a/crates/woadreach-proxy/src/attempt.rs
+++ b/crates/woadreach-proxy/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::replica_answer::{ConnectionReuse, HeadVerdict, connection_reuse, judge, server_load};
 use crate::replica_connection::SendFailure;
 use crate::replica_pool::{PooledConnection, ReplicaPool};
-use crate::request_headers::{EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, TIMEOUT_MS};
+use crate::request_headers::{EXPECT_INSTANCE, EXPECT_VERSION, LAST_EVENT_ID, PRIORITY, TIMEOUT_MS};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use http::response::Parts;
@@ -187,7 +187,11 @@
 ) -> (AttemptResult, Option<ServerLoad>) {
     let (head, body) = response.into_parts();
     let load = server_load(&head.headers);
-    let verdict = judge(&head, &request.request_id);
+    let mut verdict = judge(&head, &request.request_id);
+    if verdict == HeadVerdict::NotRun(Outcome::Misdirected) && request.headers.contains_key(EXPECT_VERSION) {
+        // The weights may have another version: that says nothing of who the replica is.
+        verdict = HeadVerdict::NotRun(Outcome::NotExecuted { retry_after: None });
+    }
     if verdict == HeadVerdict::Foreign {
         return (failed(Outcome::Broken { sent: true, events: 0 }), None);
     }
--- a/crates/woadreach-proxy/src/request_headers.rs
+++ b/crates/woadreach-proxy/src/request_headers.rs
@@ -30,6 +30,8 @@
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// The replica that a request is meant for.
 pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+/// The version of the weights that a request is meant for.
+pub const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 /// Rank of a request at a replica.
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
 
