Data plane: a stream has the head of the replica whose events it has

Cause: the head of the first replica that began a stream was kept even when that replica broke off before anything of its stream had been passed on; the client then got the whole stream of another replica under a stamp and version that were not its. Change: the head is forgotten as long as the client has not been answered. The other tests of `resumption` and those of `leaving_clients` show what held before: the first head stays once an event has been passed on, answers that end with their connection, work that ends with its client.

--- a/crates/woadreach-proxy/src/request_task/streaming.rs
+++ b/crates/woadreach-proxy/src/request_task/streaming.rs
@@ -62,6 +62,10 @@
     pub(super) fn drop_broken_stream(&mut self) -> Option<RequestEnd> {
         let active = self.stream.take()?;
         self.change(|progress| progress.attempt_ended(false));
+        if self.side.is_unanswered() {
+            // Nothing of this replica's was passed on: its head belongs to no part of the answer.
+            self.stream_head = None;
+        }
         let outcome = Outcome::Broken { sent: true, events: self.turn.ledger.events() };
         self.proxy.dispatcher.outcome(self.id, active.attempt, outcome, None);
         (self.position == StreamPosition::Unknown).then(|| self.fail(FailReason::MayHaveRun))
--- /dev/null
+++ b/crates/woadreach-proxy/tests/leaving_clients.rs
@@ -0,0 +1,137 @@
+//! Replicas stop working for clients that have left.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::replica::{Received, Replica, Step, chunk, head, stream_head};
+use support::tier::Tier;
+use support::{Client, on_one_thread, wait_for};
+use woadreach_proxy::request_state::RequestEnd;
+
+/// Far under the routes' timeout, which would end the work too.
+const SOON: Duration = Duration::from_secs(2);
+
+fn post(path: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nhi")
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leaving {
+    Close,
+    Reset,
+}
+
+fn leave(client: Client, how: Leaving) {
+    if let Leaving::Reset = how {
+        socket2::SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+    drop(client);
+}
+
+/// Waits until the request has ended as one whose client has gone.
+async fn wait_for_the_end(tier: &Tier) {
+    wait_for("the end of the request", async {
+        while !tier.proxy.counters.ends().contains_key(&RequestEnd::ClientGone) {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+}
+
+#[test]
+fn a_client_that_leaves_before_its_answer_ends_the_work() {
+    on_one_thread(async {
+        for path in ["/safe/", "/unsafe/", "/resumable/", "/once/", "/kept/"] {
+            for how in [Leaving::Close, Leaving::Reset] {
+                let replica = Replica::start(|_, _| vec![Step::Hang]).await;
+                let tier = Tier::start(&[("i-1", &replica)]).await;
+                let mut client = Client::connect(tier.front).await;
+                client.send(post(path).as_bytes()).await;
+                replica.wait_for_requests(1).await;
+                let left = Instant::now();
+                leave(client, how);
+                replica.wait_for_closed(1).await;
+                assert!(left.elapsed() < SOON, "{path}, {how:?}: {:?}", left.elapsed());
+            }
+        }
+    });
+}
+
+#[test]
+fn a_client_that_leaves_its_stream_ends_the_work() {
+    on_one_thread(async {
+        let script = |_: usize, request: &Received| {
+            vec![stream_head(request), chunk(b"id: 1\ndata: one\n\n"), Step::Hang]
+        };
+        for path in ["/resumable/", "/once/", "/kept/"] {
+            for how in [Leaving::Close, Leaving::Reset] {
+                let replica = Replica::start(script).await;
+                let tier = Tier::start(&[("i-1", &replica)]).await;
+                let mut client = Client::connect(tier.front).await;
+                client.send(post(path).as_bytes()).await;
+                client.until("data: one").await;
+                let left = Instant::now();
+                leave(client, how);
+                replica.wait_for_closed(1).await;
+                assert!(left.elapsed() < SOON, "{path}, {how:?}: {:?}", left.elapsed());
+            }
+        }
+    });
+}
+
+#[test]
+fn a_stream_whose_head_came_and_no_event_ends_with_its_client() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![stream_head(request), Step::Hang]).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(post("/once/").as_bytes()).await;
+        replica.wait_for_requests(1).await;
+        let left = Instant::now();
+        drop(client);
+        replica.wait_for_closed(1).await;
+        assert!(left.elapsed() < SOON);
+    });
+}
+
+#[test]
+fn both_copies_of_a_late_request_end_with_its_client() {
+    on_one_thread(async {
+        let (one, two) =
+            (Replica::start(|_, _| vec![Step::Hang]).await, Replica::start(|_, _| vec![Step::Hang]).await);
+        let tier = Tier::start(&[("i-1", &one), ("i-2", &two)]).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(post("/safe/").as_bytes()).await;
+        one.wait_for_requests(1).await;
+        two.wait_for_requests(1).await;
+        let left = Instant::now();
+        drop(client);
+        one.wait_for_closed(1).await;
+        two.wait_for_closed(1).await;
+        assert!(left.elapsed() < SOON);
+    });
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_left_between_two_attempts() {
+    on_one_thread(async {
+        let full = ["Not-Executed: 1", "Retry-After: 0.2", "Content-Length: 0"];
+        let script = move |_: usize, request: &Received| vec![Step::Write(head(request, "503 Full", &full))];
+        let replica = Replica::start(script).await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let mut client = Client::connect(tier.front).await;
+        client.send(post("/unsafe/").as_bytes()).await;
+        replica.wait_for_requests(1).await;
+        drop(client);
+        wait_for_the_end(&tier).await;
+        let sent = replica.received().len();
+        // The times at which it would have been sent again pass while another request is refused.
+        let mut other = Client::connect(tier.front).await;
+        other.send(post("/unsafe/").replace("r1", "r2").as_bytes()).await;
+        assert_eq!(other.answer().await.status(), 503);
+        let of_first =
+            replica.received().iter().filter(|request| request.header("request-id") == Some("r1")).count();
+        assert_eq!(of_first, sent);
+    });
+}
