Data plane: a stream without length that ends inside an event is not whole

Cause: a body without length ends with its connection, and that end was taken at its word: a replica that crashed in the middle of an event, its connection closed and not reset, made a whole answer of the part. Change: where only the end of the connection tells the end of the body, an unfinished event counts as broken off: the stream goes on elsewhere if it may, else the client's connection is cut. Result: two tests of `resumption` fail without it (the part was passed on as whole).

--- a/crates/woadreach-proxy/src/replica_answer.rs
+++ b/crates/woadreach-proxy/src/replica_answer.rs
@@ -1,7 +1,9 @@
 //! What the head of a replica's answer means.
 
 use crate::request_headers::REQUEST_ID;
-use http::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, RETRY_AFTER};
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderName, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use http::response::Parts;
 use http::{StatusCode, Version};
 use std::time::Duration;
@@ -76,6 +78,11 @@
     Some(ServerLoad { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// Whether only the end of the connection tells where the answer's body ends.
+pub fn ends_with_connection(head: &Parts) -> bool {
+    !head.headers.contains_key(CONTENT_LENGTH) && !head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// What the replica says of the connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionReuse {
--- a/crates/woadreach-proxy/src/request_task/streaming.rs
+++ b/crates/woadreach-proxy/src/request_task/streaming.rs
@@ -1,7 +1,8 @@
 //! A stream that is being passed on.
 
-use super::RequestTask;
+use super::{ActiveStream, RequestTask};
 use crate::event_stream::StreamPosition;
+use crate::replica_answer::ends_with_connection;
 use crate::request_state::{RequestEnd, RequestProgress};
 use crate::turn_store::TurnError;
 use bytes::Bytes;
@@ -33,8 +34,15 @@
         None
     }
 
-    /// The body has ended as its framing says: the turn is made durable, then the answer ends.
+    /// The body has ended as its framing says: the turn is made durable, then the answer ends. Where only the
+    /// end of the connection says so, an unfinished event shows that the replica broke off.
     pub(super) async fn finish_stream(&mut self) -> Option<RequestEnd> {
+        let is_cut = |active: &ActiveStream| {
+            active.reader.is_inside_event() && ends_with_connection(&active.open.head)
+        };
+        if self.stream.as_ref().is_some_and(is_cut) {
+            return self.drop_broken_stream();
+        }
         let active = self.stream.take()?;
         let attempt = active.attempt;
         let rest = active.reader.into_rest();
--- a/crates/woadreach-proxy/tests/resumption.rs
+++ b/crates/woadreach-proxy/tests/resumption.rs
@@ -130,6 +130,27 @@
     });
 }
 
+#[test]
+fn a_stream_without_length_that_ends_in_the_middle_of_an_event_is_not_whole() {
+    on_one_thread(async {
+        let seen = without_length("/once/", "id: 1\ndata: one\n\nid: 2\nda", Step::Close).await;
+        assert_eq!((seen.status(), seen.text().as_str(), seen.whole), (200, EVENTS[0], false));
+    });
+}
+
+#[test]
+fn a_stream_without_length_that_ends_in_the_middle_of_an_event_goes_on_elsewhere() {
+    on_one_thread(async {
+        let first = |request: &Received| {
+            let body = EVENTS[0].to_owned() + "id: 2\ndata: tw";
+            vec![stream_head(request, "first", &[]), Step::Write(body.into_bytes()), Step::Close]
+        };
+        let (seen, received) = one_after_the_other(&post("/resumable/", ""), first, whole_as_second).await;
+        assert_eq!((seen.text(), seen.whole), (EVENTS.concat(), true));
+        assert_eq!(received[1].header("last-event-id"), Some("1"));
+    });
+}
+
 #[test]
 fn a_connection_that_ended_with_its_answer_is_not_used_again() {
     on_one_thread(async {
