Data plane: a program past its aim is not denied

Cause: `Finish-Ms`, the time until a program should be over, was refused with 400 when it was under zero, though programs go on after their aim. Change: a time under zero counts as none left. `Timeout-Ms` under zero stays malformed.

--- a/crates/woadreach-proxy/src/request_headers.rs
+++ b/crates/woadreach-proxy/src/request_headers.rs
@@ -160,6 +160,8 @@
     let malformed = HeaderError::Malformed { name: shown, expected: "milliseconds" };
     let Some(value) = single(headers, name, malformed)? else { return Ok(None) };
     let number: f64 = value.parse().map_err(|_| malformed)?;
+    // The time until an aim is under zero once the aim has passed.
+    let number = if *name == FINISH_MS && number < 0.0 { 0.0 } else { number };
     Duration::try_from_secs_f64(number / 1000.0).map(Some).map_err(|_| malformed)
 }
 
