--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -148,6 +148,9 @@
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
     }
     let give_up = give_up_at(arrived, facts.timeout, route.timeout);
+    if !proxy.lifecycle.takes_request(give_up) {
+        return Err(Rejection::NotReady);
+    }
     let body = timeout_at(give_up, read_body(proxy, body, &knowledge.limits())).await;
     let body = body.unwrap_or(Err(Rejection::SlowBody))?;
     Ok(ClientRequest {
--- a/crates/woadreach-proxy/src/request_task/streaming.rs
+++ b/crates/woadreach-proxy/src/request_task/streaming.rs
@@ -1,8 +1,7 @@
 //! A stream that is being passed on.
 
-use super::{ActiveStream, RequestTask};
+use super::RequestTask;
 use crate::event_stream::StreamPosition;
-use crate::replica_answer::ends_with_connection;
 use crate::request_state::{RequestEnd, RequestProgress};
 use crate::turn_store::TurnError;
 use bytes::Bytes;
@@ -34,13 +33,9 @@
         None
     }
 
-    /// The body has ended as its framing says: the turn is made durable, then the answer ends. Where only the
-    /// end of the connection says so, an unfinished event shows that the replica broke off.
+    /// The body has ended as its framing says: the turn is made durable, then the answer ends.
     pub(super) async fn finish_stream(&mut self) -> Option<RequestEnd> {
-        let is_cut = |active: &ActiveStream| {
-            active.reader.is_inside_event() && ends_with_connection(&active.open.head)
-        };
-        if self.stream.as_ref().is_some_and(is_cut) {
+        if self.stream.as_ref()?.ends_inside_event() {
             return self.drop_broken_stream();
         }
         let active = self.stream.take()?;
--- a/crates/woadreach-proxy/tests/early_answers.rs
+++ b/crates/woadreach-proxy/tests/early_answers.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use parking_lot::Mutex;
 use socket2::{Domain, Socket, Type};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -41,6 +42,7 @@
         body,
         request_id: id.to_owned(),
         is_stream: false,
+        carried_by: Mutex::default(),
     })
 }
 
