Storage simulation: a final fault right after an acknowledgement

The runs had single losses right after an acknowledgement and losses of power of all machines at any time, but not both at once with disks lost. `with_final_fault` adds to a run: within 4 ms of an acknowledged turn or reservation all machines lose power and as many as may still be lost lose their disks. The ordinary runs draw the same numbers as before.

--- a/crates/woadreach-storage/tests/simulation/faults.rs
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -7,7 +7,7 @@
 use super::world::{Event, World};
 
 /// After its return a machine still counts as lost for this long.
-const CATCH_UP: Duration = Duration::from_millis(4_100);
+pub const CATCH_UP: Duration = Duration::from_millis(4_100);
 
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
@@ -23,6 +23,8 @@
     AddMachine,
     ThawCore,
     StartAll,
+    /// All lose power, some their disks.
+    Final,
 }
 
 impl World {
@@ -48,6 +50,7 @@
                 self.add_machine();
             }
             Fault::ThawCore => self.core.frozen = false,
+            Fault::Final => self.strike_finally(),
             Fault::StartAll => {
                 for index in 0..self.machines.len() {
                     self.start_machine(index);
--- a/crates/woadreach-storage/tests/simulation/main.rs
+++ b/crates/woadreach-storage/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 
 mod core;
 mod faults;
+mod final_fault;
 mod machine;
 mod oracle;
 mod proxy;
@@ -25,19 +26,31 @@
     World::new(seed, plant).run().err()
 }
 
+fn violation_with_final_fault(seed: u64, plant: Plant) -> Option<String> {
+    World::new(seed, plant).with_final_fault().run().err()
+}
+
 /// Plays seeds from `first` on several threads until one finds a violation.
 fn first_violation(first: u64, count: u64, plant: Plant) -> Option<(u64, String)> {
+    first_violation_of(first, count, |seed| violation(seed, plant))
+}
+
+fn first_violation_of(
+    first: u64,
+    count: u64,
+    violation: impl Fn(u64) -> Option<String> + Sync,
+) -> Option<(u64, String)> {
     let threads = 4;
     let found = Mutex::new(None);
     std::thread::scope(|scope| {
         for offset in 0..threads {
-            let found = &found;
+            let (found, violation) = (&found, &violation);
             scope.spawn(move || {
                 for seed in (first..first + count).filter(|seed| seed % threads == offset) {
                     if found.lock().is_some() {
                         return;
                     }
-                    if let Some(violation) = violation(seed, plant) {
+                    if let Some(violation) = violation(seed) {
                         found.lock().get_or_insert((seed, violation));
                     }
                 }
@@ -56,6 +69,26 @@
     }
 }
 
+/// All machines lose power right after an acknowledgement, and as many as may be lost lose their disks.
+#[test]
+fn a_final_fault_loses_no_turn_and_no_reservation() {
+    let count = std::env::var("STORAGE_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
+    let first = std::env::var("STORAGE_FIRST_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
+    let violation = |seed| violation_with_final_fault(seed, Plant::None);
+    if let Some((seed, violation)) = first_violation_of(first, count, violation) {
+        panic!("seed {seed}: {violation}");
+    }
+}
+
+#[test]
+fn bugs_that_a_final_fault_brings_out_are_found() {
+    for plant in [Plant::EndBeforeSync, Plant::OneCopyTooFew, Plant::ReservationInMemory] {
+        let violation = |seed| violation_with_final_fault(seed, plant);
+        let found = first_violation_of(0, PLANT_SEEDS, violation);
+        assert!(found.is_some(), "{plant:?} was not found in {PLANT_SEEDS} runs");
+    }
+}
+
 fn assert_found(plant: Plant, first: u64) {
     let found = first_violation(first, PLANT_SEEDS, plant);
     assert!(found.is_some(), "{plant:?} was not found in {PLANT_SEEDS} runs from {first}");
--- a/crates/woadreach-storage/tests/simulation/world.rs
+++ b/crates/woadreach-storage/tests/simulation/world.rs
@@ -16,6 +16,7 @@
 
 use super::core::Core;
 use super::faults::Fault;
+use super::final_fault::FinalFault;
 use super::machine::{Caller, Machine, Pulling, Source};
 use super::oracle::{Attempt, Oracle};
 use super::proxy::{Job, JobId, Proxy, Purpose, Read, ReadFailure, Work};
@@ -99,6 +100,7 @@
     pub losses: Vec<Duration>,
     pub end_of_faults: Duration,
     pub after_ack_share: u64,
+    pub final_fault: FinalFault,
     /// The run is about changes of the membership.
     pub churn: bool,
     /// Proxies hear of new views late.
@@ -133,6 +135,7 @@
             losses: vec![Duration::ZERO; tolerated],
             end_of_faults: START_OF_TRAFFIC + traffic,
             after_ack_share: if random.rand_range(0..2) == 0 { 0 } else { random.rand_range(5..40) },
+            final_fault: FinalFault::Never,
             churn: random.rand_range(0..4) == 0,
             late_views: random.rand_range(0..3) == 0,
             events: BinaryHeap::new(),
@@ -776,6 +779,7 @@
                 self.programs[program].last = Some(turn.key());
                 self.oracle.acknowledged.insert(turn.key(), turn);
                 self.after_acknowledgement();
+                self.final_fault_after_acknowledgement();
             }
             Purpose::Read { .. } => {}
         }
@@ -791,6 +795,7 @@
         if fits {
             let outcome = self.oracle.granted(&name, id, MOST, budget);
             self.violated(outcome);
+            self.final_fault_after_acknowledgement();
             let delay = self.millis(5, 400);
             self.after(delay, Event::EndOfTurn { proxy, program, id });
         } else {
