Data plane: no 404 before the configuration is known to be current

Cause: a process that has just started takes the newest configuration that any core machine tells, also one that is cut off, and answered 404 for routes that were added later, which ends a client's request for good. Change: until a core machine in quorum has been heard (`warmed`) a request without a route gets 503 with `Retry-After`. Result: `an_edge_that_may_know_an_old_configuration_denies_no_route` fails without it (404).

--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -142,7 +142,9 @@
     }
     let target = path_and_query(&head)?;
     let host = host(&head)?;
-    let route = knowledge.routes.find(&host, target.path()).ok_or(Rejection::NoRoute)?.clone();
+    // What a process that has just started knows may be old: a route that is not there may have been added.
+    let no_route = if knowledge.warmed { Rejection::NoRoute } else { Rejection::NotReady };
+    let route = knowledge.routes.find(&host, target.path()).ok_or(no_route)?.clone();
     let mut facts = RequestFacts::read(&head.headers).map_err(|source| Rejection::Header { source })?;
     if route.kept && facts.program.is_none() {
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
--- a/crates/woadreach-proxy/tests/planned_work.rs
+++ b/crates/woadreach-proxy/tests/planned_work.rs
@@ -36,6 +36,19 @@
     });
 }
 
+#[test]
+fn an_edge_that_may_know_an_old_configuration_denies_no_route() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let known = configured(&[("i-1", &replica)], CONFIGURATION);
+        let tier = Tier::start_knowing(&ControlSnapshot { warmed: false, ..known.clone() }).await;
+        assert_eq!(ask(tier.front, &post("/added/later/")).await.status(), 503);
+        assert_eq!(ask(tier.front, &post("/unsafe/")).await.status(), 200, "a route that is known is served");
+        tier.proxy.learn(&known);
+        assert_eq!(ask(tier.front, &post("/added/later/")).await.status(), 404);
+    });
+}
+
 #[test]
 fn requests_in_hand_outlive_their_route_and_their_replica() {
     on_one_thread(async {
