--- a/crates/woadreach-storage/tests/loopback.rs
+++ b/crates/woadreach-storage/tests/loopback.rs
@@ -224,6 +224,35 @@
     assert_eq!(reader.chain("p", "b").await.unwrap().len(), 2);
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn what_is_counted_holds_when_all_machines_have_stopped() {
+    let (machines, view) = machines(3);
+    let one = client(&view);
+    let mut ended = one.reserve(&request("p", "a", 100, 60)).await.unwrap();
+    ended.set_given(30);
+    one.put_turn(turn("p", "a", None), Some(&mut ended)).await.unwrap();
+    let _open = one.reserve(&request("p", "b", 100, 60)).await.unwrap();
+    let stopped: Vec<_> = machines.into_iter().map(Machine::stop).collect();
+    let start_again =
+        |(node, address, folder): (String, SocketAddr, TempDir)| start(&node, folder, Some(address));
+    let _machines: Vec<Machine> = stopped.into_iter().map(start_again).collect();
+    let two = client(&view);
+    assert_eq!(two.reserve(&request("p", "c", 100, 11)).await.unwrap_err(), ReserveError::Spent);
+    let _fits = two.reserve(&request("p", "d", 100, 10)).await.unwrap();
+    assert_eq!(two.chain("p", "a").await.unwrap().len(), 1);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn no_turn_is_denied_while_a_machine_is_away_or_has_another_disk() {
+    let (mut machines, view) = machines(3);
+    let reader = client(&view);
+    assert_eq!(reader.chain("p", "never").await, Err(ChainError::NotFound));
+    let (node, address, _) = machines.remove(0).stop();
+    assert_eq!(reader.chain("p", "never").await, Err(ChainError::Unavailable));
+    let _wiped = start(&node, tempfile::tempdir().unwrap(), Some(address));
+    assert_eq!(reader.chain("p", "never").await, Err(ChainError::Unavailable));
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_wiped_machine_pulls_before_it_counts() {
     let (mut machines, view) = machines(3);
