--- a/crates/woadreach-proxy/tests/faulty_tier/mod.rs
+++ b/crates/woadreach-proxy/tests/faulty_tier/mod.rs
@@ -6,7 +6,7 @@
 mod oracle;
 mod replica;
 
-use crate::support::tier::{Tier, limits, snapshot_of};
+use crate::support::tier::{CONFIGURATION, Tier, snapshot_of};
 use crate::support::{on_one_thread, wait_for};
 use oorandom::Rand64;
 use oracle::Oracle;
@@ -53,7 +53,7 @@
     for number in 0..count {
         replicas.push(FaultyReplica::start(number, count == 1, shared.clone()).await);
     }
-    let tier = Tier::start_knowing(&known(&replicas), limits()).await;
+    let tier = Tier::start_knowing(&known(&replicas)).await;
     let clients = (0..CLIENTS).map(|number| {
         let (shared, front) = (shared.clone(), tier.front);
         tokio::spawn(async move { clients::run(number, front, &shared).await })
@@ -78,5 +78,5 @@
 
 fn known(replicas: &[FaultyReplica]) -> woadreach_discovery::ControlSnapshot {
     let named: Vec<_> = replicas.iter().map(|replica| (replica.id(), replica.address)).collect();
-    snapshot_of(named.iter().map(|(id, address)| (id.as_str(), *address)))
+    snapshot_of(named.iter().map(|(id, address)| (id.as_str(), *address)), CONFIGURATION)
 }
