Chain: a refused change stays refused, and one too old to be remembered is not refused

Cause 1: a change whose base lies above the current generation got 412. If the base then came into force while a copy of the change was still on its way, that copy was taken: refused, and in force. Operators with several orders under way, of which one builds on another, meet it. Such a change now has the verdict Undecided(FutureBase): no clear answer. Cause 2: of more than 8192 changes the oldest were forgotten, and one of them sent again was refused although it had been taken. A change older than all that are remembered is now Undecided(Forgotten). Looking a change up is a binary search, as generations rise.

--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -42,6 +42,6 @@
 pub use requests::{Reply, Request, RequestId};
 pub use state::{
     Command, ControlState, Digest, PutConfiguration, PutStorageView, Rejection, Stamp, StoredConfiguration,
-    StoredStorageView, TakenConfiguration, Verdict,
+    StoredStorageView, TAKEN_LIMIT, TakenConfiguration, Undecided, Verdict,
 };
 pub use view::{MemberId, View};
--- a/crates/woadreach-chain/src/member/head.rs
+++ b/crates/woadreach-chain/src/member/head.rs
@@ -29,7 +29,10 @@
 
     pub(super) fn submit(&mut self, id: RequestId, command: Command) {
         let stamp = self.durable.state.stamp;
-        match self.durable.state.judge(&command) {
+        let verdict = self.durable.state.judge(&command);
+        #[cfg(feature = "plants")]
+        let Some(verdict) = self.planted_verdict(id, verdict) else { return };
+        match verdict {
             Verdict::Take => {
                 let stamp = Stamp { epoch: self.durable.view.epoch, number: stamp.number + 1 };
                 self.append(Write { stamp, command });
@@ -40,7 +43,22 @@
                 let barrier = self.replication.next_barrier(self.barrier_session);
                 self.waiting.wait_for_rejection(id, rejection, stamp, barrier.number);
             }
+            // Nothing is promised, so nothing needs to be committed first.
+            Verdict::Undecided(undecided) => {
+                self.outputs.push(Output::Reply { id, reply: Reply::Undecided(undecided) });
+            }
+        }
+    }
+
+    /// The verdict as the planted fault has it; nothing if the fault answers at once.
+    #[cfg(feature = "plants")]
+    fn planted_verdict(&mut self, id: RequestId, verdict: Verdict) -> Option<Verdict> {
+        let Some(plant) = self.plant else { return Some(verdict) };
+        if let Some(reply) = plant.hasty_reply(verdict) {
+            self.outputs.push(Output::Reply { id, reply });
+            return None;
         }
+        Some(plant.weaken(verdict, self.durable.state.generation()))
     }
 
     pub(super) fn resolve_requests(&mut self) {
--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -1,6 +1,9 @@
 //! Defences that tests switch off, to show that the checker finds what they prevent. Never in a release
 //! build.
 
+use crate::requests::Reply;
+use crate::state::{Rejection, Undecided, Verdict};
+
 /// A defence that is switched off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plant {
@@ -10,4 +13,33 @@
     NoEpochCheck,
     /// The digests of taken configurations are lost by a restart.
     DigestsForgotten,
+    /// A change on a generation that isn't current yet is refused.
+    RefusedFutureBase,
+    /// A change that is too old to be remembered is refused.
+    RefusedForgotten,
+    /// A refusal leaves before what it is based on is committed and known to be the newest.
+    RefusedBeforeCommit,
+    /// A repeated change is acknowledged before its first copy is committed.
+    RepeatBeforeCommit,
+}
+
+impl Plant {
+    /// The verdict that is given in the place of `verdict`.
+    pub(crate) fn weaken(self, verdict: Verdict, current: u64) -> Verdict {
+        let refused = Verdict::Rejected(Rejection::BaseMismatch { current });
+        match (self, verdict) {
+            (Plant::RefusedFutureBase, Verdict::Undecided(Undecided::FutureBase { .. })) => refused,
+            (Plant::RefusedForgotten, Verdict::Undecided(Undecided::Forgotten { .. })) => refused,
+            _ => verdict,
+        }
+    }
+
+    /// The reply that leaves at once, although something has yet to be committed for it.
+    pub(crate) fn hasty_reply(self, verdict: Verdict) -> Option<Reply> {
+        match (self, verdict) {
+            (Plant::RefusedBeforeCommit, Verdict::Rejected(rejection)) => Some(Reply::Rejected(rejection)),
+            (Plant::RepeatBeforeCommit, Verdict::AlreadyTaken) => Some(Reply::AlreadyTaken),
+            _ => None,
+        }
+    }
 }
--- a/crates/woadreach-chain/src/requests.rs
+++ b/crates/woadreach-chain/src/requests.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::blob::Blob;
-use crate::state::{Command, ControlState, Rejection, Stamp};
+use crate::state::{Command, ControlState, Rejection, Stamp, Undecided};
 
 /// Number that the driver gives a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -34,6 +34,8 @@
     AlreadyTaken,
     /// The command was not taken and never will be.
     Rejected(Rejection),
+    /// The command was not taken now; nothing is promised.
+    Undecided(Undecided),
     /// The newest configuration and its generation.
     Configuration(Option<(u64, Blob)>),
     /// The published state was the newest after the request came.
--- a/crates/woadreach-chain/src/state.rs
+++ b/crates/woadreach-chain/src/state.rs
@@ -3,19 +3,26 @@
 //! | command | register holds | verdict |
 //! | --- | --- | --- |
 //! | `PutConfiguration` | the same content, now or earlier | `AlreadyTaken` |
-//! | `PutConfiguration` | a generation other than `base` | `Rejected(BaseMismatch)` |
-//! | `PutConfiguration` | `base`, not below the new generation | `Rejected(StaleGeneration)` |
-//! | `PutConfiguration` | `base`, below the new generation | `Take` |
+//! | `PutConfiguration`, older than all that is remembered | any | `Undecided(Forgotten)` |
+//! | `PutConfiguration` | a generation above `base` | `Rejected(BaseMismatch)` |
+//! | `PutConfiguration`, its generation not above `base` | `base` or below | `Rejected(StaleGeneration)` |
+//! | `PutConfiguration` | a generation below `base` | `Undecided(FutureBase)` |
+//! | `PutConfiguration` | `base` | `Take` |
 //! | `PutStorageView` | the same epoch and bytes | `AlreadyTaken` |
 //! | `PutStorageView` | an epoch other than `expected_epoch` | `Rejected(StorageEpochMismatch)` |
 //! | `PutStorageView` | `expected_epoch` | `Take` |
+//!
+//! `Rejected` of a configuration is final: generations only rise, so that no later state takes it either. A
+//! copy of the order that is still on its way can't bring it into force. Where that can't be promised, the
+//! verdict is `Undecided`.
 
 use snafu::Snafu;
 use speedy::{Readable, Writable};
 
 use crate::blob::Blob;
 
-/// How many digests of taken configurations are kept; older ones are forgotten.
+/// How many digests of taken configurations are kept; older ones are forgotten, and whether a change as old
+/// as those was taken is then undecided.
 pub const TAKEN_LIMIT: usize = 8192;
 
 /// Digest of a configuration's bytes.
@@ -90,12 +97,27 @@
     StorageEpochMismatch { current: u64 },
 }
 
+/// Why nothing is promised about a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, Readable, Writable)]
+pub enum Undecided {
+    /// The change builds on a generation above the current one, which may yet come into force; a copy of the
+    /// change that is still on its way would then be taken.
+    #[snafu(display("the change builds on a generation above the current one, {current}"))]
+    FutureBase { current: u64 },
+    /// The change is older than every change that is remembered, so that it may have been taken.
+    #[snafu(display("changes below generation {oldest} are no longer remembered"))]
+    Forgotten { oldest: u64 },
+}
+
 /// What the state says to a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     Take,
     AlreadyTaken,
+    /// Not taken, now or later.
     Rejected(Rejection),
+    /// Not taken now; nothing is promised.
+    Undecided(Undecided),
 }
 
 /// The replicated state.
@@ -141,19 +163,37 @@
 
     fn judge_configuration(&self, put: &PutConfiguration) -> Verdict {
         let current = self.generation();
-        let same = TakenConfiguration { generation: put.generation, digest: put.digest };
-        if self.taken.contains(&same) {
+        if self.is_remembered(put) {
             return Verdict::AlreadyTaken;
         }
-        if put.base != current {
+        let oldest = self.oldest_remembered();
+        if put.generation < oldest {
+            return Verdict::Undecided(Undecided::Forgotten { oldest });
+        }
+        if put.base < current {
             return Verdict::Rejected(Rejection::BaseMismatch { current });
         }
-        if put.generation <= current {
+        if put.generation <= put.base {
             return Verdict::Rejected(Rejection::StaleGeneration { current });
         }
+        if put.base > current {
+            return Verdict::Undecided(Undecided::FutureBase { current });
+        }
         Verdict::Take
     }
 
+    /// Whether this very change was taken. Generations rise from one taken change to the next.
+    fn is_remembered(&self, put: &PutConfiguration) -> bool {
+        let found = self.taken.binary_search_by_key(&put.generation, |taken| taken.generation);
+        found.is_ok_and(|place| self.taken[place].digest == put.digest)
+    }
+
+    /// Every taken change of this generation or a later one is remembered.
+    fn oldest_remembered(&self) -> u64 {
+        let is_full = self.taken.len() >= TAKEN_LIMIT;
+        self.taken.first().filter(|_| is_full).map_or(0, |oldest| oldest.generation)
+    }
+
     fn judge_storage_view(&self, put: &PutStorageView) -> Verdict {
         let current = self.storage_epoch();
         let same = StoredStorageView { epoch: put.epoch, bytes: put.bytes.clone() };
--- a/crates/woadreach-chain/tests/failover.rs
+++ b/crates/woadreach-chain/tests/failover.rs
@@ -17,6 +17,7 @@
     let mut world = World::new(seed, 3, 0, 1, None);
     world.are_faults_over = true;
     world.operators.patience = Duration::from_millis(30);
+    world.operators.are_orderly = true;
     world.run_until(Duration::from_secs(6));
     let member = world.nodes[0].member.as_ref().expect("it runs");
     let chain = member.durable().view.chain.clone();
--- /dev/null
+++ b/crates/woadreach-chain/tests/orders.rs
@@ -0,0 +1,130 @@
+//! Orders at the worst moments: a change of view at each moment of an order that two machines got, and more
+//! changes than are remembered.
+//!
+//! `WOADREACH_RUNS` sets the number of runs beyond the limit (6 by default), `WOADREACH_SEED` the first seed.
+
+mod simulation;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use simulation::faults::play_in;
+use simulation::operator::{CallId, new_put};
+use simulation::world::{Event, World};
+use woadreach_chain::{Command, PutConfiguration, Request, TAKEN_LIMIT};
+
+/// Operators whose orders these tests send; the world's own ones are the first two.
+const OWN_OPERATOR: usize = 0;
+/// Distance of the moments at which the members are struck.
+const GRID: Duration = Duration::from_micros(500);
+/// An order in a calm world has its answer within this time.
+const LONGEST_ORDER: Duration = Duration::from_millis(40);
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// A calm world of three machines, without orders of its own.
+fn quiet_world(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 0, 1, None);
+    world.are_faults_over = true;
+    world.operators.is_stopped = true;
+    world.run_until(Duration::from_secs(6));
+    world
+}
+
+/// Sends `put` to the machines `nodes` at once and expects the history to get the answers.
+fn send(world: &mut World, order: u64, put: &PutConfiguration, nodes: &[usize]) {
+    let request = Request::Submit(Command::PutConfiguration(put.clone()));
+    let call = CallId { operator: OWN_OPERATOR, order, attempt: 0 };
+    for &node in nodes {
+        let event = Event::Call { node, call, request: request.clone(), hops: 0 };
+        world.schedule(Duration::ZERO, event);
+    }
+}
+
+fn run_for(world: &mut World, time: Duration) {
+    let end = world.now + time;
+    world.run_until(end);
+}
+
+/// How a member is struck while orders are under way.
+type Strike = fn(&mut World, usize);
+
+const STRIKES: [(&str, Strike); 4] = [
+    ("killed", World::kill),
+    ("wiped", World::wipe),
+    ("frozen", |world, node| world.freeze(node, Duration::from_secs(3))),
+    ("cut off", |world, node| {
+        for other in (0..world.nodes.len()).filter(|&other| other != node) {
+            world.cuts.insert((node, other));
+            world.cuts.insert((other, node));
+        }
+    }),
+];
+
+/// Two orders on one version, each at two machines, and then again at all of them; one member is struck
+/// `moment` after they were sent. Gives back what was told of each, and what is in force.
+fn race_through(moment: Duration, position: usize, strike: Strike) -> World {
+    let mut world = quiet_world(7);
+    let chain: Vec<_> = world.nodes[0].member.as_ref().expect("it runs").durable().view.chain.clone();
+    let struck = world.nodes.iter().position(|node| node.address == chain[position].address);
+    let struck = struck.expect("a machine of the world");
+    let orders = [new_put(0, 5, 1), new_put(0, 5, 2)];
+    send(&mut world, 1, &orders[0], &[0, 1]);
+    send(&mut world, 2, &orders[1], &[1, 2]);
+    run_for(&mut world, moment);
+    strike(&mut world, struck);
+    for _ in 0..12 {
+        run_for(&mut world, Duration::from_millis(200));
+        send(&mut world, 1, &orders[0], &[0, 1, 2]);
+        send(&mut world, 2, &orders[1], &[2, 1, 0]);
+    }
+    world.heal();
+    run_for(&mut world, Duration::from_secs(5));
+    for _ in 0..5 {
+        send(&mut world, 1, &orders[0], &[0, 1, 2]);
+        send(&mut world, 2, &orders[1], &[2, 1, 0]);
+        run_for(&mut world, Duration::from_millis(100));
+    }
+    world
+}
+
+#[test]
+fn of_two_orders_one_wins_whenever_a_member_is_lost() {
+    let mut winners = BTreeSet::new();
+    for (name, strike) in STRIKES {
+        for position in 0..3 {
+            for step in 0..LONGEST_ORDER.as_micros() / GRID.as_micros() {
+                let moment = GRID * u32::try_from(step).expect("small");
+                let world = race_through(moment, position, strike);
+                let place = format!("position {position} {name} after {moment:?}");
+                let members = world.nodes.iter().filter_map(|node| node.member.as_ref());
+                let newest = members.map(|member| member.published().clone()).max_by_key(|state| state.stamp);
+                let newest = newest.expect("machines run");
+                assert_eq!(newest.taken.len(), 1, "{place}");
+                let violations = world.history.check(&newest);
+                assert!(violations.is_empty(), "{place}: {violations:?}");
+                let answers = world.history.told([new_put(0, 5, 1).digest, new_put(0, 5, 2).digest]);
+                let is_first = newest.taken[0].digest == new_put(0, 5, 1).digest;
+                let expected =
+                    if is_first { [(true, false), (false, true)] } else { [(false, true), (true, false)] };
+                assert_eq!(answers, expected, "{place}");
+                winners.insert(is_first);
+            }
+        }
+    }
+    assert_eq!(winners.len(), 2, "either order won at some moment");
+}
+
+#[test]
+fn beyond_the_limit_nothing_that_was_taken_is_refused() {
+    let first = number("WOADREACH_SEED", 1);
+    for seed in first..first + number("WOADREACH_RUNS", 6) {
+        let mut world = World::new(seed, 3, 0, 1, None);
+        world.begin_after(TAKEN_LIMIT as u64 + 100);
+        let finding = play_in(world, Duration::from_secs(8));
+        assert!(finding.violations.is_empty(), "seed {seed}: {:?}\n{}", finding.violations, finding.history);
+        assert!(finding.acknowledged > 0, "seed {seed}");
+    }
+}
