Configuration: two routes of one host in different case are refused

Cause: hosts were compared byte by byte on reading, and without regard to case in the route table, so that of two such routes one silently took the other's place: an invalid configuration was acknowledged. Also tested: bytes after the document, an empty list of weights, an unknown service of weight 0, no generation; all were refused before too. A configuration that an earlier build acknowledged in this form would not be read any more; no such one is known.

--- a/crates/woadreach-config/src/parse.rs
+++ b/crates/woadreach-config/src/parse.rs
@@ -121,7 +121,9 @@
     let mut places = BTreeMap::new();
     for route in &configuration.routes {
         check_route(route, &services)?;
-        let earlier = places.insert((route.domain.as_str(), route.path_prefix.as_str()), &route.name);
+        // Hosts are compared without regard to case, as requests are.
+        let place = (route.domain.to_ascii_lowercase(), route.path_prefix.as_str());
+        let earlier = places.insert(place, &route.name);
         if let Some(first) = earlier {
             return SamePlaceSnafu { first, second: &route.name }.fail();
         }
--- a/crates/woadreach-config/tests/configuration.rs
+++ b/crates/woadreach-config/tests/configuration.rs
@@ -45,6 +45,27 @@
             |e| matches!(e, ConfigurationError::UnknownService { service, .. } if service == "gone"),
         ),
         (WHOLE.replace("/chat/new/", "/chat/"), |e| matches!(e, ConfigurationError::SamePlace { .. })),
+        (WHOLE.replace("/chat/new/", "/chat/").replacen("shop.example", "Shop.EXAMPLE", 1), |e| {
+            matches!(e, ConfigurationError::SamePlace { .. })
+        }),
+        (format!("{WHOLE} {WHOLE}"), |e| matches!(e, ConfigurationError::Unreadable { .. })),
+        (format!("{WHOLE}}}"), |e| matches!(e, ConfigurationError::Unreadable { .. })),
+        (
+            WHOLE.replace(
+                "[{\"service\":\"model\",\"weight\":90},{\"service\":\"plain\",\"weight\":10}]",
+                "[]",
+            ),
+            |e| matches!(e, ConfigurationError::NoWeight { route } if route == "split"),
+        ),
+        (
+            WHOLE
+                .replace("\"weight\":90", "\"weight\":0")
+                .replace("{\"service\":\"model\",\"weight\":0}", "{\"service\":\"gone\",\"weight\":0}"),
+            |e| matches!(e, ConfigurationError::UnknownService { service, .. } if service == "gone"),
+        ),
+        (WHOLE.replace("\"generation\":7,", ""), |e| {
+            matches!(e, ConfigurationError::BadField { field: "generation", .. })
+        }),
         (
             WHOLE.replace("\"weight\":90", "\"weight\":0").replace("\"weight\":10", "\"weight\":0"),
             |e| matches!(e, ConfigurationError::NoWeight { route } if route == "split"),
