Orders: no refusal by a storage view that can't be read, nor by one that was judged before another order

Cause 1: a stored storage view of another format, as in a rolling upgrade, was taken for an empty one, so that an order to empty a machine, and the question how far it is, got 404 though the order had been taken. Cause 2: a refusal was judged on the state before the barrier and not again after it; a copy of the order that was acknowledged meanwhile at another machine was contradicted by the late 404 or 409. An order whose base is yet to come, or that is too old to be remembered, gets 503 at once.

--- a/crates/woadreach-control/src/lib.rs
+++ b/crates/woadreach-control/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod member_driver;
 pub mod operator;
 pub mod order;
+pub mod retire_order;
 pub mod storage_planner;
 pub mod storage_role;
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -175,6 +175,12 @@
         Some((view.epoch, view.bytes.0.clone()))
     }
 
+    /// Bytes and epoch of the storage view in the newest committed state that is known here.
+    pub fn published_storage_view(&self) -> Option<(u64, Bytes)> {
+        let view = self.published().storage_view.clone()?;
+        Some((view.epoch, view.bytes.0))
+    }
+
     /// Changes with the committed state, the view, and whether this machine is in quorum.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/woadreach-control/src/operator.rs
+++ b/crates/woadreach-control/src/operator.rs
@@ -147,6 +147,12 @@
             let state = if is_finished { "succeeded" } else { "running" };
             json_response(StatusCode::OK, &json!({ "state": state }))
         }
+        Ok(Answer::Undecided(undecided)) => {
+            error_response(StatusCode::SERVICE_UNAVAILABLE, &undecided.to_string())
+        }
+        Ok(Answer::UnreadableStorageView) => {
+            error_response(StatusCode::SERVICE_UNAVAILABLE, "the storage view can't be read by the head")
+        }
         Err(unanswered) => error_response(StatusCode::SERVICE_UNAVAILABLE, &unanswered.to_string()),
     }
 }
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -8,12 +8,14 @@
 use snafu::Snafu;
 use speedy::{Endianness, Readable, Writable};
 use tokio::time::{Instant, timeout_at};
-use woadreach_chain::{Blob, Command, PutConfiguration, PutStorageView, Rejection, Reply, Request};
+use woadreach_chain::{
+    Blob, Command, PutConfiguration, PutStorageView, Rejection, Reply, Request, Undecided,
+};
 use woadreach_rpc::{CallError, Client, ServiceId};
 use woadreach_storage::StorageView;
-use woadreach_storage::view::{RetireError, retire};
 
 use crate::member_driver::MemberDriver;
+use crate::retire_order::{RetireStep, judge_retire, retire_state};
 
 /// Version of the format of orders between core machines.
 const ORDER_VERSION: u8 = 1;
@@ -33,7 +35,7 @@
     RetireState { node: String },
 }
 
-/// A clear answer to an order.
+/// Answer to an order. All but the last two are clear ones.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum Answer {
     /// Committed, now or earlier.
@@ -53,6 +55,10 @@
     RetireState {
         is_finished: bool,
     },
+    /// Not taken now; nothing is promised.
+    Undecided(Undecided),
+    /// The storage view is of a format that the head doesn't know; nothing is promised.
+    UnreadableStorageView,
 }
 
 /// An order that got no clear answer; it may be carried out yet.
@@ -128,7 +134,10 @@
 
     /// Answers an order that another core machine passed on; an empty response is no answer.
     pub async fn take_forwarded(&self, body: Bytes) -> Vec<u8> {
-        let Some((order, left)) = decode_order(&body) else { return Vec::new() };
+        let Some((order, left)) = decode_order(&body) else {
+            tracing::warn!(bytes = body.len(), "order of another core machine can't be read");
+            return Vec::new();
+        };
         let wait = left.min(ORDER_TIMEOUT).saturating_sub(RETURN_TIME);
         let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, self.tolerated, &order)).await;
         answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer))
@@ -143,6 +152,7 @@
             match driver.request(Request::Submit(command)).await {
                 Reply::Taken | Reply::AlreadyTaken => Some(Answer::Done),
                 Reply::Rejected(rejection) => Some(Answer::Rejected(rejection)),
+                Reply::Undecided(undecided) => Some(Answer::Undecided(undecided)),
                 _ => None,
             }
         }
@@ -161,33 +171,27 @@
 /// Has a storage machine emptied. Nothing if another change of the storage view came first, or the head
 /// changed.
 async fn retire_at_head(driver: &MemberDriver, node: &str, tolerated: usize) -> Option<Answer> {
-    let (expected_epoch, bytes) = driver.latest_storage_view().unwrap_or_default();
-    let view = StorageView::decode(&bytes).unwrap_or_default();
-    let answer = match retire(&view, node, tolerated) {
-        Ok(changed) if changed.epoch != view.epoch => {
-            return submit_storage_view(driver, expected_epoch, &changed).await.then_some(Answer::Done);
+    let latest = driver.latest_storage_view();
+    let answer = match judge_retire(latest.as_ref(), node, tolerated) {
+        RetireStep::Put { expected_epoch, view } => {
+            return submit_storage_view(driver, expected_epoch, &view).await.then_some(Answer::Done);
         }
-        Ok(_) => Answer::Done,
-        Err(RetireError::Unknown) => Answer::UnknownNode,
-        Err(RetireError::TooFew) => Answer::TooFewNodes,
+        RetireStep::Answer(answer) => answer,
     };
-    (driver.request(Request::Confirm).await == Reply::Confirmed).then_some(answer)
+    if driver.request(Request::Confirm).await != Reply::Confirmed {
+        return None;
+    }
+    // What was judged may have been lost with an earlier term of this head: what is committed must say the
+    // same.
+    let confirmed = judge_retire(driver.published_storage_view().as_ref(), node, tolerated);
+    (confirmed == RetireStep::Answer(answer.clone())).then_some(answer)
 }
 
 async fn retire_state_at_head(driver: &MemberDriver, node: &str) -> Option<Answer> {
     if driver.request(Request::Confirm).await != Reply::Confirmed {
         return None;
     }
-    let published = driver.published();
-    let stored = published.storage_view.as_ref().map(|stored| &stored.bytes.0[..]);
-    let view = stored.and_then(StorageView::decode).unwrap_or_default();
-    if view.retired.contains(node) {
-        Some(Answer::RetireState { is_finished: true })
-    } else if view.retiring.contains(node) {
-        Some(Answer::RetireState { is_finished: false })
-    } else {
-        Some(Answer::UnknownNode)
-    }
+    Some(retire_state(driver.published_storage_view().as_ref(), node))
 }
 
 /// Puts a storage view in the place of the one of `expected_epoch`. Tells whether it is committed.
--- a/crates/woadreach-control/src/storage_planner.rs
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use woadreach_rpc::{Client, Router, ServiceId};
-use woadreach_storage::StorageView;
 use woadreach_storage::announce::{Announcements, handler};
 use woadreach_storage::view::plan;
 
 use crate::member_driver::MemberDriver;
 use crate::order::submit_storage_view;
+use crate::retire_order::decode;
 
 /// Interval between two looks at the announcements.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -73,8 +73,9 @@
     }
 
     async fn advance(&self) {
-        let (expected_epoch, bytes) = self.driver.latest_storage_view().unwrap_or_default();
-        let view = StorageView::decode(&bytes).unwrap_or_default();
+        let stored = self.driver.latest_storage_view();
+        let Some(view) = decode(stored.as_ref()) else { return };
+        let expected_epoch = stored.map_or(0, |(epoch, _)| epoch);
         let planned = plan(Instant::now(), &view, &self.announcements.lock(), self.tolerated);
         let Some(next) = planned else { return };
         tracing::info!(
--- a/crates/woadreach-control/tests/operator_api.rs
+++ b/crates/woadreach-control/tests/operator_api.rs
@@ -9,19 +9,26 @@
 use axum::http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
+use tokio::task::JoinSet;
 use tower::ServiceExt;
-use woadreach_chain::{MemberOptions, Place, Tolerance};
+use woadreach_chain::{Blob, Command, MemberOptions, Place, PutStorageView, Reply, Tolerance};
 use woadreach_control::durable_log::{RecoveredMember, encode_snapshot, recover};
 use woadreach_control::member_driver::{MemberDriver, new_durable};
 use woadreach_control::operator;
-use woadreach_control::order::OrderService;
+use woadreach_control::order::{OrderService, submit_storage_view};
 use woadreach_journal::{Journal, JournalOptions};
 use woadreach_rpc::{Client, ClientOptions};
+use woadreach_storage::{StorageMember, StorageView};
 
 const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
 
 /// The API of a core machine that is the whole core, once it is the head.
 async fn start(folder: &Path) -> Router {
+    start_core(folder).await.0
+}
+
+/// The same, with the machine's member.
+async fn start_core(folder: &Path) -> (Router, Arc<MemberDriver>) {
     let options = MemberOptions {
         address: ADDRESS,
         seeds: vec![ADDRESS],
@@ -44,7 +51,30 @@
     while !driver.status().is_head {
         changes.changed().await.expect("the driver runs");
     }
-    operator::router(Arc::new(OrderService::new(driver, rpc, SocketAddr::V4(ADDRESS), 0)))
+    let orders = OrderService::new(Arc::clone(&driver), rpc, SocketAddr::V4(ADDRESS), 0);
+    (operator::router(Arc::new(orders)), driver)
+}
+
+/// A settled view of the storage machines `store-0` to `store-(count - 1)`.
+fn storage_view(count: u8) -> StorageView {
+    let member = |number: u8| StorageMember {
+        node: format!("store-{number}"),
+        disk: u64::from(number) + 1,
+        address: ([10, 0, 0, number], 7_000).into(),
+        zone: "zone".to_owned(),
+    };
+    StorageView { epoch: 1, current: (0..count).map(member).collect(), ..StorageView::default() }
+}
+
+async fn post_retire(api: &Router, node: &str) -> StatusCode {
+    let request = Request::post(format!("/retire/{node}")).body(Body::from(r#"{"deadline_s":10}"#));
+    call(api, request.expect("a request")).await.0
+}
+
+async fn retire_state(api: &Router, node: &str) -> (StatusCode, Value) {
+    let (status, body) = get(api, &format!("/retire/{node}")).await;
+    let body: Value = serde_json::from_slice(&body).expect("JSON");
+    (status, body["state"].clone())
 }
 
 fn configuration(generation: u64, timeout_ms: u64) -> Value {
@@ -179,3 +209,125 @@
     assert_eq!(call(&api, request.expect("a request")).await.0, StatusCode::NOT_FOUND);
     assert_eq!(get(&api, "/retire/storage-1").await.0, StatusCode::NOT_FOUND);
 }
+
+#[tokio::test]
+async fn the_same_configuration_in_other_bytes_is_another_change() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let api = start(folder.path()).await;
+    let first = configuration(5, 1000);
+    assert_eq!(put(&api, 0, first.to_string()).await, StatusCode::OK);
+    // White space, or another order of the fields: not sent again unchanged, so judged afresh.
+    let spaced = serde_json::to_string_pretty(&first).expect("JSON");
+    assert_eq!(put(&api, 0, spaced.clone()).await, StatusCode::PRECONDITION_FAILED);
+    assert_eq!(put(&api, 5, spaced).await, StatusCode::BAD_REQUEST);
+    let (services, routes, limits) = (&first["services"], &first["routes"], &first["limits"]);
+    let reordered =
+        format!(r#"{{"services":{services},"routes":{routes},"limits":{limits},"generation":5}}"#);
+    assert_ne!(reordered, first.to_string());
+    assert_eq!(put(&api, 0, reordered).await, StatusCode::PRECONDITION_FAILED);
+    assert_eq!(get(&api, "/config").await.1, first.to_string().into_bytes(), "what was sent first");
+    // The very same bytes are acknowledged whatever base they name.
+    for base in [0, 3, 5, 9] {
+        assert_eq!(put(&api, base, first.to_string()).await, StatusCode::OK, "base {base}");
+    }
+}
+
+#[tokio::test]
+async fn a_change_on_a_base_that_is_yet_to_come_gets_no_clear_answer() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let api = start(folder.path()).await;
+    let (first, second) = (configuration(5, 1000), configuration(9, 2000));
+    assert_eq!(put_value(&api, 5, &second).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(put_value(&api, 0, &first).await, StatusCode::OK);
+    // A late copy of the second is taken; nobody was told that it never would be.
+    assert_eq!(put_value(&api, 5, &second).await, StatusCode::OK);
+    assert_eq!(
+        put_value(&api, 12, &configuration(11, 1000)).await,
+        StatusCode::BAD_REQUEST,
+        "invalid for good"
+    );
+}
+
+#[tokio::test]
+async fn eight_orders_at_once_on_one_version_have_one_winner() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let api = start(folder.path()).await;
+    let changes: Vec<Value> = (1..=8).map(|number| configuration(7, 1000 + number)).collect();
+    let mut calls = JoinSet::new();
+    // Each is sent twice at once, as after a lost answer.
+    for change in [changes.clone(), changes].concat() {
+        let api = api.clone();
+        calls.spawn(async move { (put_value(&api, 0, &change).await, change.to_string()) });
+    }
+    let answers = calls.join_all().await;
+    let (taken, refused): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(status, _)| status.is_success());
+    assert_eq!((taken.len(), refused.len()), (2, 14), "both copies of the winner");
+    assert_eq!(taken[0].1, taken[1].1);
+    assert!(refused.iter().all(|(status, _)| *status == StatusCode::PRECONDITION_FAILED));
+    assert_eq!(get(&api, "/config").await.1, taken[0].1.as_bytes());
+}
+
+#[tokio::test]
+async fn orders_to_empty_machines_are_acknowledged_again_by_what_is_stored() {
+    let folder = tempfile::tempdir().expect("a folder");
+    {
+        let (api, driver) = start_core(folder.path()).await;
+        assert!(submit_storage_view(&driver, 0, &storage_view(4)).await);
+        assert_eq!(post_retire(&api, "store-0").await, StatusCode::OK);
+        assert_eq!(post_retire(&api, "store-0").await, StatusCode::OK, "the same order again");
+        assert_eq!(retire_state(&api, "store-0").await, (StatusCode::OK, json!("running")));
+        assert_eq!(retire_state(&api, "store-1").await.0, StatusCode::NOT_FOUND, "no order");
+    }
+    // After a restart, and after the machine was emptied and left the view.
+    let (api, driver) = start_core(folder.path()).await;
+    assert_eq!(post_retire(&api, "store-0").await, StatusCode::OK);
+    let (epoch, bytes) = driver.latest_storage_view().expect("a view");
+    let mut emptied = StorageView::decode(&bytes).expect("a view");
+    emptied.epoch += 1;
+    emptied.current.remove(0);
+    emptied.retiring.clear();
+    emptied.retired.insert("store-0".to_owned());
+    assert!(submit_storage_view(&driver, epoch, &emptied).await);
+    assert_eq!(post_retire(&api, "store-0").await, StatusCode::OK);
+    assert_eq!(retire_state(&api, "store-0").await, (StatusCode::OK, json!("succeeded")));
+    // A change planned on an older view comes too late and undoes nothing.
+    let mut late = storage_view(4);
+    late.epoch = 2;
+    assert!(!submit_storage_view(&driver, 1, &late).await);
+    assert_eq!(retire_state(&api, "store-0").await, (StatusCode::OK, json!("succeeded")));
+}
+
+#[tokio::test]
+async fn eight_orders_at_once_empty_as_many_machines_as_may_go() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (api, driver) = start_core(folder.path()).await;
+    assert!(submit_storage_view(&driver, 0, &storage_view(4)).await);
+    let mut calls = JoinSet::new();
+    for number in (0..4).chain(0..4) {
+        let api = api.clone();
+        calls.spawn(async move { (number, post_retire(&api, &format!("store-{number}")).await) });
+    }
+    let mut answers = calls.join_all().await;
+    answers.sort();
+    let taken: Vec<i32> =
+        answers.iter().filter(|(_, status)| status.is_success()).map(|(number, _)| *number).collect();
+    let refused = answers.iter().filter(|(_, status)| *status == StatusCode::CONFLICT).count();
+    assert_eq!((taken.len(), refused), (6, 2), "one machine stays: {answers:?}");
+    for number in 0..4 {
+        let expected = if taken.contains(&number) { StatusCode::OK } else { StatusCode::CONFLICT };
+        assert_eq!(post_retire(&api, &format!("store-{number}")).await, expected, "store-{number}");
+    }
+}
+
+#[tokio::test]
+async fn a_storage_view_of_another_format_is_no_reason_to_refuse() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (api, driver) = start_core(folder.path()).await;
+    let bytes = Blob::from(vec![0xff, 1, 2, 3]);
+    let put = PutStorageView { expected_epoch: 0, epoch: 1, bytes };
+    let reply = driver.request(woadreach_chain::Request::Submit(Command::PutStorageView(put))).await;
+    assert_eq!(reply, Reply::Taken);
+    assert_eq!(post_retire(&api, "store-0").await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(get(&api, "/retire/store-0").await.0, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(put_value(&api, 0, &configuration(5, 1000)).await, StatusCode::OK, "other orders go on");
+}
