Core: a member that is stopped ends once f + 1 of the new chain have the state

Cause: at SIGTERM the process ended as soon as a view without it was installed, after 1.5 s, or at once without a quorum. Two members replaced together (their successors had had their time) left one machine with the state while it was being transferred; its loss then lost what was acknowledged.

Ruled out: one machine replaced at a time keeps two others that were active in the old chain.

Change: a leaving member asks the members of the chain whether they are active in the present epoch with the state on disk. It ends when it is outside the chain, f + 1 of those answered and are in reach, the other voters are a majority, and no machine in reach could still take over its vote; at the latest 2.5 s before the grace period is over. The simulated world stops, rolls and replaces machines (one or two at once, with the loss of another disk at the end), and a whole state takes up to 0.4 s to be sent.

--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -34,7 +34,7 @@
 pub use agreement::{Ballot, Promise};
 pub use blob::Blob;
 pub use durable::{Accepted, Durable, Record, RecordError};
-pub use member::{Input, Member, MemberOptions, Output, Status};
+pub use member::{Departure, Input, Member, MemberOptions, Output, Status};
 pub use message::{Body, DecodeError, Envelope, Ping};
 pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
 #[cfg(feature = "plants")]
--- /dev/null
+++ b/crates/woadreach-chain/src/member/departure.rs
@@ -0,0 +1,125 @@
+//! The end of a member that is being stopped: whether anything hangs on it.
+//!
+//! A process that is told to stop does not know whether its disk will come back. So it stays until the others
+//! can do without the disk, as long as it is let:
+//!
+//! | state | event | next |
+//! | --- | --- | --- |
+//! | member | [`Input::Leave`](super::Input::Leave) | leaving: says so in each sign of life |
+//! | leaving, in the chain | a view without it is decided | asks the chain's members whether they are active |
+//! | leaving, outside the chain | `f + 1` members are active, and the votes hold without it | may end |
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Member;
+use crate::message::Body;
+use crate::view::MemberId;
+
+/// Whether a member that is being stopped may end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// The others have the state on disk and a majority of the votes.
+    Free,
+    /// Every other voter is being stopped as well, or there is none: nobody takes over.
+    NobodyStays,
+    /// The other voters in reach are no majority.
+    VoteNeeded,
+    /// The chain contains this member.
+    InChain,
+    /// Too few members of the chain are known to have the state on disk.
+    ChainWithoutState,
+    /// A machine that could take over this member's vote does not have it yet.
+    ReplacementWithoutVote,
+}
+
+/// What a leaving member has heard from the chain of the present view.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Leaving {
+    /// Members that are active, with the state on disk.
+    active: BTreeSet<MemberId>,
+}
+
+impl Member {
+    /// Whether this member, which is being stopped, may end.
+    pub fn departure(&self, now: Duration) -> Departure {
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::LeavesAtOnce) {
+            return Departure::Free;
+        }
+        let view = &self.durable.view;
+        if view.epoch == 0 {
+            return Departure::Free;
+        }
+        if self.does_nobody_stay(now) {
+            return Departure::NobodyStays;
+        }
+        if view.chain.contains(&self.id) {
+            return Departure::InChain;
+        }
+        #[cfg(feature = "plants")]
+        if self.has_plant(crate::plants::Plant::LeavesWithTheView) {
+            return Departure::Free;
+        }
+        if self.other_voters_in_reach(now) < view.majority() {
+            return Departure::VoteNeeded;
+        }
+        if self.active_in_reach(now) < self.policy.minimum {
+            return Departure::ChainWithoutState;
+        }
+        if view.voters.contains(&self.id) && self.is_replacement_in_reach(now) {
+            return Departure::ReplacementWithoutVote;
+        }
+        Departure::Free
+    }
+
+    fn does_nobody_stay(&self, now: Duration) -> bool {
+        let mut others = self.durable.view.voters.iter().filter(|&&voter| voter != self.id);
+        others.all(|&voter| self.peers.is_heard(now, voter) && self.peers.is_leaving(voter))
+    }
+
+    fn other_voters_in_reach(&self, now: Duration) -> usize {
+        let others = self.durable.view.voters.iter().filter(|&&voter| voter != self.id);
+        others.filter(|&&voter| self.peers.is_reachable(now, voter)).count()
+    }
+
+    fn active_in_reach(&self, now: Duration) -> usize {
+        let active = self.leaving.active.iter();
+        active.filter(|&&member| self.peers.is_reachable(now, member)).count()
+    }
+
+    fn is_replacement_in_reach(&self, now: Duration) -> bool {
+        let heard = self.peers.heard_lately(now).into_iter();
+        let mut others = heard.filter(|member| !self.durable.view.voters.contains(member));
+        others.any(|member| member != self.id && self.peers.is_fit(member))
+    }
+
+    /// Another view is in force: nothing is known of its chain.
+    pub(super) fn forget_active_members(&mut self) {
+        self.leaving.active.clear();
+    }
+
+    /// Asks the members of the chain whether they have the state.
+    pub(super) fn ask_for_active_members(&mut self) {
+        for member in self.durable.view.chain.clone() {
+            if member != self.id {
+                self.send_now(member.address, Body::RequestActive);
+            }
+        }
+    }
+
+    /// Answers a leaving member, if the state of this epoch is on this disk.
+    pub(super) fn tell_active(&mut self, to: MemberId) {
+        let epoch = self.durable.view.epoch;
+        if self.is_active() && self.replication.persisted_in(epoch).is_some() {
+            self.send_now(to.address, Body::Active);
+        }
+    }
+
+    /// Notes a member of the present chain that has the state on disk.
+    pub(super) fn note_active(&mut self, from: MemberId) {
+        if self.durable.view.chain.contains(&from) {
+            self.leaving.active.insert(from);
+        }
+    }
+}
--- a/crates/woadreach-chain/src/member/messages.rs
+++ b/crates/woadreach-chain/src/member/messages.rs
@@ -56,6 +56,8 @@
                     self.chain_confirmed(now, committed, barrier);
                 }
             }
+            Body::RequestActive => self.tell_active(from),
+            Body::Active => self.note_active(from),
             Body::Ping(_)
             | Body::Decided(_)
             | Body::RequestView
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -10,6 +10,7 @@
 //! Messages that promise something durable leave only once every record before them is synced.
 
 mod chain;
+mod departure;
 mod head;
 mod messages;
 mod signs_of_life;
@@ -31,6 +32,9 @@
 use crate::state::ControlState;
 use crate::view::{MemberId, View};
 
+pub use departure::Departure;
+use departure::Leaving;
+
 /// Interval between two signs of life.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// A tick that comes so much after the last one tells that this process stood still.
@@ -119,6 +123,7 @@
     barrier_session: u64,
     is_disk_healthy: bool,
     pub(crate) is_leaving: bool,
+    leaving: Leaving,
     record_number: u64,
     synced_number: u64,
     /// Messages that wait for the sync of a record.
@@ -158,6 +163,7 @@
             barrier_session: random.rand_u64() | 1,
             is_disk_healthy: true,
             is_leaving: false,
+            leaving: Leaving::default(),
             record_number: 0,
             synced_number: 0,
             deferred: VecDeque::new(),
@@ -286,6 +292,9 @@
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
             self.ping_all(now);
+            if self.is_leaving {
+                self.ask_for_active_members();
+            }
         }
         self.run_election(now);
         self.drive(now);
@@ -294,5 +303,6 @@
     fn leave(&mut self, now: Duration) {
         self.is_leaving = true;
         self.ping_all(now);
+        self.ask_for_active_members();
     }
 }
--- a/crates/woadreach-chain/src/member/views.rs
+++ b/crates/woadreach-chain/src/member/views.rs
@@ -124,6 +124,7 @@
         self.deferred.clear();
         self.proposer.abandon();
         self.election.installed();
+        self.forget_active_members();
         self.replication = Replication::new(self.durable.active_epoch, &self.durable.state);
         self.barrier_session = self.random.rand_u64() | 1;
         self.outputs.push(Output::ViewInstalled(view.clone()));
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -104,6 +104,10 @@
     RequestState,
     /// The newest committed state, for members outside the chain.
     Committed(ControlState),
+    /// From a member that is being stopped: asks whether the receiver is active in this epoch.
+    RequestActive,
+    /// The sender is active in this epoch, and the state is on its disk.
+    Active,
 }
 
 /// A message with its sender and the epoch in which the sender is.
--- a/crates/woadreach-chain/src/peers.rs
+++ b/crates/woadreach-chain/src/peers.rs
@@ -160,6 +160,11 @@
         self.table.get(&member).is_none_or(|peer| peer.fit && !peer.leaving)
     }
 
+    /// Whether `member` has said that it is being stopped.
+    pub fn is_leaving(&self, member: MemberId) -> bool {
+        self.table.get(&member).is_some_and(|peer| peer.leaving)
+    }
+
     /// Where `member` stands, if it has said so.
     pub fn place(&self, member: MemberId) -> Place {
         self.table.get(&member).map(|peer| peer.place).unwrap_or_default()
--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -10,4 +10,8 @@
     NoEpochCheck,
     /// The digests of taken configurations are lost by a restart.
     DigestsForgotten,
+    /// A member that is being stopped ends at once.
+    LeavesAtOnce,
+    /// A member that is being stopped ends once a view without it is in force.
+    LeavesWithTheView,
 }
--- a/crates/woadreach-chain/tests/codec.rs
+++ b/crates/woadreach-chain/tests/codec.rs
@@ -80,7 +80,7 @@
 
 impl Arbitrary for Generated<Envelope> {
     fn arbitrary(generator: &mut Gen) -> Self {
-        let body = match u8::arbitrary(generator) % 8 {
+        let body = match u8::arbitrary(generator) % 10 {
             0 => Body::Ping(Ping {
                 fit: bool::arbitrary(generator),
                 leaving: bool::arbitrary(generator),
@@ -95,6 +95,8 @@
             4 => Body::Decided(view(generator)),
             5 => Body::RequestView,
             6 => Body::Committed(state(generator)),
+            7 => Body::RequestActive,
+            8 => Body::Active,
             _ => Body::Superseded { promised: ballot(generator) },
         };
         Generated(Envelope { from: member(generator), epoch: u64::arbitrary(generator), body })
--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 
 use super::history::Violation;
+use super::stops;
 use super::world::{Event, PlantedBug, World};
 
 /// A machine counts as lost for so long after its return.
-const CATCH_UP: Duration = Duration::from_millis(4100);
+pub const CATCH_UP: Duration = Duration::from_millis(4100);
 /// Longest pause between two faults.
 const PAUSE: Duration = Duration::from_millis(1500);
 
+/// Longest time that a whole state takes, as one of 4 MB does on a slow link.
+const LONGEST_TRANSFER: Duration = Duration::from_millis(400);
+
 /// Kinds of faults.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -23,9 +27,12 @@
     SlowDisk,
     StalledDisk,
     KillAll,
+    Roll,
+    /// Machines are replaced by empty ones, which come first.
+    Replace,
 }
 
-const FAULTS: [Fault; 10] = [
+const FAULTS: [Fault; 12] = [
     Fault::Kill,
     Fault::PowerLoss,
     Fault::Wipe,
@@ -36,8 +43,13 @@
     Fault::SlowDisk,
     Fault::StalledDisk,
     Fault::KillAll,
+    Fault::Roll,
+    Fault::Replace,
 ];
 
+/// Planned work, and what may come on top of it.
+const PLANNED: [Fault; 5] = [Fault::Roll, Fault::Replace, Fault::Replace, Fault::Wipe, Fault::Kill];
+
 /// A run: how many machines, what they bear, how long faults go on.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
@@ -60,10 +72,23 @@
 
 /// Plays a run and checks it.
 pub fn play(run: Run) -> Finding {
+    let world = World::new(run.seed, run.nodes, run.zones, run.fault_tolerance, run.bug);
+    play_in(world, run.length, &FAULTS)
+}
+
+/// Plays a run in which machines are stopped and replaced again and again, with a state that takes a while to
+/// be sent.
+pub fn play_planned_work(run: Run) -> Finding {
     let mut world = World::new(run.seed, run.nodes, run.zones, run.fault_tolerance, run.bug);
+    world.longest_transfer = LONGEST_TRANSFER;
+    play_in(world, run.length, &PLANNED)
+}
+
+fn play_in(mut world: World, length: Duration, kinds: &'static [Fault]) -> Finding {
+    world.fault_kinds = kinds;
     let first = Duration::from_millis(1500) + world.random_duration(PAUSE);
     world.schedule(first, Event::Fault);
-    let end = world.now + run.length;
+    let end = world.now + length;
     world.run_until(end);
     world.are_faults_over = true;
     if world.chance(0.3) {
@@ -101,12 +126,12 @@
 
 /// As many disks as may be lost are lost a moment after an acknowledgement; the others lose power.
 fn final_fault(world: &mut World) {
-    let deadline = world.now + Duration::from_secs(3);
     let before = world.history.acknowledged;
     world.heal();
-    let calm = world.now + CATCH_UP + Duration::from_secs(2);
+    let calm = world.over_at.max(world.now + CATCH_UP) + Duration::from_secs(2);
+    let deadline = calm + Duration::from_secs(3);
     world.run_until(calm);
-    while world.history.acknowledged == before && world.now < deadline + CATCH_UP + Duration::from_secs(2) {
+    while world.history.acknowledged == before && world.now < deadline {
         let next = world.now + Duration::from_millis(1);
         world.run_until(next);
     }
@@ -115,9 +140,10 @@
         let next = world.now + delay;
         world.run_until(next);
     }
-    let first = world.pick(world.nodes.len());
-    for offset in 0..world.nodes.len() {
-        let node = (first + offset) % world.nodes.len();
+    let present = world.present();
+    let first = world.pick(present.len());
+    for offset in 0..present.len() {
+        let node = present[(first + offset) % present.len()];
         if offset < world.fault_tolerance {
             world.wipe(node);
         } else {
@@ -135,8 +161,13 @@
     if world.are_faults_over {
         return;
     }
-    let kind = FAULTS[world.pick(FAULTS.len())];
+    let kind = world.fault_kinds[world.pick(world.fault_kinds.len())];
     let length = Duration::from_millis(50) + world.random_duration(Duration::from_millis(2500));
+    if let Some(over) = planned_work(world, kind) {
+        world.over_at = world.now + over;
+        let pause = over + world.random_duration(PAUSE);
+        return world.schedule(pause, Event::Fault);
+    }
     inject(world, kind, length);
     // The next fault comes when this one counts as over: machines whose links lost messages count as lost,
     // too, until they had time to catch up.
@@ -145,12 +176,24 @@
     world.schedule(pause, Event::Fault);
 }
 
+/// Begins planned work, if `kind` is that; gives back when it is over.
+fn planned_work(world: &mut World, kind: Fault) -> Option<Duration> {
+    match kind {
+        Fault::Roll => Some(stops::roll(world)),
+        Fault::Replace => {
+            let count = 1 + world.pick(2);
+            Some(stops::replace(world, count))
+        }
+        _ => None,
+    }
+}
+
 fn inject(world: &mut World, kind: Fault, length: Duration) {
     world.trace(|| format!("fault {kind:?} for {length:?}"));
     let struck = draw_machines(world, kind);
     match kind {
         Fault::KillAll => {
-            for node in 0..world.nodes.len() {
+            for node in world.present() {
                 world.kill(node);
                 let delay = world.random_duration(Duration::from_millis(900));
                 world.schedule(delay, Event::Start { node });
@@ -170,19 +213,21 @@
         Fault::Freeze => struck.iter().for_each(|&node| world.freeze(node, length)),
         Fault::Cut | Fault::OneWayCut => cut(world, &struck, kind == Fault::OneWayCut),
         Fault::SlowDisk => struck.iter().for_each(|&node| world.nodes[node].disk_factor = 30),
+        Fault::Roll | Fault::Replace => {}
         Fault::StalledDisk => struck.iter().for_each(|&node| world.nodes[node].is_disk_stalled = true),
     }
 }
 
 /// As many machines as may be lost, or a whole zone of them, which keeps its disks.
 fn draw_machines(world: &mut World, kind: Fault) -> Vec<usize> {
-    let first = world.pick(world.nodes.len());
+    let present = world.present();
+    let first = world.pick(present.len());
     if world.zones > 0 && kind != Fault::Wipe && world.chance(0.6) {
-        let zone = first % world.zones;
-        return (0..world.nodes.len()).filter(|node| node % world.zones == zone).collect();
+        let zone = present[first] % world.zones;
+        return present.into_iter().filter(|node| node % world.zones == zone).collect();
     }
     let count = 1 + world.pick(world.fault_tolerance);
-    (0..count).map(|offset| (first + offset) % world.nodes.len()).collect()
+    (0..count).map(|offset| present[(first + offset) % present.len()]).collect()
 }
 
 /// Cuts, slow disks and losses of messages end.
--- a/crates/woadreach-chain/tests/simulation/mod.rs
+++ b/crates/woadreach-chain/tests/simulation/mod.rs
@@ -8,4 +8,5 @@
 pub mod faults;
 pub mod history;
 pub mod operator;
+pub mod stops;
 pub mod world;
--- /dev/null
+++ b/crates/woadreach-chain/tests/simulation/stops.rs
@@ -0,0 +1,128 @@
+//! Processes that are told to stop, as the driver of the core role does it, and machines that are replaced.
+
+use std::time::Duration;
+
+use woadreach_chain::{Departure, Input};
+
+use super::faults::CATCH_UP;
+use super::world::{Event, World};
+
+/// From the order to stop to the kill.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// Longest wait for leave to end.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(5500);
+/// Longest wait of a process that nobody can take over from.
+const ALONE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How often a process looks whether it may end.
+const POLL: Duration = Duration::from_millis(50);
+/// From the end of a process to its next start.
+const RESTART: Duration = Duration::from_millis(1000);
+/// A machine is lost at most so long after others have ended.
+const LOSS_AFTER_END: Duration = Duration::from_millis(60);
+
+/// What becomes of a machine whose process is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
+    /// It comes back with its disk.
+    Roll,
+    /// It is taken away together with its disk.
+    Remove,
+    /// The same, and another machine loses its disk right after.
+    RemoveThenLoss,
+}
+
+/// Tells a process to stop.
+pub fn stop(world: &mut World, node: usize, stop: Stop) {
+    if !world.is_running(node) || world.nodes[node].stop.is_some() {
+        return;
+    }
+    world.trace(|| format!("node {node} told to stop: {stop:?}"));
+    world.nodes[node].stop = Some((stop, world.now));
+    world.input(node, Input::Leave);
+    let life = world.nodes[node].life;
+    world.schedule(Duration::ZERO, Event::CheckStop { node, life });
+}
+
+/// Lets a process end that may, or must.
+pub fn check(world: &mut World, node: usize, life: u64) {
+    if world.nodes[node].life != life {
+        return;
+    }
+    let Some((stop, since)) = world.nodes[node].stop else { return };
+    let waited = world.now - since;
+    let now = world.now;
+    let member = world.nodes[node].member.as_ref().filter(|_| world.is_running(node));
+    let may_end = match member.map(|member| member.departure(now)) {
+        Some(Departure::Free) => true,
+        Some(Departure::NobodyStays) => waited >= ALONE_TIMEOUT,
+        Some(_) => waited >= LEAVE_TIMEOUT,
+        None => waited >= GRACE_PERIOD,
+    };
+    if may_end {
+        end(world, node, stop);
+    } else {
+        world.schedule(POLL, Event::CheckStop { node, life });
+    }
+}
+
+fn end(world: &mut World, node: usize, stop: Stop) {
+    world.trace(|| format!("node {node} ends: {stop:?}"));
+    if stop == Stop::Roll {
+        world.kill(node);
+        return world.schedule(RESTART, Event::Start { node });
+    }
+    world.wipe(node);
+    world.nodes[node].is_removed = true;
+    let are_others_stopping = world.nodes.iter().any(|node| node.stop.is_some());
+    if stop == Stop::RemoveThenLoss && !are_others_stopping {
+        lose_another(world);
+    }
+}
+
+/// What was taken away counts for nothing, as its successor has had its time: one more disk may be lost.
+fn lose_another(world: &mut World) {
+    let present = world.present();
+    let node = present[world.pick(present.len())];
+    let delay = world.random_duration(LOSS_AFTER_END);
+    let now = world.now + delay;
+    world.trace(|| format!("node {node} will lose its disk at {now:?}"));
+    world.schedule(delay, Event::Lose { node });
+    let back = delay + Duration::from_millis(100) + world.random_duration(Duration::from_secs(2));
+    world.schedule(back, Event::Start { node });
+}
+
+/// Replaces `count` machines: the new ones come first, and have their time; then the old ones are stopped at
+/// once. Gives back how long it may take until a further fault may strike.
+pub fn replace(world: &mut World, count: usize) -> Duration {
+    let old = draw(world, count);
+    for _ in &old {
+        world.add();
+    }
+    for &node in &old {
+        world.schedule(CATCH_UP, Event::Stop { node, stop: Stop::RemoveThenLoss });
+    }
+    CATCH_UP + GRACE_PERIOD + CATCH_UP
+}
+
+/// Stops machines one after the other, each once the last one is back; or all of them at once.
+pub fn roll(world: &mut World) -> Duration {
+    let is_at_once = world.chance(0.2);
+    let gap = if is_at_once { Duration::ZERO } else { Duration::from_millis(1300) };
+    let nodes = world.present();
+    let mut delay = Duration::ZERO;
+    for node in nodes {
+        world.schedule(delay, Event::Stop { node, stop: Stop::Roll });
+        delay += gap;
+    }
+    delay + GRACE_PERIOD + RESTART
+}
+
+fn draw(world: &mut World, count: usize) -> Vec<usize> {
+    let mut present = world.present();
+    let mut drawn = Vec::new();
+    while drawn.len() < count && !present.is_empty() {
+        let place = world.pick(present.len());
+        drawn.push(present.swap_remove(place));
+    }
+    drawn
+}
--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use woadreach_chain::{
-    Durable, Envelope, Input, Member, MemberOptions, Output, Place, Reply, Request, RequestId, Tolerance,
-    View,
+    Body, Durable, Envelope, Input, Member, MemberOptions, Output, Place, Reply, Request, RequestId,
+    Tolerance, View,
 };
 
 use super::disk::SimulatedDisk;
 use super::history::History;
 use super::operator::{CallId, Operators};
+use super::stops::Stop;
 
 /// A defence that a test switches off in every machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +47,20 @@
     Thaw {
         node: usize,
     },
+    /// A process is stopped; see [`super::stops`].
+    Stop {
+        node: usize,
+        stop: Stop,
+    },
+    /// A machine loses its disk.
+    Lose {
+        node: usize,
+    },
+    /// A process that is being stopped looks whether it may end.
+    CheckStop {
+        node: usize,
+        life: u64,
+    },
     /// A call of an operator reaches a machine; `hops` machines have passed it on.
     Call {
         node: usize,
@@ -93,6 +108,12 @@
     /// How many times slower the disk is.
     pub disk_factor: u32,
     pub is_disk_stalled: bool,
+    /// How the process is being stopped, and since when.
+    pub stop: Option<(Stop, Duration)>,
+    /// The machine is gone for good.
+    pub is_removed: bool,
+    /// The machine was there in the very first start.
+    pub is_founding: bool,
     is_syncing: bool,
     sync_started: Duration,
     /// Last record that this life's disk has synced.
@@ -119,6 +140,12 @@
     pub fault_tolerance: usize,
     /// Number of zones of which one may be lost; 0 if zones don't matter.
     pub zones: usize,
+    /// Kinds of faults that strike.
+    pub fault_kinds: &'static [super::faults::Fault],
+    /// When the planned work counts as over.
+    pub over_at: Duration,
+    /// Longest time that a whole state is on its way.
+    pub longest_transfer: Duration,
     /// No further fault strikes.
     pub are_faults_over: bool,
     is_traced: bool,
@@ -146,6 +173,9 @@
             bug,
             fault_tolerance,
             zones,
+            fault_kinds: &[],
+            over_at: Duration::ZERO,
+            longest_transfer: Duration::ZERO,
             are_faults_over: false,
             is_traced: std::env::var_os("WOADREACH_TRACE").is_some(),
             queue: BinaryHeap::new(),
@@ -213,6 +243,9 @@
             Event::Synced { node, life, through } => self.synced(node, life, through),
             Event::Start { node } => self.start(node),
             Event::Thaw { node } => self.thaw(node),
+            Event::Stop { node, stop } => super::stops::stop(self, node, stop),
+            Event::Lose { node } => self.wipe(node),
+            Event::CheckStop { node, life } => super::stops::check(self, node, life),
             Event::Call { node, call, request, hops } => self.call(node, call, request, hops),
             Event::Operate => super::operator::operate(self),
             Event::Fault => super::faults::strike(self),
@@ -224,6 +257,11 @@
         if self.nodes[to].member.is_none() || self.cuts.contains(&(from, to)) {
             return;
         }
+        // A whole state is long: it ends with the machine that sends it.
+        let is_state = matches!(envelope.body, Body::Transfer { .. });
+        if is_state && !self.longest_transfer.is_zero() && self.nodes[from].member.is_none() {
+            return;
+        }
         if self.nodes[to].frozen_until.is_some() {
             self.nodes[to].backlog.push((from, envelope));
             return;
@@ -316,7 +354,10 @@
         if self.cuts.contains(&(from, to)) || self.chance(self.loss) {
             return;
         }
-        let delay = Duration::from_micros(300) + self.random_duration(Duration::from_millis(2));
+        let mut delay = Duration::from_micros(300) + self.random_duration(Duration::from_millis(2));
+        if matches!(envelope.body, Body::Transfer { .. }) {
+            delay += self.random_duration(self.longest_transfer);
+        }
         let envelope = Box::new(envelope);
         if self.loss > 0.0 && self.chance(0.02) {
             let later = delay + self.random_duration(Duration::from_millis(400));
@@ -378,6 +419,7 @@
         state.last_synced = 0;
         state.is_syncing = false;
         state.frozen_until = None;
+        state.stop = None;
         state.backlog.clear();
         state.calls.clear();
     }
@@ -390,11 +432,12 @@
     }
 
     pub fn start(&mut self, node: usize) {
-        if self.nodes[node].member.is_some() {
+        if self.nodes[node].member.is_some() || self.nodes[node].is_removed {
             return;
         }
-        let seeds: Vec<SocketAddrV4> = self.nodes.iter().take(3).map(|node| node.address).collect();
-        let is_first_life = self.nodes[node].life == 0;
+        let present = self.nodes.iter().filter(|node| !node.is_removed);
+        let seeds: Vec<SocketAddrV4> = present.take(3).map(|node| node.address).collect();
+        let is_first_life = self.nodes[node].life == 0 && self.nodes[node].is_founding;
         if self.nodes[node].disk.is_none() {
             let view = if is_first_life { View::bootstrap(&seeds) } else { View::default() };
             let keeps_identity = self.bug == Some(PlantedBug::IdentitySurvivesWipe) && !is_first_life;
@@ -430,6 +473,19 @@
         self.input(node, Input::Tick);
     }
 
+    /// A machine is added, with an empty disk; gives back its number.
+    pub fn add(&mut self) -> usize {
+        let node = self.nodes.len();
+        self.nodes.push(Node { is_founding: false, ..new_node(node) });
+        self.start(node);
+        node
+    }
+
+    /// Machines that are not gone for good.
+    pub fn present(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|&node| !self.nodes[node].is_removed).collect()
+    }
+
     fn place(&self, node: usize) -> Place {
         if self.zones == 0 { Place::default() } else { Place { zone: (node % self.zones) as u32, region: 0 } }
     }
@@ -481,6 +537,9 @@
         frozen_until: None,
         disk_factor: 1,
         is_disk_stalled: false,
+        stop: None,
+        is_removed: false,
+        is_founding: true,
         is_syncing: false,
         sync_started: Duration::ZERO,
         last_synced: 0,
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use woadreach_chain::{Input, MemberOptions, Place, Tolerance};
+use woadreach_chain::{Departure, Input, MemberOptions, Place, Tolerance};
 use woadreach_discovery::{CoreDiscovery, NodeRole, Sampler};
 use woadreach_journal::{Journal, JournalError, JournalOptions, Recovered};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
@@ -31,9 +31,11 @@
 const DISK_SHARE: u64 = 80;
 /// Bytes that may wait for the disk.
 const QUEUED_BYTES: usize = 64 << 20;
-/// Most time for leaving the chain when the process is stopped.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// How often the view is looked at while leaving.
+/// What is left of the grace period for answering what is in hand, and for ending.
+const LEAVE_MARGIN: Duration = Duration::from_millis(2500);
+/// Most time for leaving when nobody stays that could take over.
+const ALONE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How often this is looked at while leaving.
 const LEAVE_POLL: Duration = Duration::from_millis(50);
 /// Most time for answering what is in hand when the process is stopped.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -88,7 +90,7 @@
     tracing::info!(node = settings.node, address = %settings.internal_address(), "core machine started");
 
     follow_signals(&driver, &sampler, &mut terminate, &mut hangup).await;
-    leave(&driver).await;
+    leave(&driver, settings.bounds.grace_period).await;
     stop.send_replace(true);
     // A server task that failed has nothing in hand any more.
     let _ = server.await;
@@ -235,14 +237,22 @@
     }
 }
 
-/// Asks to be taken out of the chain and waits until that is done.
-async fn leave(driver: &MemberDriver) {
+/// Asks to be taken out of the chain, and waits until nothing hangs on this machine's disk: it may be gone for
+/// good.
+async fn leave(driver: &MemberDriver, grace_period: Duration) {
     tracing::info!("leaving the chain");
     driver.input(Input::Leave);
-    let deadline = Instant::now() + LEAVE_TIMEOUT;
-    while Instant::now() < deadline {
-        let status = driver.status();
-        if !status.in_chain || !status.in_quorum {
+    let started = Instant::now();
+    let longest = grace_period.saturating_sub(LEAVE_MARGIN);
+    loop {
+        let departure = driver.departure();
+        let limit = match departure {
+            Departure::Free => Duration::ZERO,
+            Departure::NobodyStays => ALONE_TIMEOUT.min(longest),
+            _ => longest,
+        };
+        if started.elapsed() >= limit {
+            tracing::info!(?departure, "left the chain");
             return;
         }
         tokio::time::sleep(LEAVE_POLL).await;
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::Instant;
 use woadreach_chain::{
-    ControlState, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request, RequestId,
-    Status,
+    ControlState, Departure, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request,
+    RequestId, Status,
 };
 use woadreach_journal::{Journal, JournalError, Synced};
 use woadreach_rpc::{Client, ServiceId};
@@ -163,6 +163,12 @@
         self.state.lock().member.status(now)
     }
 
+    /// Whether the member, which is being stopped, may end.
+    pub fn departure(&self) -> Departure {
+        let now = self.started.elapsed();
+        self.state.lock().member.departure(now)
+    }
+
     /// The newest committed state that is known here.
     pub fn published(&self) -> Arc<ControlState> {
         Arc::clone(self.state.lock().member.published())
