--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -25,6 +25,10 @@
     RefusedBeforeCommit,
     /// A repeated change is acknowledged before its first copy is committed.
     RepeatBeforeCommit,
+    /// A member that is being stopped ends at once.
+    LeavesAtOnce,
+    /// A member that is being stopped ends once a view without it is in force.
+    LeavesWithTheView,
 }
 
 impl Plant {
