--- a/crates/woadreach-rpc/src/client.rs
+++ b/crates/woadreach-rpc/src/client.rs
@@ -3,6 +3,8 @@
 use crate::connection::{FrameReader, QUEUE, tune, write_frames};
 use crate::error::CallError;
 use crate::frame::{Frame, FrameKind, LONGEST_BODY, ServiceId};
+#[cfg(feature = "plants")]
+use crate::plants::Plant;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
@@ -36,6 +38,10 @@
 struct Shared {
     options: ClientOptions,
     connections: Mutex<BTreeMap<SocketAddr, Arc<Connection>>>,
+    /// Number of the next call, whatever its connection: no response can fit another call.
+    next_number: AtomicU64,
+    #[cfg(feature = "plants")]
+    plant: Mutex<Option<Plant>>,
 }
 
 /// The responses that are awaited on one connection.
@@ -47,18 +53,50 @@
 
 struct Connection {
     queue: mpsc::Sender<Frame>,
-    next_number: AtomicU64,
     awaited: Mutex<Awaited>,
     /// Frames received so far: tells a silent connection from a slow handler.
     received: AtomicU64,
     /// It has fallen silent: later calls go over a new one.
     abandoned: AtomicBool,
+    #[cfg(feature = "plants")]
+    takes_any_number: bool,
+}
+
+/// A call whose response is awaited until this is dropped, as when the caller has given up.
+struct AwaitedCall<'a> {
+    connection: &'a Connection,
+    number: u64,
+    response: oneshot::Receiver<Result<Bytes, CallError>>,
+}
+
+impl Drop for AwaitedCall<'_> {
+    fn drop(&mut self) {
+        self.connection.awaited.lock().calls.remove(&self.number);
+    }
 }
 
 impl Client {
     /// A client without connections.
     pub fn new(options: ClientOptions) -> Self {
-        Client { shared: Arc::new(Shared { options, connections: Mutex::default() }) }
+        let shared = Shared {
+            options,
+            connections: Mutex::default(),
+            next_number: AtomicU64::new(1),
+            #[cfg(feature = "plants")]
+            plant: Mutex::default(),
+        };
+        Client { shared: Arc::new(shared) }
+    }
+
+    /// Switches a defence off.
+    #[cfg(feature = "plants")]
+    pub fn plant(&self, plant: Plant) {
+        *self.shared.plant.lock() = Some(plant);
+    }
+
+    #[cfg(feature = "plants")]
+    fn has_plant(&self, plant: Plant) -> bool {
+        *self.shared.plant.lock() == Some(plant)
     }
 
     /// Sends a request and waits for its response. It is sent once at most.
@@ -72,21 +110,34 @@
         if body.len() > LONGEST_BODY {
             return Err(CallError::TooLong);
         }
+        #[cfg(feature = "plants")]
+        let again = body.clone();
+        let result = self.call_once(address, service, body, timeout).await;
+        #[cfg(feature = "plants")]
+        if result == Err(CallError::Broken) && self.has_plant(Plant::SentAgain) {
+            return self.call_once(address, service, again, timeout).await;
+        }
+        result
+    }
+
+    async fn call_once(
+        &self,
+        address: SocketAddr,
+        service: ServiceId,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, CallError> {
         let deadline = Instant::now() + timeout;
         let connection = self.connection(address);
-        let number = connection.next_number.fetch_add(1, Ordering::Relaxed);
+        let number = self.shared.next_number.fetch_add(1, Ordering::Relaxed);
         let received_before = connection.received.load(Ordering::Relaxed);
-        let response = connection.expect(number)?;
+        let mut call = connection.expect(number)?;
         let frame = Frame { kind: FrameKind::Request, service, number, body: body.into() };
-        if connection.queue.try_send(frame).is_err() {
-            connection.forget(number);
-            return Err(CallError::Refused);
-        }
-        match timeout_at(deadline, response).await {
+        connection.queue.try_send(frame).map_err(|_| CallError::Refused)?;
+        match timeout_at(deadline, &mut call.response).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(CallError::Broken),
             Err(_) => {
-                connection.forget(number);
                 if connection.received.load(Ordering::Relaxed) == received_before {
                     connection.abandoned.store(true, Ordering::Relaxed);
                 }
@@ -116,10 +167,11 @@
         let (queue, frames) = mpsc::channel(QUEUE);
         let connection = Arc::new(Connection {
             queue,
-            next_number: AtomicU64::new(1),
             awaited: Mutex::default(),
             received: AtomicU64::new(0),
             abandoned: AtomicBool::new(false),
+            #[cfg(feature = "plants")]
+            takes_any_number: self.has_plant(Plant::AnyNumber),
         });
         connections.insert(address, connection.clone());
         tokio::spawn(run(address, self.shared.options.clone(), Arc::downgrade(&connection), frames));
@@ -132,18 +184,14 @@
         !self.abandoned.load(Ordering::Relaxed) && !self.awaited.lock().ended && !self.queue.is_closed()
     }
 
-    fn expect(&self, number: u64) -> Result<oneshot::Receiver<Result<Bytes, CallError>>, CallError> {
-        let (sender, receiver) = oneshot::channel();
+    fn expect(&self, number: u64) -> Result<AwaitedCall<'_>, CallError> {
+        let (sender, response) = oneshot::channel();
         let mut awaited = self.awaited.lock();
         if awaited.ended {
             return Err(CallError::Unreachable);
         }
         awaited.calls.insert(number, sender);
-        Ok(receiver)
-    }
-
-    fn forget(&self, number: u64) {
-        self.awaited.lock().calls.remove(&number);
+        Ok(AwaitedCall { connection: self, number, response })
     }
 
     fn deliver(&self, frame: Frame) {
@@ -153,7 +201,14 @@
             FrameKind::Refusal => Err(CallError::Refused),
             FrameKind::Request | FrameKind::OneWay => return,
         };
-        if let Some(call) = self.awaited.lock().calls.remove(&frame.number) {
+        let mut awaited = self.awaited.lock();
+        let call = awaited.calls.remove(&frame.number);
+        #[cfg(feature = "plants")]
+        let call = match call {
+            None if self.takes_any_number => awaited.calls.pop_first().map(|(_, call)| call),
+            of_its_number => of_its_number,
+        };
+        if let Some(call) = call {
             let _ = call.send(result);
         }
     }
--- a/crates/woadreach-rpc/src/lib.rs
+++ b/crates/woadreach-rpc/src/lib.rs
@@ -1,9 +1,10 @@
 //! Framed requests and responses between the processes of the tier.
 //!
 //! One TCP connection carries many calls in both lengths and orders: each frame has a bounded length, a
-//! version, the service it is for and a number that pairs a response with its request. A [`Client`] keeps
-//! one connection to each address it calls and opens it anew when it has broken; it never sends a call
-//! twice. A server is a [`Router`] of handlers given to [`serve`].
+//! version, the service it is for and a number that pairs a response with its request. A client uses each
+//! number once, whatever the connection. A [`Client`] keeps one connection to each address it calls and opens
+//! it anew when it has broken; it never sends a call twice. A server is a [`Router`] of handlers given to
+//! [`serve`].
 
 #![warn(missing_docs)]
 
@@ -11,9 +12,13 @@
 mod connection;
 mod error;
 mod frame;
+#[cfg(feature = "plants")]
+mod plants;
 mod server;
 
 pub use client::{Client, ClientOptions};
 pub use error::CallError;
 pub use frame::{Frame, FrameError, FrameKind, LONGEST_BODY, ServiceId};
+#[cfg(feature = "plants")]
+pub use plants::Plant;
 pub use server::{Router, serve};
