--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -15,11 +15,11 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::Instant;
 use woadreach_chain::{
-    ControlState, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request, RequestId,
-    Status,
+    ControlState, Departure, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request,
+    RequestId, Status,
 };
 use woadreach_journal::{Journal, JournalError, Synced};
-use woadreach_rpc::{Client, ServiceId};
+use woadreach_rpc::{Client, ClientOptions, ServiceId};
 
 use crate::compaction::Compaction;
 use crate::durable_log::{RecoveredMember, encode_record, encode_snapshot};
@@ -41,6 +41,8 @@
 pub struct MemberDriver {
     started: Instant,
     rpc: Client,
+    /// Connections for long messages, behind which nothing short waits.
+    bulk: Client,
     journal: Journal,
     state: Mutex<State>,
     syncs: mpsc::UnboundedSender<PendingSync>,
@@ -94,6 +96,7 @@
         let driver = Arc::new(MemberDriver {
             started,
             rpc,
+            bulk: Client::new(ClientOptions::default()),
             journal,
             state: Mutex::new(State {
                 member,
@@ -164,6 +167,12 @@
         self.state.lock().member.status(now)
     }
 
+    /// Whether the member, which is being stopped, may end.
+    pub fn departure(&self) -> Departure {
+        let now = self.started.elapsed();
+        self.state.lock().member.departure(now)
+    }
+
     /// The newest committed state that is known here.
     pub fn published(&self) -> Arc<ControlState> {
         Arc::clone(self.state.lock().member.published())
@@ -176,6 +185,12 @@
         Some((view.epoch, view.bytes.0.clone()))
     }
 
+    /// Bytes and epoch of the storage view in the newest committed state that is known here.
+    pub fn published_storage_view(&self) -> Option<(u64, Bytes)> {
+        let view = self.published().storage_view.clone()?;
+        Some((view.epoch, view.bytes.0))
+    }
+
     /// Changes with the committed state, the view, and whether this machine is in quorum.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -187,7 +202,8 @@
             match output {
                 Output::Persist { number, record } => self.persist(state, number, &record),
                 Output::Send { to, envelope } => {
-                    self.rpc.send(SocketAddr::V4(to), ServiceId::CHAIN, envelope.encode());
+                    let client = if envelope.body.is_bulk() { &self.bulk } else { &self.rpc };
+                    client.send(SocketAddr::V4(to), ServiceId::CHAIN, envelope.encode());
                 }
                 Output::Reply { id, reply } => {
                     if let Some(sender) = state.replies.remove(&id) {
