No stream for a client of HTTP/1.0

Before HTTP/1.1 a body without a length ends with its connection, so a stream that is cut short looked whole. Such a request is answered 505 and not sent on; an answer that is no stream has a length and is served as before.

The new test fails without the change: the client got 200 and the first event of a stream that broke off.

--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -13,7 +13,7 @@
 use http::header::{HOST, HeaderValue, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri, Version};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
-use woadreach_config::ClientLimits;
+use woadreach_config::{ClientLimits, RouteType};
 
 /// Advice to a client when nothing can be served yet, in seconds.
 const RETRY_SOON: f64 = 0.25;
@@ -55,6 +55,9 @@
     /// 413.
     #[snafu(display("the request's body is too long"))]
     LongBody,
+    /// 505.
+    #[snafu(display("a stream needs HTTP/1.1: before it, a body that is cut short looks whole"))]
+    OldVersion,
     /// 503.
     #[snafu(display("not run; come back later"))]
     NotReady,
@@ -67,6 +70,7 @@
             Rejection::NoRoute => StatusCode::NOT_FOUND,
             Rejection::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Rejection::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
+            Rejection::OldVersion => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Rejection::NotReady => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -145,6 +149,9 @@
     // What a process that has just started knows may be old: a route that is not there may have been added.
     let no_route = if knowledge.warmed { Rejection::NoRoute } else { Rejection::NotReady };
     let route = knowledge.routes.find(&host, target.path()).ok_or(no_route)?.clone();
+    if route.route_type == RouteType::Streaming && head.version < Version::HTTP_11 {
+        return Err(Rejection::OldVersion);
+    }
     let mut facts = RequestFacts::read(&head.headers).map_err(|source| Rejection::Header { source })?;
     if route.kept && facts.program.is_none() {
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
--- a/crates/woadreach-proxy/tests/streams.rs
+++ b/crates/woadreach-proxy/tests/streams.rs
@@ -223,3 +223,20 @@
         });
     }
 }
+
+#[test]
+fn a_client_that_could_not_tell_a_stream_cut_short_gets_none() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| match request.head.contains("/safe/") {
+            true => vec![success(request, "ok")],
+            false => vec![stream_head(request), chunk(EVENTS[0].as_bytes()), Step::Close],
+        })
+        .await;
+        let tier = Tier::start(&[("i-1", &replica)]).await;
+        let seen = ask(tier.front, &post("/once/").replace("HTTP/1.1", "HTTP/1.0")).await;
+        assert_eq!((seen.status(), seen.header("response-signature")), (505, None));
+        assert!(replica.received().is_empty());
+        let seen = ask(tier.front, &post("/safe/").replace("HTTP/1.1", "HTTP/1.0")).await;
+        assert_eq!((seen.status(), seen.text().as_str(), seen.whole), (200, "ok", true));
+    });
+}
