--- a/crates/woadreach-proxy/tests/faulty_tier/clients.rs
+++ b/crates/woadreach-proxy/tests/faulty_tier/clients.rs
@@ -1,4 +1,5 @@
-//! Clients that send one request after the other, over one connection for as long as it holds.
+//! Clients that send one request after the other, at times two at once, over one connection for as long as it
+//! holds.
 
 use super::Shared;
 use super::oracle::SentRequest;
@@ -11,30 +12,51 @@
 /// Longer than what a connection takes before it is read.
 const LONG_BODY: usize = 60_000;
 
+/// One in so many requests is followed by another before its answer is read.
+const PIPELINED_ONE_IN: u64 = 8;
+/// One in so many requests is left by its client without reading the answer.
+const LEFT_ONE_IN: u64 = 16;
+
 pub async fn run(number: usize, front: SocketAddr, shared: &Shared) {
     let mut client = Client::connect(front).await;
-    for request in 0..super::REQUESTS_OF_A_CLIENT {
-        let id = format!("c{number}-{request}");
-        let sent = draw(shared);
-        shared.oracle.lock().sends(&id, sent.clone());
-        client.send(&encode(&id, &sent)).await;
+    let mut request = 0;
+    while request < super::REQUESTS_OF_A_CLIENT {
+        let at_once = if shared.below(PIPELINED_ONE_IN) == 0 { 2 } else { 1 };
+        let ids: Vec<String> = (request..request + at_once).map(|next| format!("c{number}-{next}")).collect();
+        request += at_once;
+        let sent: Vec<u8> = ids.iter().flat_map(|id| draw(id, shared)).collect();
+        client.send(&sent).await;
+        let leaves = shared.below(LEFT_ONE_IN) == 0;
+        if leaves || !read_answers(&mut client, &ids, shared).await {
+            client = Client::connect(front).await;
+        }
+    }
+}
+
+/// Reads the answers in their order; whether the connection may be used on.
+async fn read_answers(client: &mut Client, ids: &[String], shared: &Shared) -> bool {
+    for id in ids {
         let seen = client.answer().await;
-        shared.oracle.lock().answered(&id, &seen);
+        shared.oracle.lock().answered(id, &seen);
         if !is_kept(&seen) {
-            client = Client::connect(front).await;
+            return false;
         }
     }
+    true
 }
 
 fn is_kept(seen: &Seen) -> bool {
     seen.whole && seen.header("connection") != Some("close")
 }
 
-fn draw(shared: &Shared) -> SentRequest {
+/// The bytes of a request that is drawn.
+fn draw(id: &str, shared: &Shared) -> Vec<u8> {
     let path = PATHS[shared.below(PATHS.len() as u64) as usize];
     let length = if shared.below(4) == 0 { LONG_BODY } else { shared.below(50) as usize };
     let first = shared.below(256) as u8;
-    SentRequest { path, body: (0..length).map(|at| first.wrapping_add(at as u8)).collect() }
+    let request = SentRequest { path, body: (0..length).map(|at| first.wrapping_add(at as u8)).collect() };
+    shared.oracle.lock().sends(id, request.clone());
+    encode(id, &request)
 }
 
 fn encode(id: &str, request: &SentRequest) -> Vec<u8> {
