--- a/crates/woadreach-proxy/src/attempt.rs
+++ b/crates/woadreach-proxy/src/attempt.rs
@@ -201,6 +201,8 @@
         verdict = HeadVerdict::NotRun(Outcome::NotExecuted { retry_after: None });
     }
     if verdict == HeadVerdict::Foreign {
+        let (replica, id) = (pooled.replica(), &request.request_id);
+        tracing::debug!(%replica, request = %id, status = %head.status, "an answer that is not this request's");
         return (failed(Outcome::Broken { sent: true, events: 0 }), None);
     }
     if verdict == HeadVerdict::Success && request.is_stream {
--- a/crates/woadreach-proxy/src/replica_pool.rs
+++ b/crates/woadreach-proxy/src/replica_pool.rs
@@ -103,6 +103,11 @@
 }
 
 impl PooledConnection {
+    /// Id of the replica.
+    pub fn replica(&self) -> &str {
+        &self.replica.0
+    }
+
     /// The connection, opened if need be.
     pub async fn connection(&mut self) -> Result<&mut ReplicaConnection, ConnectError> {
         let address = self.replica.1;
