Storage: exhaustive small worlds of the view, with the real machines, pulls and plan

Lost disks, a retirement, a replacement and restarts, each with a turn being written and every reader that knows any earlier view; four planted faults (pages before the seal, a lost disk under its old identity, a pull that is not whole, a write without the next machines' quorum) are found.

--- a/crates/woadreach-chain/tests/member_model/main.rs
+++ b/crates/woadreach-chain/tests/member_model/main.rs
@@ -69,12 +69,14 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn an_election_and_an_order() {
     let most = Counts { proposals: 1, orders: 1, ..NOTHING };
     assert_eq!(search("an election and an order", World { most, ..three() }, 40), None);
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn two_elections_at_once() {
     let most = Counts { proposals: 2, ..NOTHING };
     let world = World { most, proposers: vec![0, 1], ..three() };
@@ -82,6 +84,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_ballot_stands_for_one_view() {
     let most = Counts { proposals: 2, crashes: 1, ..NOTHING };
     let world = World { most, slow_disks: vec![0], victims: vec![0], proposers: vec![0], ..three() };
@@ -89,6 +92,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_slow_tail_dies() {
     let most = Counts { proposals: 1, crashes: 1, orders: 1, ..NOTHING };
     let world = World { most, slow_disks: vec![2], victims: vec![2], proposers: vec![1], ..three() };
@@ -96,6 +100,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_read_is_not_behind_an_acknowledged_order() {
     let most = Counts { proposals: 1, orders: 1, reads: 1, ..NOTHING };
     let world = World { most, proposers: vec![1], ..three() };
@@ -103,6 +108,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn two_orders_on_one_generation() {
     let most = Counts { proposals: 1, orders: 3, ..NOTHING };
     let world = World { most, proposers: vec![1], ..three() };
@@ -110,6 +116,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn messages_come_twice() {
     let most = Counts { proposals: 1, orders: 1, repeats: 2, ..NOTHING };
     let world = World { most, proposers: vec![1], ..three() };
@@ -117,6 +124,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_disk_is_lost() {
     let most = Counts { proposals: 1, wipes: 1, orders: 1, ..NOTHING };
     let world = World { most, proposers: vec![0, 1], victims: vec![0], is_recovery_checked: true, ..three() };
@@ -124,6 +132,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn the_only_active_member_loses_its_disk() {
     let most = Counts { proposals: 1, wipes: 1, ..NOTHING };
     let world = World {
@@ -139,6 +148,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_machine_restarts_and_loses_its_disk() {
     let most = Counts { proposals: 1, wipes: 1, crashes: 1, ..NOTHING };
     let world = World { most, proposers: vec![0], victims: vec![0], is_recovery_checked: true, ..three() };
@@ -146,6 +156,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_member_leaves_for_a_learner() {
     let most = Counts { proposals: 1, leaves: 1, orders: 1, wipes: 1, ..NOTHING };
     let world = World {
@@ -160,6 +171,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn five_machines_lose_two_disks() {
     let most = Counts { proposals: 1, wipes: 2, orders: 1, ..NOTHING };
     let world = World {
@@ -177,6 +189,7 @@
 }
 
 #[test]
+#[cfg_attr(debug_assertions, ignore = "minutes where it is not optimised; .ci/run plays it in release")]
 fn a_lost_disk_under_the_old_identity_is_found() {
     let most = Counts { proposals: 1, wipes: 1, orders: 1, ..NOTHING };
     let world = World { most, identity_survives: true, proposers: vec![1], victims: vec![0], ..three() };
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -58,7 +58,7 @@
 }
 
 /// State of one storage machine.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Member {
     node: String,
     disk: u64,
--- a/crates/woadreach-storage/src/store.rs
+++ b/crates/woadreach-storage/src/store.rs
@@ -18,7 +18,7 @@
 const BUDGET_RETENTION: Duration = Duration::from_secs(300);
 
 /// Records of one program.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Program {
     budget: Budget,
     turns: BTreeMap<String, Arc<TurnRecord>>,
@@ -43,7 +43,7 @@
 }
 
 /// Turns and budgets. Times are of the process's steady clock.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Store {
     programs: BTreeMap<String, Program>,
     /// Programs of a turn's name.
--- /dev/null
+++ b/crates/woadreach-storage/tests/view_model/machine.rs
@@ -0,0 +1,161 @@
+//! One storage machine of the searched tier: the real member, its journal, and its pull.
+
+use std::cell::RefCell;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use woadreach_journal::{Engine, SimulatedDisk, Synced};
+use woadreach_storage::announce::Announcement;
+use woadreach_storage::member::{Member, Step};
+use woadreach_storage::message::{Answer, Fence, Operation, Request, Response};
+use woadreach_storage::pull::Pull;
+use woadreach_storage::{StorageMember, StorageView};
+
+/// The only moment of the search.
+const NOW: Duration = Duration::ZERO;
+const MOST_BYTES: u64 = 1 << 20;
+
+/// A machine in one life of its process. Its syncs are done at once.
+#[derive(Clone)]
+pub struct Machine {
+    index: u8,
+    pub member: Member,
+    /// Records on the disk, oldest first.
+    records: Vec<Vec<u8>>,
+    /// Progress of the pull for the view that the member knows.
+    pub pull: Option<Pull>,
+    /// Hash of what requests can tell, once it is needed.
+    digest: Option<u64>,
+}
+
+thread_local! {
+    static JOURNAL: RefCell<Engine> = RefCell::new(empty_journal());
+}
+
+fn empty_journal() -> Engine {
+    Engine::open(Box::new(SimulatedDisk::default()), MOST_BYTES).expect("an empty disk").0
+}
+
+/// The receipt of a sync, which only a journal gives.
+fn receipt() -> Synced {
+    JOURNAL.with_borrow_mut(|journal| {
+        journal.commit(&[vec![0]]).unwrap_or_else(|_| {
+            *journal = empty_journal();
+            journal.commit(&[vec![0]]).expect("a healthy disk")
+        })
+    })
+}
+
+pub fn storage_member(index: u8, disk: u64) -> StorageMember {
+    StorageMember {
+        node: format!("store-{index}"),
+        disk,
+        address: ([10, 0, 0, index + 1], 7_000).into(),
+        zone: format!("zone-{index}"),
+    }
+}
+
+impl Machine {
+    pub fn create(index: u8, disk: u64, tolerated: usize) -> Machine {
+        let (member, record) = Member::create(format!("store-{index}"), disk, tolerated);
+        Machine { index, member, records: vec![record], pull: None, digest: None }
+    }
+
+    /// The process starts again with what its disk has.
+    pub fn restart(&mut self, tolerated: usize) {
+        let node = self.member.node().to_owned();
+        self.member = Member::recover(NOW, node, tolerated, None, &self.records).expect("its own records");
+        self.pull = None;
+        self.digest = None;
+    }
+
+    pub fn identity(&self) -> StorageMember {
+        storage_member(self.index, self.member.disk())
+    }
+
+    pub fn announcement(&self) -> Announcement {
+        Announcement { member: self.identity(), pulled_epoch: self.member.pulled_epoch() }
+    }
+
+    fn finish(&mut self, step: Step) -> Response {
+        match step {
+            Step::Reply(response) => response,
+            Step::Persist { record, pending } => {
+                self.records.push(record);
+                self.member.complete(pending, &receipt())
+            }
+            Step::Compact { .. } => unreachable!("no disk fails here"),
+        }
+    }
+
+    /// The answer to a request that was sent under `epoch` to `disk`.
+    pub fn ask(&mut self, epoch: u64, disk: u64, operation: Operation) -> Answer {
+        let request = Request { fence: Fence { epoch, disk }, operation };
+        let step = self.member.handle(NOW, request);
+        let answer = self.finish(step).answer;
+        self.digest = None;
+        answer
+    }
+
+    /// The answer to a request that changes nothing.
+    pub fn look(&self, epoch: u64, disk: u64, operation: Operation) -> Answer {
+        let request = Request { fence: Fence { epoch, disk }, operation };
+        match self.member.clone().handle(NOW, request) {
+            Step::Reply(response) => response.answer,
+            step => unreachable!("{step:?}"),
+        }
+    }
+
+    pub fn learn(&mut self, view: &StorageView, tolerated: usize) {
+        if let Some(step) = self.member.learn_view(view.clone()) {
+            let _ = self.finish(step);
+            self.pull = Some(Pull::new(view, self.member.disk(), tolerated));
+        }
+        self.digest = None;
+    }
+
+    /// Everything that `source` has told is stored here.
+    pub fn store_pulled(&mut self, records: Vec<woadreach_storage::message::ProgramRecords>) {
+        for records in records {
+            if let Some(step) = self.member.merge(NOW, records) {
+                let _ = self.finish(step);
+            }
+        }
+        self.digest = None;
+    }
+
+    /// A source is done; if that was the last one needed, the pull is finished.
+    pub fn finished_source(&mut self, disk: u64) {
+        let Some(pull) = &mut self.pull else { return };
+        pull.finished(disk);
+        self.finish_pull_if_complete();
+    }
+
+    pub fn finish_pull_if_complete(&mut self) {
+        let Some(pull) = self.pull.as_ref().filter(|pull| pull.complete()) else { return };
+        let epoch = pull.epoch();
+        let disk = self.member.disk();
+        let joins = self.member.view().next.iter().flatten().any(|member| member.disk == disk);
+        if joins && self.member.pulled_epoch() < epoch {
+            let step = self.member.finish_pull(NOW, epoch);
+            let _ = self.finish(step);
+        }
+        self.digest = None;
+    }
+
+    pub fn has_digest(&self) -> bool {
+        self.digest.is_some()
+    }
+
+    pub fn compute_digest(&mut self) {
+        let mut hasher = DefaultHasher::new();
+        self.member.snapshot(NOW).hash(&mut hasher);
+        (self.member.pulled_epoch(), format!("{:?}", self.pull)).hash(&mut hasher);
+        self.digest = Some(hasher.finish());
+    }
+
+    pub fn digest(&self) -> u64 {
+        self.digest.expect("computed at the end of each action")
+    }
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/view_model/tier.rs
@@ -0,0 +1,463 @@
+//! The machines, the core's view of them, a proxy that writes, and what may happen next.
+
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use stateright::{Model, Property};
+use woadreach_storage::announce::{Announcement, Announcements};
+use woadreach_storage::message::{Answer, Operation};
+use woadreach_storage::operation::Write;
+use woadreach_storage::placement::group;
+use woadreach_storage::pull::Pages;
+use woadreach_storage::turn::TurnRecord;
+use woadreach_storage::view::{plan, retire};
+use woadreach_storage::{StorageMember, StorageView};
+
+use super::machine::{Machine, storage_member};
+
+const PROGRAM: &str = "program";
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which the core drops a machine whatever else happens.
+const LONG_SILENCE: Duration = Duration::from_secs(8);
+
+/// What a planted fault leaves out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    Nothing,
+    /// A source serves pages before it refuses writes under the view before.
+    Seal,
+    /// A machine that lost its disk keeps its identity.
+    Identity,
+    /// A machine says that it has pulled before it has.
+    Pull,
+    /// A write in a joint epoch needs no quorum of the next machines.
+    NextQuorum,
+}
+
+/// One tier to search.
+#[derive(Clone)]
+pub struct World {
+    /// Machines of the first view; one more that waits comes after them.
+    pub current: u8,
+    pub machines: u8,
+    pub tolerated: usize,
+    pub planted: Planted,
+    /// Whether the core hears each announcement at once, and a machine pulls from all sources that answer at
+    /// once.
+    pub is_coarse: bool,
+    pub most: Counts,
+    pub started: Instant,
+}
+
+/// How often each thing has happened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Counts {
+    pub views: u8,
+    pub wipes: u8,
+    pub restarts: u8,
+    pub retirements: u8,
+    pub silences: u8,
+    pub writes: u8,
+}
+
+/// A state of the tier.
+#[derive(Clone)]
+pub struct Tier {
+    machines: Vec<Arc<Machine>>,
+    /// The last announcement that the core has of each machine that is not silent.
+    heard: Vec<Option<Announcement>>,
+    /// Views that the core has committed, newest last.
+    views: Vec<StorageView>,
+    /// View that the proxy knows, as a position in `views`.
+    proxy: usize,
+    /// The proxy's write, and the disks that have answered it under its epoch.
+    write: Option<(String, Vec<u64>)>,
+    acknowledged: Vec<String>,
+    counts: Counts,
+    pub violation: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    Announce(u8),
+    /// The core hears nothing more of a machine until it announces itself again.
+    FallSilent(u8),
+    Plan,
+    Retire(u8),
+    Learn(u8),
+    ProxyLearns,
+    Write,
+    /// The proxy's write reaches a machine, and the answer the proxy.
+    Put(u8),
+    Pull {
+        to: u8,
+        from: u8,
+    },
+    PullFromAll(u8),
+    Restart(u8),
+    Wipe(u8),
+}
+
+impl Hash for Tier {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.machines.iter().for_each(|machine| machine.digest().hash(state));
+        format!("{:?} {:?}", self.heard, self.views.last()).hash(state);
+        (self.views.len(), self.proxy, &self.write, &self.acknowledged, self.counts).hash(state);
+    }
+}
+
+impl PartialEq for Tier {
+    fn eq(&self, other: &Tier) -> bool {
+        let digests = |tier: &Tier| tier.machines.iter().map(|one| one.digest()).collect::<Vec<_>>();
+        digests(self) == digests(other)
+            && self.heard == other.heard
+            && self.views == other.views
+            && (self.proxy, &self.write, &self.acknowledged, self.counts)
+                == (other.proxy, &other.write, &other.acknowledged, other.counts)
+    }
+}
+
+impl std::fmt::Debug for Tier {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for machine in &self.machines {
+            let names: Vec<&str> = machine.member.store().names().collect();
+            let epoch = machine.member.view().epoch;
+            writeln!(formatter, "disk {} epoch {epoch} has {names:?}", machine.member.disk())?;
+        }
+        write!(formatter, "{:?} {:?}", self.views.last(), self.acknowledged)
+    }
+}
+
+fn turn(request_id: &str) -> TurnRecord {
+    TurnRecord {
+        program: PROGRAM.to_owned(),
+        session: String::new(),
+        request_id: request_id.to_owned(),
+        previous: None,
+        retention_ms: 60_000,
+        content: Vec::new(),
+    }
+}
+
+impl Tier {
+    fn view(&self) -> &StorageView {
+        self.views.last().expect("the first view")
+    }
+
+    fn machine(&mut self, index: u8) -> &mut Machine {
+        Arc::make_mut(&mut self.machines[usize::from(index)])
+    }
+
+    fn holder(&self, member: &StorageMember) -> Option<&Machine> {
+        let machine = self.machines.iter().find(|machine| machine.identity().node == member.node)?;
+        (machine.member.disk() == member.disk).then_some(machine)
+    }
+
+    fn has_turn(&self, member: &StorageMember, request_id: &str) -> bool {
+        let holder = self.holder(member);
+        holder.is_some_and(|machine| !machine.member.store().chain(PROGRAM, request_id, 1).is_empty())
+    }
+
+    fn lost(&self, members: &[&StorageMember]) -> usize {
+        members.iter().filter(|member| self.holder(member).is_none()).count()
+    }
+
+    /// What the core knows of the machines: those that it hears announce themselves all the time.
+    fn announcements(&self, world: &World) -> (Instant, Announcements) {
+        let end = world.started + LONG_SILENCE;
+        let mut now = world.started;
+        let mut announcements = Announcements::new(now);
+        while now <= end {
+            for announcement in self.heard.iter().flatten() {
+                announcements.heard(now, announcement.clone());
+            }
+            now += ANNOUNCE_INTERVAL;
+        }
+        (end, announcements)
+    }
+
+    /// Every machine that is not silent announces itself.
+    fn hear_all(&mut self) {
+        for (heard, machine) in self.heard.iter_mut().zip(&self.machines) {
+            if heard.is_some() {
+                *heard = Some(machine.announcement());
+            }
+        }
+    }
+
+    fn planned(&self, world: &World) -> Option<StorageView> {
+        let (now, announcements) = self.announcements(world);
+        plan(now, self.view(), &announcements, world.tolerated)
+    }
+
+    /// The write under the view that the proxy knows, with the answers so far.
+    fn write_in_hand(&self, world: &World) -> Option<Write> {
+        let (request_id, answered) = self.write.as_ref()?;
+        let mut view = self.views[self.proxy].clone();
+        if world.planted == Planted::NextQuorum {
+            view.next = None;
+        }
+        let operation = put_operation(request_id);
+        let mut write = Write::new(&view, PROGRAM.to_owned(), operation, world.tolerated);
+        for disk in answered {
+            write.answered(view.epoch, *disk, Answer::Stored);
+        }
+        Some(write)
+    }
+
+    /// Makes the state ready to be told from others.
+    fn compute_digests(&mut self) {
+        for machine in self.machines.iter_mut().filter(|machine| !machine.has_digest()) {
+            Arc::make_mut(machine).compute_digest();
+        }
+    }
+
+    fn put(&mut self, world: &World, index: u8) {
+        let Some(write) = self.write_in_hand(world) else { return };
+        let (epoch, operation) = (write.epoch(), write.operation().clone());
+        let node = self.machines[usize::from(index)].identity().node;
+        let Some(member) = write.members().iter().find(|member| member.node == node) else { return };
+        let disk = member.disk;
+        let answer = self.machine(index).ask(epoch, disk, operation);
+        if answer != Answer::Stored {
+            return;
+        }
+        let Some((request_id, answered)) = &mut self.write else { return };
+        if !answered.contains(&disk) {
+            answered.push(disk);
+            answered.sort_unstable();
+        }
+        let request_id = request_id.clone();
+        if self.write_in_hand(world).is_some_and(|write| write.is_durable()) {
+            self.acknowledged.push(request_id);
+            self.write = None;
+        }
+    }
+
+    fn pull(&mut self, world: &World, to: u8, from: u8) {
+        let epoch = self.machines[usize::from(to)].member.view().epoch;
+        let node = self.machines[usize::from(to)].identity().node;
+        let source = Arc::clone(&self.machines[usize::from(from)]);
+        let mut pages = Pages::default();
+        while let Some(operation) = pages.next(&node) {
+            let epoch = if world.planted == Planted::Seal { source.member.view().epoch } else { epoch };
+            let answer = source.look(epoch, source.member.disk(), operation);
+            let store = self.machines[usize::from(to)].member.store();
+            let Some(records) = pages.answered(store, answer) else { return };
+            self.machine(to).store_pulled(records);
+        }
+        let disk = source.member.disk();
+        self.machine(to).finished_source(disk);
+    }
+
+    fn can_pull(&self, to: u8, from: u8) -> bool {
+        let machine = &self.machines[usize::from(to)];
+        let disk = self.machines[usize::from(from)].member.disk();
+        let view = machine.member.view();
+        to != from
+            && view.is_current(disk)
+            && machine.pull.as_ref().is_some_and(|pull| !pull.has_finished(disk))
+    }
+
+    /// Disks may be lost while all that are in the view's present members are there.
+    fn may_lose(&self, world: &World, index: u8) -> bool {
+        let current: Vec<&StorageMember> = self.view().current.iter().collect();
+        let identity = self.machines[usize::from(index)].identity();
+        let is_there = self.view().members().iter().any(|member| **member == identity);
+        is_there
+            && self.lost(&current) < world.tolerated
+            && self.lost(&self.view().members()) < world.tolerated
+    }
+
+    fn check(&mut self, world: &World) {
+        let view = self.view();
+        let current = group(&view.current, PROGRAM, world.tolerated);
+        let lost = self.lost(&current);
+        for request_id in &self.acknowledged {
+            let holders = current.iter().filter(|member| self.has_turn(member, request_id)).count();
+            if holders + lost <= world.tolerated {
+                self.violation = Some("an acknowledged turn is on too few disks");
+                return;
+            }
+            if self.views.iter().any(|view| self.denies(view, request_id)) {
+                self.violation = Some("a reader is told that an acknowledged turn does not exist");
+                return;
+            }
+        }
+    }
+
+    /// Whether a reader that knows `view` gets the answer of every machine that there is no such turn.
+    fn denies(&self, view: &StorageView, request_id: &str) -> bool {
+        view.members().iter().all(|member| {
+            let operation = Operation::Find { request_id: request_id.to_owned() };
+            let answer = self.holder(member).map(|machine| machine.look(view.epoch, member.disk, operation));
+            matches!(answer, Some(Answer::Found { programs }) if programs.is_empty())
+        })
+    }
+}
+
+fn put_operation(request_id: &str) -> Operation {
+    Operation::PutTurns { program: PROGRAM.to_owned(), turns: vec![turn(request_id)], settlement: None }
+}
+
+impl Model for World {
+    type State = Tier;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<Tier> {
+        let members = (0..self.current).map(|index| storage_member(index, u64::from(index) + 1)).collect();
+        let view = StorageView { epoch: 1, current: members, ..StorageView::default() };
+        let machine = |index: u8| {
+            let mut machine = Machine::create(index, u64::from(index) + 1, self.tolerated);
+            if index < self.current {
+                machine.learn(&view, self.tolerated);
+            }
+            Arc::new(machine)
+        };
+        let machines: Vec<Arc<Machine>> = (0..self.machines).map(machine).collect();
+        // Those that wait have not announced themselves yet.
+        let heard = machines
+            .iter()
+            .enumerate()
+            .map(|(index, machine)| (index < usize::from(self.current)).then(|| machine.announcement()));
+        let mut tier = Tier {
+            heard: heard.collect(),
+            machines,
+            views: vec![view],
+            proxy: 0,
+            write: None,
+            acknowledged: Vec::new(),
+            counts: Counts::default(),
+            violation: None,
+        };
+        tier.compute_digests();
+        vec![tier]
+    }
+
+    fn actions(&self, tier: &Tier, actions: &mut Vec<Action>) {
+        if tier.violation.is_some() {
+            return;
+        }
+        if tier.counts.views < self.most.views && tier.planned(self).is_some() {
+            actions.push(Action::Plan);
+        }
+        if tier.proxy + 1 < tier.views.len() {
+            actions.push(Action::ProxyLearns);
+        }
+        if tier.write.is_none() && tier.counts.writes < self.most.writes {
+            actions.push(Action::Write);
+        }
+        let newest = tier.view().epoch;
+        for index in 0..self.machines {
+            let machine = &tier.machines[usize::from(index)];
+            let heard = &tier.heard[usize::from(index)];
+            if heard.as_ref() != Some(&machine.announcement()) {
+                actions.push(Action::Announce(index));
+            }
+            if heard.is_some() && tier.counts.silences < self.most.silences {
+                actions.push(Action::FallSilent(index));
+            }
+            if machine.member.view().epoch < newest {
+                actions.push(Action::Learn(index));
+            }
+            if tier.write.is_some() {
+                actions.push(Action::Put(index));
+            }
+            let mut sources = (0..self.machines).filter(|&from| tier.can_pull(index, from));
+            if !self.is_coarse {
+                actions.extend(sources.map(|from| Action::Pull { to: index, from }));
+            } else if sources.next().is_some() {
+                actions.push(Action::PullFromAll(index));
+            }
+            if tier.counts.restarts < self.most.restarts {
+                actions.push(Action::Restart(index));
+            }
+            if tier.counts.wipes < self.most.wipes && tier.may_lose(self, index) {
+                actions.push(Action::Wipe(index));
+            }
+            if tier.counts.retirements < self.most.retirements {
+                actions.push(Action::Retire(index));
+            }
+        }
+    }
+
+    fn next_state(&self, tier: &Tier, action: Action) -> Option<Tier> {
+        let mut next = tier.clone();
+        match action {
+            Action::Announce(index) => {
+                let announcement = next.machines[usize::from(index)].announcement();
+                next.heard[usize::from(index)] = Some(announcement);
+            }
+            Action::FallSilent(index) => {
+                next.counts.silences += 1;
+                next.heard[usize::from(index)] = None;
+            }
+            Action::Plan => {
+                next.counts.views += 1;
+                next.views.push(tier.planned(self)?);
+            }
+            Action::Retire(index) => {
+                let node = next.machines[usize::from(index)].identity().node;
+                let view = retire(next.view(), &node, self.tolerated).ok()?;
+                next.counts.retirements += 1;
+                next.views.push(view);
+            }
+            Action::Learn(index) => {
+                let view = next.view().clone();
+                let tolerated = self.tolerated;
+                next.machine(index).learn(&view, tolerated);
+                next.machine(index).finish_pull_if_complete();
+                if self.planted == Planted::Pull {
+                    let disk = next.machines[usize::from(index)].member.disk();
+                    let sources = view.current.iter().filter(|source| source.disk != disk);
+                    sources.for_each(|source| next.machine(index).finished_source(source.disk));
+                }
+            }
+            Action::ProxyLearns => {
+                next.proxy = next.views.len() - 1;
+                next.write.iter_mut().for_each(|(_, answered)| answered.clear());
+            }
+            Action::Write => {
+                next.write = Some((format!("turn-{}", next.counts.writes), Vec::new()));
+                next.counts.writes += 1;
+            }
+            Action::Put(index) => next.put(self, index),
+            Action::Pull { to, from } => next.pull(self, to, from),
+            Action::PullFromAll(to) => {
+                for from in 0..self.machines {
+                    if next.can_pull(to, from) {
+                        next.pull(self, to, from);
+                    }
+                }
+            }
+            Action::Restart(index) => {
+                next.counts.restarts += 1;
+                let tolerated = self.tolerated;
+                next.machine(index).restart(tolerated);
+            }
+            Action::Wipe(index) => {
+                next.counts.wipes += 1;
+                let fresh = 10 * u64::from(next.counts.wipes) + u64::from(index);
+                let kept = next.machines[usize::from(index)].member.disk();
+                let disk = if self.planted == Planted::Identity { kept } else { fresh };
+                next.machines[usize::from(index)] = Arc::new(Machine::create(index, disk, self.tolerated));
+            }
+        }
+        if self.is_coarse {
+            next.hear_all();
+        }
+        next.compute_digests();
+        next.check(self);
+        (next != *tier).then_some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::<Self>::always("holds", |_, tier| tier.violation.is_none()),
+            Property::<Self>::sometimes("a joint epoch ends", |_, tier| {
+                tier.views.len() >= 3 && tier.view().next.is_none()
+            }),
+        ]
+    }
+}
