Chain: a test of members with old views that come back alone

Five machines that bear one loss, two voters replaced one after the other, then everything stands still: the two that were replaced decide no view and acknowledge nothing; a majority of the newest voters goes on. 20 seeds of each.

--- /dev/null
+++ b/crates/woadreach-chain/tests/old_views.rs
@@ -0,0 +1,106 @@
+//! Members that missed views decide nothing when they come back alone; with a majority of the newest voters
+//! they catch up, and nothing acknowledged is lost.
+
+mod simulation;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use simulation::world::World;
+use woadreach_chain::{ControlState, View};
+
+/// Runs of each case.
+const RUNS: u64 = 20;
+const LONGEST: Duration = Duration::from_secs(30);
+
+fn run_until(world: &mut World, what: &str, is_done: impl Fn(&World) -> bool) {
+    let end = world.now + LONGEST;
+    while !is_done(world) {
+        assert!(world.now < end, "{what}");
+        let next = world.now + Duration::from_millis(10);
+        world.run_until(next);
+    }
+}
+
+fn newest_view(world: &World) -> View {
+    let members = world.nodes.iter().filter_map(|node| node.member.as_ref());
+    members.map(|member| member.durable().view.clone()).max_by_key(|view| view.epoch).expect("a member")
+}
+
+fn voters(world: &World) -> BTreeSet<usize> {
+    let view = newest_view(world);
+    let is_voter = |node: &usize| {
+        let address = world.nodes[*node].address;
+        view.voters.iter().any(|voter| voter.address == address)
+    };
+    (0..world.nodes.len()).filter(is_voter).collect()
+}
+
+/// Kills a voter, and waits until a machine that was outside has taken its place.
+fn replace_voter(world: &mut World) -> usize {
+    let before = voters(world);
+    let gone = *before.first().expect("voters");
+    world.kill(gone);
+    run_until(world, "the voter is not replaced", |world| !voters(world).contains(&gone));
+    let acknowledged = world.history.acknowledged;
+    run_until(world, "no writes", |world| world.history.acknowledged > acknowledged + 3);
+    gone
+}
+
+/// Five machines that bear one loss; two voters were replaced one after the other. Everything stands still.
+fn two_replaced(seed: u64) -> (World, [usize; 2]) {
+    let mut world = World::new(seed, 5, 0, 1, None);
+    world.are_faults_over = true;
+    world.operators.patience = Duration::from_millis(30);
+    run_until(&mut world, "no start", |world| world.history.acknowledged > 3);
+    let gone = [replace_voter(&mut world), replace_voter(&mut world)];
+    for node in 0..world.nodes.len() {
+        world.kill(node);
+    }
+    (world, gone)
+}
+
+fn check(world: &mut World, seed: u64) {
+    world.heal();
+    let acknowledged = world.history.acknowledged;
+    run_until(world, "no progress", |world| world.history.acknowledged > acknowledged + 3);
+    let states = world.nodes.iter().filter_map(|node| node.member.as_ref());
+    let last = states.map(|member| member.published().clone()).max_by_key(|state| state.stamp);
+    let last = last.map(|state| ControlState::clone(&state)).expect("a state");
+    let violations = world.history.check(&last);
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+}
+
+#[test]
+fn members_with_old_views_decide_nothing_alone() {
+    for seed in 1..=RUNS {
+        let (mut world, gone) = two_replaced(seed);
+        let acknowledged = world.history.acknowledged;
+        let mut newest = 0;
+        for node in gone {
+            world.start(node);
+            newest = newest.max(newest_view(&world).epoch);
+        }
+        let end = world.now + Duration::from_secs(10);
+        world.run_until(end);
+        assert_eq!(newest_view(&world).epoch, newest, "seed {seed}: a view was decided");
+        assert_eq!(world.history.acknowledged, acknowledged, "seed {seed}: a change was acknowledged");
+        check(&mut world, seed);
+    }
+}
+
+/// The counterpart: the test above would notice.
+#[test]
+fn a_majority_of_the_newest_voters_goes_on() {
+    for seed in 1..=RUNS {
+        let (mut world, gone) = two_replaced(seed);
+        let acknowledged = world.history.acknowledged;
+        for node in 0..world.nodes.len() {
+            if !gone.contains(&node) {
+                world.start(node);
+            }
+        }
+        run_until(&mut world, "no writes", |world| world.history.acknowledged > acknowledged + 3);
+        check(&mut world, seed);
+    }
+}
