--- a/crates/woadreach-chain/tests/simulation/mod.rs
+++ b/crates/woadreach-chain/tests/simulation/mod.rs
@@ -5,8 +5,10 @@
 #![allow(dead_code)]
 
 pub mod capacity;
+pub mod cuts;
 pub mod disk;
 pub mod faults;
 pub mod history;
 pub mod operator;
+pub mod stops;
 pub mod world;
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::Instant;
 use woadreach_chain::{
-    ControlState, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request, RequestId,
-    Status,
+    ControlState, Departure, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request,
+    RequestId, Status,
 };
 use woadreach_journal::{Journal, JournalError, Synced};
 use woadreach_rpc::{Client, ClientOptions, ServiceId};
@@ -167,6 +167,12 @@
         self.state.lock().member.status(now)
     }
 
+    /// Whether the member, which is being stopped, may end.
+    pub fn departure(&self) -> Departure {
+        let now = self.started.elapsed();
+        self.state.lock().member.departure(now)
+    }
+
     /// The newest committed state that is known here.
     pub fn published(&self) -> Arc<ControlState> {
         Arc::clone(self.state.lock().member.published())
@@ -179,6 +185,12 @@
         Some((view.epoch, view.bytes.0.clone()))
     }
 
+    /// Bytes and epoch of the storage view in the newest committed state that is known here.
+    pub fn published_storage_view(&self) -> Option<(u64, Bytes)> {
+        let view = self.published().storage_view.clone()?;
+        Some((view.epoch, view.bytes.0))
+    }
+
     /// Changes with the committed state, the view, and whether this machine is in quorum.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/woadreach-proxy/src/attempt.rs
+++ b/crates/woadreach-proxy/src/attempt.rs
@@ -1,9 +1,10 @@
 //! One attempt: a request at one replica.
 
+use crate::plants::{Plant, planted};
 use crate::replica_answer::{ConnectionReuse, HeadVerdict, connection_reuse, judge, server_load};
 use crate::replica_connection::{ConnectionNumber, SendFailure};
 use crate::replica_pool::{PooledConnection, ReplicaPool};
-use crate::request_headers::{EXPECT_INSTANCE, LAST_EVENT_ID, PRIORITY, TIMEOUT_MS};
+use crate::request_headers::{EXPECT_INSTANCE, EXPECT_VERSION, LAST_EVENT_ID, PRIORITY, TIMEOUT_MS};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue};
 use http::response::Parts;
@@ -136,7 +137,8 @@
     for _ in 0..STALE_CONNECTIONS {
         let taken = {
             let carried = request.carried_by.lock();
-            pool.take(&order.replica, order.address, order.most_connections, &carried)
+            let carried: &[ConnectionNumber] = if planted(Plant::CarriedTwice) { &[] } else { &carried };
+            pool.take(&order.replica, order.address, order.most_connections, carried)
         };
         let Some(mut pooled) = taken else { return (failed(Outcome::NeverSent), None) };
         let connection = match pooled.connection().await {
@@ -193,7 +195,11 @@
 ) -> (AttemptResult, Option<ServerLoad>) {
     let (head, body) = response.into_parts();
     let load = server_load(&head.headers);
-    let verdict = judge(&head, &request.request_id);
+    let mut verdict = judge(&head, &request.request_id);
+    if verdict == HeadVerdict::NotRun(Outcome::Misdirected) && request.headers.contains_key(EXPECT_VERSION) {
+        // The weights may have another version: that says nothing of who the replica is.
+        verdict = HeadVerdict::NotRun(Outcome::NotExecuted { retry_after: None });
+    }
     if verdict == HeadVerdict::Foreign {
         return (failed(Outcome::Broken { sent: true, events: 0 }), None);
     }
@@ -226,6 +232,9 @@
     let mut first: Option<Bytes> = None;
     let mut joined = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        if planted(Plant::CutIsWhole) && frame.is_err() {
+            break;
+        }
         let Ok(data) = frame.ok()?.into_data() else { continue };
         match (&first, joined.is_empty()) {
             (None, true) => first = Some(data),
