Storage: a machine that is stopped stays until a view does without its disk

Cause: the storage role ended at SIGTERM. A machine whose successor had had its time was removed while the view still named it (it was dropped after 6 s of silence, the successor counts after 4.1 s).

Change: a machine that is being stopped says so in its announcements. The core plans a view without it if 2f + 1 others are heard (those being emptied count, if f + 1 stay) and lets it not join again while it is stopping. The process ends once no view names its disk, at once if no full group of others is there, and at the latest 2 s before the grace period is over.

--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -7,7 +7,7 @@
 
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use woadreach_discovery::{ControlSnapshot, ControlWatch, NodeRole, Sampler};
@@ -22,6 +22,10 @@
 const MEGABYTE: u64 = 1_000_000;
 /// Without an answer of the core for this long, this machine was cut off.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_800);
+/// What is left of the grace period for ending.
+const LEAVE_MARGIN: Duration = Duration::from_millis(2_000);
+/// How often it is looked at whether this machine may end.
+const LEAVE_POLL: Duration = Duration::from_millis(50);
 /// How long the answer to an announcement is waited for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -94,11 +98,27 @@
     };
     tokio::select! {
         _ = service => {}
-        _ = terminate.recv() => tracing::info!(node = settings.node, "storage stopped"),
+        () = stopped(&server, &mut terminate, settings.bounds.grace_period) => {}
     }
+    tracing::info!(node = settings.node, "storage stopped");
     Ok(())
 }
 
+/// Waits for SIGTERM, and then until the other machines do without this one's disk, which may be gone for good.
+async fn stopped(server: &Server, terminate: &mut Signal, grace_period: Duration) {
+    terminate.recv().await;
+    tracing::info!("leaving the storage machines");
+    server.begin_leaving();
+    let deadline = Instant::now() + grace_period.saturating_sub(LEAVE_MARGIN);
+    while !server.may_end() {
+        if Instant::now() >= deadline {
+            tracing::warn!("this machine's disk is still needed");
+            return;
+        }
+        sleep(LEAVE_POLL).await;
+    }
+}
+
 /// Takes each new view of the storage machines.
 async fn follow_views(server: &Server, mut control: watch::Receiver<Arc<ControlSnapshot>>) {
     while control.changed().await.is_ok() {
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -27,6 +27,8 @@
     pub member: StorageMember,
     /// Joint epoch for which everything has been pulled; 0 if none.
     pub pulled_epoch: u64,
+    /// The process is being stopped, and its disk may not come back.
+    pub leaving: bool,
 }
 
 /// What is known of one storage machine.
@@ -36,6 +38,8 @@
     pub member: StorageMember,
     /// Joint epoch for which everything has been pulled; 0 if none.
     pub pulled_epoch: u64,
+    /// Its process is being stopped.
+    pub leaving: bool,
     /// When it was first heard.
     pub first: Instant,
     /// When it was last heard.
@@ -72,6 +76,7 @@
         let sighting = Sighting {
             member: announcement.member,
             pulled_epoch: announcement.pulled_epoch,
+            leaving: announcement.leaving,
             first: known.unwrap_or(now),
             last: now,
         };
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -15,7 +15,7 @@
 use crate::record::{Record, SnapshotWriter, snapshot_records};
 use crate::store::Store;
 use crate::turn::TurnRecord;
-use crate::view::StorageView;
+use crate::view::{StorageMember, StorageView};
 
 /// Most bytes of turns in one answer.
 const MOST_ANSWER_BYTES: usize = 512 << 10;
@@ -162,6 +162,19 @@
         self.pulled_epoch
     }
 
+    /// Whether the process, which is being stopped, may end although the disk may not come back: the view does
+    /// without it, or can't, as too few others are there.
+    #[must_use]
+    pub fn may_end(&self) -> bool {
+        let is_here = |member: &StorageMember| member.disk == self.disk;
+        if !self.view.members().into_iter().any(is_here) {
+            return true;
+        }
+        let is_on_its_way_out = !self.view.latest().iter().any(is_here);
+        let others = self.view.latest().iter().filter(|member| member.node != self.node).count();
+        !is_on_its_way_out && others <= 2 * self.tolerated
+    }
+
     /// Everything that was to be pulled for `epoch` is in memory here. What was in memory before may still be
     /// on its way to the disk, so a last sync goes behind it.
     pub fn finish_pull(&mut self, now: Duration, epoch: u64) -> Step {
--- a/crates/woadreach-storage/src/server/mod.rs
+++ b/crates/woadreach-storage/src/server/mod.rs
@@ -66,6 +66,8 @@
     pull_due: watch::Sender<PullDue>,
     pulled: watch::Sender<u64>,
     upkeep: Mutex<Upkeep>,
+    /// The process is being stopped.
+    leaving: AtomicBool,
     /// The last record was refused; told once.
     disk_refuses: AtomicBool,
 }
@@ -99,6 +101,7 @@
             pull_due: watch::Sender::new(PullDue { epoch, missed: 1 }),
             pulled: watch::Sender::new(0),
             upkeep: Mutex::new(Upkeep::new(started, &options.node)),
+            leaving: AtomicBool::new(false),
             disk_refuses: AtomicBool::new(false),
         };
         Ok(Server { shared: Arc::new(shared) })
@@ -126,9 +129,22 @@
                 zone: self.shared.zone.clone(),
             },
             pulled_epoch: member.pulled_epoch(),
+            leaving: self.shared.leaving.load(Ordering::Relaxed),
         }
     }
 
+    /// The process is being stopped: from now on the core is told, at once and with each announcement.
+    pub fn begin_leaving(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        self.shared.pulled.send_modify(|_| {});
+    }
+
+    /// Whether the process, which is being stopped, may end; see [`Member::may_end`].
+    #[must_use]
+    pub fn may_end(&self) -> bool {
+        self.shared.member.lock().may_end()
+    }
+
     /// Changes whenever the announcement should be sent at once.
     #[must_use]
     pub fn pulled(&self) -> watch::Receiver<u64> {
--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -7,6 +7,7 @@
 //! joint epoch   -> next is current, once every machine of it has pulled its part
 //! ```
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use crate::announce::{Announcements, Sighting};
@@ -79,13 +80,18 @@
     announcements: &Announcements,
     tolerated: usize,
 ) -> Vec<StorageMember> {
-    let others_alive = alive_without_leaving(now, view, announcements);
+    let others_alive = alive_without_emptied(now, view, announcements);
     // An order waits while too few others are there to take over.
     let may_leave = others_alive > tolerated;
-    let leaves = |node: &str| (may_leave && view.retiring.contains(node)) || view.retired.contains(node);
+    let stopping = stopping_to_drop(now, view, announcements, tolerated);
+    let leaves = |node: &str| {
+        let is_emptied = (may_leave && view.retiring.contains(node)) || view.retired.contains(node);
+        is_emptied || stopping.contains(node)
+    };
     let joining: Vec<StorageMember> = announcements
         .sightings()
-        .filter(|seen| !leaves(&seen.member.node) && now.saturating_duration_since(seen.last) < FRESH)
+        .filter(|seen| !leaves(&seen.member.node) && !seen.leaving)
+        .filter(|seen| now.saturating_duration_since(seen.last) < FRESH)
         .filter(|seen| !view.latest().iter().any(|member| member.node == seen.member.node))
         .map(member_of)
         .collect();
@@ -102,12 +108,33 @@
 }
 
 /// Machines that are heard and are not to be emptied.
-fn alive_without_leaving(now: Instant, view: &StorageView, announcements: &Announcements) -> usize {
+fn alive_without_emptied(now: Instant, view: &StorageView, announcements: &Announcements) -> usize {
     let stays = |node: &str| !view.retiring.contains(node) && !view.retired.contains(node);
     let heard = |member: &&StorageMember| announcements.silent_for(now, &member.node) < REPLACEABLE_AFTER;
     view.latest().iter().filter(|member| stays(&member.node)).filter(heard).count()
 }
 
+/// Machines whose processes are being stopped and that are not needed: a full group of others is there. Without
+/// one a stopped machine keeps its place, for it may come back with its disk.
+fn stopping_to_drop(
+    now: Instant,
+    view: &StorageView,
+    announcements: &Announcements,
+    tolerated: usize,
+) -> BTreeSet<String> {
+    let fresh = |seen: &&Sighting| now.saturating_duration_since(seen.last) < FRESH;
+    let (stopping, others): (Vec<&Sighting>, Vec<&Sighting>) =
+        announcements.sightings().filter(fresh).partition(|seen| seen.leaving);
+    // A machine that is being emptied is still one of the group.
+    let nodes = others.iter().map(|seen| &seen.member.node);
+    let present: Vec<&String> = nodes.filter(|node| !view.retired.contains(*node)).collect();
+    let left = present.iter().filter(|node| !view.retiring.contains(**node)).count();
+    if present.len() <= 2 * tolerated || left <= tolerated {
+        return BTreeSet::new();
+    }
+    stopping.iter().map(|seen| seen.member.node.clone()).collect()
+}
+
 /// Drops silent machines, the longest silent first, where others have taken their place or enough stay. A
 /// machine that is silent while the membership changes anyway goes sooner, for it holds the change up.
 fn drop_silent(
--- a/crates/woadreach-storage/tests/plan.rs
+++ b/crates/woadreach-storage/tests/plan.rs
@@ -1,5 +1,6 @@
 //! Changes of the membership, case by case.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use woadreach_storage::announce::{Announcement, Announcements};
@@ -24,6 +25,8 @@
     heard: Announcements,
     /// Machines that announce themselves, and whether they pull.
     machines: Vec<(StorageMember, bool)>,
+    /// Machines whose processes are being stopped.
+    leaving: BTreeSet<String>,
     tolerated: usize,
 }
 
@@ -32,7 +35,7 @@
         let now = Instant::now();
         let machines = (0..count).map(|number| (member(number, u64::from(number) + 1), true)).collect();
         let (view, heard) = (StorageView::default(), Announcements::new(now));
-        let mut tier = Tier { now, view, heard, machines, tolerated };
+        let mut tier = Tier { now, view, heard, machines, leaving: BTreeSet::new(), tolerated };
         tier.pass(Duration::from_millis(1_500));
         tier
     }
@@ -42,7 +45,11 @@
         while self.now < end {
             for (member, pulls) in &self.machines {
                 let pulled_epoch = if *pulls { self.view.epoch } else { 0 };
-                let announcement = Announcement { member: member.clone(), pulled_epoch };
+                let announcement = Announcement {
+                    member: member.clone(),
+                    pulled_epoch,
+                    leaving: self.leaving.contains(&member.node),
+                };
                 self.heard.heard(self.now, announcement);
             }
             if let Some(view) = plan(self.now, &self.view, &self.heard, self.tolerated) {
@@ -228,3 +235,60 @@
     assert_eq!(tier.current(), [3, 4]);
     assert_eq!(tier.view.retired.len(), 2);
 }
+
+#[test]
+fn a_machine_that_is_being_stopped_goes_if_a_full_group_stays() {
+    let mut tier = Tier::new(4, 1);
+    tier.leaving.insert("store-2".to_owned());
+    tier.machines[0].1 = false;
+    tier.pass(Duration::from_secs(1));
+    assert!(!tier.settled(), "not before everyone has pulled");
+    tier.machines[0].1 = true;
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [1, 2, 4]);
+    tier.leaving.clear();
+    tier.pass(Duration::from_secs(1));
+    assert_eq!(tier.current(), [1, 2, 3, 4], "it comes back");
+}
+
+#[test]
+fn a_machine_that_is_being_stopped_keeps_its_place_if_fewer_stay() {
+    let mut tier = Tier::new(3, 1);
+    tier.leaving.insert("store-2".to_owned());
+    tier.pass(Duration::from_secs(1));
+    assert_eq!((tier.view.epoch, tier.current()), (1, vec![1, 2, 3]));
+}
+
+#[test]
+fn machines_that_are_stopped_all_at_once_change_nothing() {
+    let mut tier = Tier::new(5, 1);
+    tier.leaving = (0..5).map(|number| format!("store-{number}")).collect();
+    tier.pass(Duration::from_secs(2));
+    assert_eq!((tier.view.epoch, tier.current().len()), (1, 5));
+}
+
+#[test]
+fn a_machine_on_its_way_out_does_not_come_back_while_it_is_being_stopped() {
+    let mut tier = Tier::new(4, 1);
+    tier.leaving.insert("store-2".to_owned());
+    tier.machines[0].1 = false;
+    tier.pass(Duration::from_secs(1));
+    tier.view = retire(&tier.view, "store-1", 1).unwrap();
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.view.latest().iter().all(|member| member.node != "store-2"));
+    tier.machines[0].1 = true;
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.settled());
+    assert_eq!(tier.current(), [1, 4]);
+}
+
+#[test]
+fn a_machine_that_is_being_stopped_goes_with_one_that_is_to_be_emptied() {
+    let mut tier = Tier::new(4, 1);
+    tier.view = retire(&tier.view, "store-3", 1).unwrap();
+    tier.leaving.insert("store-2".to_owned());
+    tier.pass(Duration::from_secs(1));
+    assert!(tier.settled() && tier.view.retired.contains("store-3"));
+    assert_eq!(tier.current(), [1, 2]);
+}
--- a/crates/woadreach-storage/tests/simulation/faults.rs
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -4,10 +4,11 @@
 
 use woadreach_journal::DiskFault;
 
+use super::stops::Stop;
 use super::world::{Event, World};
 
 /// After its return a machine still counts as lost for this long.
-const CATCH_UP: Duration = Duration::from_millis(4_100);
+pub const CATCH_UP: Duration = Duration::from_millis(4_100);
 
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
@@ -21,6 +22,12 @@
     Joined(usize),
     HealDisk(usize),
     AddMachine,
+    /// Begin planned work, if it may begin, and draw the time of the next.
+    DrawPlanned,
+    /// The process is told to stop; then the machine is taken away, or comes back.
+    Stop(usize, Stop),
+    /// A process that is being stopped looks whether it may end.
+    CheckStop(usize, u64),
     ThawCore,
     StartAll,
 }
@@ -47,6 +54,9 @@
             Fault::AddMachine => {
                 self.add_machine();
             }
+            Fault::DrawPlanned => self.draw_planned_work(),
+            Fault::Stop(index, stop) => self.stop(index, stop),
+            Fault::CheckStop(index, incarnation) => self.check_stop(index, incarnation),
             Fault::ThawCore => self.core.frozen = false,
             Fault::StartAll => {
                 for index in 0..self.machines.len() {
@@ -78,7 +88,7 @@
     }
 
     /// The machine that counts as lost from now on, if one more may be.
-    fn choose_loss(&mut self) -> Option<(usize, usize)> {
+    pub fn choose_loss(&mut self) -> Option<(usize, usize)> {
         let chosen = self.draw_loss();
         self.trace(|| format!("chosen for a loss: {chosen:?}"));
         chosen
@@ -92,7 +102,7 @@
         Some((slot, index))
     }
 
-    fn lose_one(&mut self, fault: impl Fn(usize) -> Fault) {
+    pub fn lose_one(&mut self, fault: impl Fn(usize) -> Fault) {
         if let Some((slot, index)) = self.choose_loss() {
             let fault = fault(index);
             self.lose(slot, index, fault, Duration::ZERO);
@@ -169,7 +179,7 @@
         }
     }
 
-    fn remove(&mut self, index: usize) {
+    pub fn remove(&mut self, index: usize) {
         self.kill_machine(index, true);
         self.machines[index].disk.wipe();
         self.machines[index].removed = true;
--- a/crates/woadreach-storage/tests/simulation/machine.rs
+++ b/crates/woadreach-storage/tests/simulation/machine.rs
@@ -11,6 +11,7 @@
 use woadreach_storage::pull::{Pages, Pull};
 use woadreach_storage::{StorageMember, StorageView};
 
+use super::stops::Stop;
 use super::world::Plant;
 
 const MAX_BYTES: u64 = 64 << 20;
@@ -78,13 +79,19 @@
     pub cut_in: bool,
     pub stalled: bool,
     pub removed: bool,
+    /// How the process is being stopped, and since when.
+    pub stop: Option<(Stop, Duration)>,
 }
 
 impl Machine {
     pub fn announcement(&self) -> Option<Announcement> {
         let process = self.process.as_ref()?;
         let member = self.member(process.member.disk());
-        Some(Announcement { member, pulled_epoch: process.member.pulled_epoch() })
+        Some(Announcement {
+            member,
+            pulled_epoch: process.member.pulled_epoch(),
+            leaving: self.stop.is_some(),
+        })
     }
 
     pub fn member(&self, disk: u64) -> StorageMember {
@@ -141,6 +148,7 @@
         }
         self.frozen = false;
         self.stalled = false;
+        self.stop = None;
     }
 
     /// Takes a request; an answer that can be given at once is returned.
--- a/crates/woadreach-storage/tests/simulation/main.rs
+++ b/crates/woadreach-storage/tests/simulation/main.rs
@@ -11,6 +11,7 @@
 mod machine;
 mod oracle;
 mod proxy;
+mod stops;
 mod world;
 
 use parking_lot::Mutex;
@@ -90,3 +91,8 @@
 fn an_unfenced_machine_is_found() {
     assert_found(Plant::Unfenced, 500);
 }
+
+#[test]
+fn a_machine_that_ends_as_soon_as_it_is_told_to_stop_is_found() {
+    assert_found(Plant::StopsAtOnce, 0);
+}
--- /dev/null
+++ b/crates/woadreach-storage/tests/simulation/stops.rs
@@ -0,0 +1,121 @@
+//! Processes that are told to stop, as the driver of the storage role does it.
+
+use std::time::Duration;
+
+use super::faults::{CATCH_UP, Fault};
+use super::world::{Event, Plant, World};
+
+/// From the order to stop to the kill.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
+/// Longest wait of a process for the others to do without its disk.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(6_000);
+/// How often a process looks whether it may end.
+const POLL: Duration = Duration::from_millis(50);
+/// From the end of a process to its next start.
+const RESTART: Duration = Duration::from_millis(1_000);
+
+/// What becomes of a machine whose process is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// It comes back with its disk; the slot counts it as lost until then.
+    Roll(usize),
+    /// It is taken away together with its disk.
+    Remove,
+}
+
+impl World {
+    /// Begins planned work as soon as no loss counts.
+    pub fn draw_planned_work(&mut self) {
+        if self.now > self.end_of_faults {
+            return;
+        }
+        let is_calm = self.losses.iter().all(|until| *until <= self.now);
+        let pause = if is_calm { self.millis(4_500, 6_500) } else { self.millis(20, 200) };
+        self.after(pause, Event::Fault(Fault::DrawPlanned));
+        if is_calm && self.chance(3) {
+            self.roll_one();
+        } else if is_calm {
+            self.replace_as_planned();
+        }
+    }
+
+    /// A new machine comes, and has its time; then an old one is stopped and taken away. That is no loss: one
+    /// more disk may be lost at that moment.
+    fn replace_as_planned(&mut self) {
+        if self.machines.len() >= 9 {
+            return;
+        }
+        let Some((_, index)) = self.choose_loss() else { return };
+        let slots = self.losses.len();
+        self.losses = vec![self.now + CATCH_UP; slots];
+        self.add_machine();
+        self.after(CATCH_UP, Event::Fault(Fault::Stop(index, Stop::Remove)));
+    }
+
+    /// A process is stopped and comes back.
+    fn roll_one(&mut self) {
+        if let Some((slot, index)) = self.choose_loss() {
+            self.losses[slot] = self.now + GRACE_PERIOD + RESTART + CATCH_UP;
+            self.stop(index, Stop::Roll(slot));
+        }
+    }
+
+    /// Tells a process to stop.
+    pub fn stop(&mut self, index: usize, stop: Stop) {
+        let machine = &self.machines[index];
+        if !machine.is_up() || machine.stop.is_some() {
+            return;
+        }
+        if stop == Stop::Remove && !self.has_successor(index) {
+            return;
+        }
+        let machine = &mut self.machines[index];
+        machine.stop = Some((stop, self.now));
+        let incarnation = machine.incarnation;
+        self.announce(index);
+        self.after(Duration::ZERO, Event::Fault(Fault::CheckStop(index, incarnation)));
+    }
+
+    /// Whether a full group of others is there: an order to empty a machine may have used the successor up.
+    fn has_successor(&self, index: usize) -> bool {
+        let view = &self.core.committed;
+        let stays = |node: &String| *node != self.machines[index].node && !view.retiring.contains(node);
+        let others = view.latest().iter().filter(|member| stays(&member.node)).count();
+        others > 2 * self.tolerated
+    }
+
+    /// Lets a process end that may, or must.
+    pub fn check_stop(&mut self, index: usize, incarnation: u64) {
+        let machine = &self.machines[index];
+        if machine.incarnation != incarnation || machine.process.is_none() {
+            return;
+        }
+        let Some((stop, since)) = machine.stop else { return };
+        let waited = self.now - since;
+        let limit = if machine.frozen { GRACE_PERIOD } else { LEAVE_TIMEOUT };
+        if waited >= limit || (!machine.frozen && self.may_end(index)) {
+            return self.end(index, stop);
+        }
+        self.after(POLL, Event::Fault(Fault::CheckStop(index, incarnation)));
+    }
+
+    fn end(&mut self, index: usize, stop: Stop) {
+        self.trace(|| format!("store-{index} ends: {stop:?}"));
+        match stop {
+            Stop::Roll(slot) => {
+                self.kill_machine(index, false);
+                self.losses[slot] = self.now + RESTART + CATCH_UP;
+                self.after(RESTART, Event::Fault(Fault::Start(index)));
+            }
+            Stop::Remove => {
+                self.remove(index);
+                self.lose_one(Fault::Wipe);
+            }
+        }
+    }
+
+    fn may_end(&self, index: usize) -> bool {
+        let process = self.machines[index].process.as_ref();
+        self.plant == Plant::StopsAtOnce || process.is_some_and(|process| process.member.may_end())
+    }
+}
--- a/crates/woadreach-storage/tests/simulation/world.rs
+++ b/crates/woadreach-storage/tests/simulation/world.rs
@@ -30,6 +30,8 @@
     JointEpochEndsEarly,
     WipedMachineCounts,
     Unfenced,
+    /// A process that is told to stop ends at once.
+    StopsAtOnce,
 }
 
 const MS: Duration = Duration::from_millis(1);
@@ -152,7 +154,12 @@
         world.after(Duration::from_millis(100), Event::Plan);
         world.at(START_OF_TRAFFIC, Event::Turn);
         let first_fault = START_OF_TRAFFIC + world.millis(100, 2_000);
-        world.at(first_fault, Event::Fault(Fault::Draw));
+        if !has_only_planned_work(seed) {
+            world.at(first_fault, Event::Fault(Fault::Draw));
+        }
+        if has_planned_work(seed) {
+            world.at(first_fault, Event::Fault(Fault::DrawPlanned));
+        }
         let last_reads = world.end_of_faults + SETTLED_AFTER;
         world.at(last_reads, Event::LastReads);
         world
@@ -221,6 +228,7 @@
             cut_in: false,
             stalled: false,
             removed: false,
+            stop: None,
         });
         self.start_machine(index);
         index
@@ -478,7 +486,7 @@
         }
     }
 
-    fn announce(&mut self, index: usize) {
+    pub fn announce(&mut self, index: usize) {
         if let Some(announcement) = self.machines[index].announcement()
             && !self.machines[index].cut_out
         {
@@ -907,6 +915,15 @@
     }
 }
 
+/// A third of the runs have planned work, half of these nothing else.
+fn has_planned_work(seed: u64) -> bool {
+    seed % 3 == 2
+}
+
+fn has_only_planned_work(seed: u64) -> bool {
+    seed % 6 == 2
+}
+
 /// The most that a turn generates.
 const MOST: u64 = 30;
 
