Data plane: tests of clients that leave connections without a further request

A client that asked for the end of its connection, sent its body in chunks or without a length, or came while the process was leaving, is noticed as soon as any other.

--- a/crates/woadreach-proxy/tests/leaving_clients.rs
+++ b/crates/woadreach-proxy/tests/leaving_clients.rs
@@ -6,6 +6,7 @@
 use support::replica::{Received, Replica, Step, chunk, head, stream_head};
 use support::tier::Tier;
 use support::{Client, on_one_thread, wait_for};
+use woadreach_proxy::lifecycle::Phase;
 use woadreach_proxy::request_state::RequestEnd;
 
 /// Far under the routes' timeout, which would end the work too.
@@ -135,3 +136,41 @@
         assert_eq!(of_first, sent);
     });
 }
+
+/// Sends this to a replica that never answers, or begins a stream and stops; the client leaves.
+async fn ends_with_its_client(request: &str, begins: bool, phase: Phase) {
+    let script = move |_: usize, request: &Received| match begins {
+        true => vec![stream_head(request), chunk(b"id: 1\ndata: one\n\n"), Step::Hang],
+        false => vec![Step::Hang],
+    };
+    let replica = Replica::start(script).await;
+    let tier = Tier::start(&[("i-1", &replica)]).await;
+    tier.proxy.lifecycle.enter(phase);
+    let mut client = Client::connect(tier.front).await;
+    client.send(request.as_bytes()).await;
+    replica.wait_for_requests(1).await;
+    if begins {
+        client.until("data: one").await;
+    }
+    let left = Instant::now();
+    drop(client);
+    replica.wait_for_closed(1).await;
+    assert!(left.elapsed() < SOON, "{phase:?}, begun {begins}: {:?} after {request:?}", left.elapsed());
+}
+
+#[test]
+fn a_connection_that_carries_no_further_request_is_watched_too() {
+    on_one_thread(async {
+        let closing = post("/once/").replace("r1", "r1\r\nConnection: close");
+        let chunked = "POST /once/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\n\
+                       Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+        let old = post("/once/").replace("HTTP/1.1", "HTTP/1.0");
+        let without_body = "GET /once/ HTTP/1.1\r\nHost: tier.example\r\nRequest-Id: r1\r\n\r\n";
+        for request in [closing.as_str(), chunked, old.as_str(), without_body] {
+            for phase in [Phase::Serving, Phase::Leaving] {
+                ends_with_its_client(request, false, phase).await;
+                ends_with_its_client(request, true, phase).await;
+            }
+        }
+    });
+}
