--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use woadreach_chain::{
-    Durable, Envelope, Input, Member, MemberOptions, Output, Place, Reply, Request, RequestId, Tolerance,
-    View,
+    ControlState, Durable, Envelope, Input, Member, MemberOptions, Output, Place, Reply, Request, RequestId,
+    Tolerance, View,
 };
 
+use super::capacity::Capacity;
 use super::disk::SimulatedDisk;
 use super::history::History;
 use super::operator::{CallId, Operators};
@@ -119,6 +120,10 @@
     pub fault_tolerance: usize,
     /// Number of zones of which one may be lost; 0 if zones don't matter.
     pub zones: usize,
+    /// What links and disks can carry; without it, bytes cost nothing.
+    pub capacity: Option<Capacity>,
+    /// What every disk holds when it is first used.
+    first_state: ControlState,
     /// No further fault strikes.
     pub are_faults_over: bool,
     is_traced: bool,
@@ -146,6 +151,8 @@
             bug,
             fault_tolerance,
             zones,
+            capacity: None,
+            first_state: ControlState::default(),
             are_faults_over: false,
             is_traced: std::env::var_os("WOADREACH_TRACE").is_some(),
             queue: BinaryHeap::new(),
@@ -159,6 +166,14 @@
         world
     }
 
+    /// Lets `count` changes have been taken before the run begins. To be called before it does.
+    pub fn begin_after(&mut self, count: u64) {
+        let (changes, state) = super::operator::earlier_changes(count);
+        self.operators.remember(&changes);
+        self.history.begin_after(changes);
+        self.first_state = state;
+    }
+
     /// Prints what happens if `WOADREACH_TRACE` is set.
     pub fn trace(&self, what: impl FnOnce() -> String) {
         if self.is_traced {
@@ -269,7 +284,9 @@
         self.nodes[node].sync_started = self.now;
         let base = Duration::from_millis(1) + self.random_duration(Duration::from_millis(5));
         let life = self.nodes[node].life;
-        let delay = base * self.nodes[node].disk_factor;
+        let written = self.nodes[node].disk.as_ref().map_or(0, SimulatedDisk::waiting_bytes);
+        let writing = self.capacity.as_ref().map_or(Duration::ZERO, |capacity| capacity.write(written));
+        let delay = (base + writing) * self.nodes[node].disk_factor;
         self.schedule(delay, Event::Synced { node, life, through });
     }
 
@@ -316,6 +333,12 @@
         if self.cuts.contains(&(from, to)) || self.chance(self.loss) {
             return;
         }
+        if self.nodes[to].member.is_some()
+            && let Some(capacity) = &mut self.capacity
+        {
+            let delay = capacity.send(self.now, from, &envelope);
+            return self.schedule(delay, Event::Deliver { to, from, envelope: Box::new(envelope) });
+        }
         let delay = Duration::from_micros(300) + self.random_duration(Duration::from_millis(2));
         let envelope = Box::new(envelope);
         if self.loss > 0.0 && self.chance(0.02) {
@@ -401,7 +424,10 @@
             if !keeps_identity {
                 self.nodes[node].identity = self.random.rand_u64() | 1;
             }
-            let durable = Durable::new(self.nodes[node].identity, is_first_life, view);
+            let mut durable = Durable::new(self.nodes[node].identity, is_first_life, view);
+            if is_first_life {
+                durable.state = self.first_state.clone();
+            }
             self.nodes[node].disk = Some(SimulatedDisk::new(durable));
         }
         let options = MemberOptions {
--- a/crates/woadreach-proxy/tests/support/storage.rs
+++ b/crates/woadreach-proxy/tests/support/storage.rs
@@ -21,6 +21,7 @@
 pub struct Storage {
     _folder: TempDir,
     swallowed: watch::Receiver<usize>,
+    answered: watch::Receiver<usize>,
 }
 
 impl Storage {
@@ -49,12 +50,12 @@
         let mut member = server.announcement().member;
         let router = server.routes(Router::new());
         tokio::spawn(async move { tokio::join!(serve(listener, router), server.run()) });
-        let (address, swallowed) = relay(member.address, Arc::new(swallows)).await;
+        let (address, swallowed, answered) = relay(member.address, Arc::new(swallows)).await;
         member.address = address;
         let view = StorageView { epoch: 1, current: vec![member], ..StorageView::default() };
         let known = ControlSnapshot { storage_view: Some(Arc::new(view)), ..snapshot(replicas) };
         tier.proxy.learn(&known);
-        Storage { _folder: folder, swallowed }
+        Storage { _folder: folder, swallowed, answered }
     }
 
     /// Waits until so many requests have been swallowed.
@@ -63,20 +64,30 @@
             .await
             .expect("the relay runs");
     }
+
+    /// Waits until the machine has answered so many requests.
+    pub async fn wait_for_answered(&mut self, wanted: usize) {
+        super::wait_for("answered requests", self.answered.wait_for(|count| *count >= wanted))
+            .await
+            .expect("the relay runs");
+    }
 }
 
 /// Passes requests on to `machine` unless `swallows` names them.
 async fn relay(
     machine: SocketAddr,
     swallows: Arc<dyn Fn(&Operation) -> bool + Send + Sync>,
-) -> (SocketAddr, watch::Receiver<usize>) {
+) -> (SocketAddr, watch::Receiver<usize>, watch::Receiver<usize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     let client = Client::new(ClientOptions::default());
     let (count, swallowed) = watch::channel(0);
     let count = Arc::new(count);
+    let (answers, answered) = watch::channel(0);
+    let answers = Arc::new(answers);
     let router = Router::new().route(ServiceId::STORAGE, move |_, body: bytes::Bytes| {
         let (client, count, swallows) = (client.clone(), count.clone(), swallows.clone());
+        let answers = answers.clone();
         async move {
             let request: Request = decode(&body).expect("a request");
             if swallows(&request.operation) {
@@ -84,9 +95,10 @@
                 std::future::pending::<()>().await;
             }
             let answer = client.call(machine, ServiceId::STORAGE, body.to_vec(), RELAY_TIMEOUT).await;
+            answers.send_modify(|answers| *answers += 1);
             answer.map(|answer| answer.to_vec()).unwrap_or_default()
         }
     });
     tokio::spawn(serve(listener, router));
-    (address, swallowed)
+    (address, swallowed, answered)
 }
--- a/crates/woadreach-proxy/tests/support/tier.rs
+++ b/crates/woadreach-proxy/tests/support/tier.rs
@@ -54,6 +54,7 @@
         Self::start_knowing_within(&snapshot(replicas), limits).await
     }
 
+    /// A data plane that has been told only this, in a process of these limits.
     async fn start_knowing_within(known: &ControlSnapshot, limits: ProcessLimits) -> Self {
         let storage = StorageClient::new(Client::new(ClientOptions::default()), "a".to_owned(), 0);
         let proxy = Arc::new(Proxy::new(1, "a", 256, storage));
@@ -80,8 +81,17 @@
 
 /// The same with another configuration.
 pub fn configured(replicas: &[(&str, &Replica)], configuration: &str) -> ControlSnapshot {
+    let replicas = replicas.iter().map(|(id, replica)| (*id, replica.address));
+    snapshot_of(replicas, configuration)
+}
+
+/// What the control plane would tell of replicas at these addresses, by id, with this configuration.
+pub fn snapshot_of<'a>(
+    replicas: impl Iterator<Item = (&'a str, SocketAddr)>,
+    configuration: &str,
+) -> ControlSnapshot {
     let records: BTreeMap<String, ReplicaRecord> =
-        replicas.iter().map(|(id, replica)| ((*id).to_owned(), record(id, replica.address))).collect();
+        replicas.map(|(id, address)| (id.to_owned(), record(id, address))).collect();
     ControlSnapshot {
         configuration: Some(Arc::new(Configuration::parse(configuration.as_bytes()).expect("valid"))),
         replicas: Arc::new(records),
