Data plane: no request waits behind the rest of a body

Cause: a connection went back to the pool with its answer, also where the replica had answered before reading a long body. The next request was then queued behind what was left of that body, until the replica read on or the system gave the connection up after 1.5 s; and as bytes of the body were still written meanwhile, it counted as one that may have run. Change: a connection is kept only if the last request's body has been written. Result: `no_request_waits_behind_the_rest_of_a_body` fails without it.

--- a/crates/woadreach-proxy/src/replica_connection.rs
+++ b/crates/woadreach-proxy/src/replica_connection.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -85,6 +85,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     written: Arc<AtomicU64>,
+    /// What `written` must have come to for the last request's body to have left.
+    body_written: u64,
     idle_since: Instant,
     expires: Option<Instant>,
     requests: u64,
@@ -112,6 +114,7 @@
             sender,
             driver,
             written,
+            body_written: 0,
             idle_since: Instant::now(),
             expires: None,
             requests: 0,
@@ -128,6 +131,7 @@
         }
         self.requests += 1;
         let written_before = self.written.load(Ordering::Relaxed);
+        self.body_written = written_before + request.body().size_hint().lower();
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let nothing_left = self.written.load(Ordering::Relaxed) == written_before;
@@ -153,6 +157,12 @@
         !self.sender.is_closed() && self.expires.is_none_or(|expires| now < expires)
     }
 
+    /// Whether the last request's body has left. A replica may answer before it has read it: the next request
+    /// would wait behind the rest.
+    pub fn has_written_body(&self) -> bool {
+        self.written.load(Ordering::Relaxed) >= self.body_written
+    }
+
     /// Since when no request has been on it.
     pub fn idle_since(&self) -> Instant {
         self.idle_since
--- a/crates/woadreach-proxy/src/replica_pool.rs
+++ b/crates/woadreach-proxy/src/replica_pool.rs
@@ -120,7 +120,7 @@
         connection.set_idle(now, keep_alive.map(|time| time.saturating_sub(KEEP_ALIVE_MARGIN)));
         let mut entries = self.pool.entries.lock();
         let entry = entries.entry(self.replica.clone()).or_default();
-        if connection.is_usable(now) {
+        if connection.is_usable(now) && connection.has_written_body() {
             entry.idle.push(connection);
             entry.open += 1;
         }
--- a/crates/woadreach-proxy/tests/early_answers.rs
+++ b/crates/woadreach-proxy/tests/early_answers.rs
@@ -161,3 +161,45 @@
         assert!(received.iter().all(|byte| *byte == b'x'));
     });
 }
+
+#[test]
+fn no_request_waits_behind_the_rest_of_a_body() {
+    on_one_thread(async {
+        let (listener, address) = listen();
+        let pool = Arc::<ReplicaPool>::default();
+        let body = Bytes::from(vec![b'x'; BODY_BYTES]);
+        let first = tokio::spawn(attempt(pool.clone(), request("r1", body), order(address)));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_head(&mut stream, Vec::new()).await;
+        answer(&mut stream, "r1", "200 OK").await;
+        assert!(is_answered(&wait_for("the early answer", first).await.expect("no panic")));
+        // Before the system gives a connection up on which nothing is read.
+        let soon = SendOrder { deadline: Instant::now() + Duration::from_secs(1), ..order(address) };
+        let second = tokio::spawn(attempt(pool.clone(), request("r2", Bytes::new()), soon));
+        let (mut other, _) = wait_for("another connection", listener.accept()).await.expect("a connection");
+        let (head, _) = read_head(&mut other, Vec::new()).await;
+        assert!(head.contains("request-id: r2"), "{head}");
+        answer(&mut other, "r2", "200 OK").await;
+        assert!(is_answered(&wait_for("the second answer", second).await.expect("no panic")));
+    });
+}
+
+#[test]
+fn a_connection_whose_request_was_read_whole_is_used_again() {
+    on_one_thread(async {
+        let (listener, address) = listen();
+        let pool = Arc::<ReplicaPool>::default();
+        let body = Bytes::from(vec![b'x'; 1 << 20]);
+        let first = tokio::spawn(attempt(pool.clone(), request("r1", body), order(address)));
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let (_, mut received) = read_head(&mut stream, Vec::new()).await;
+        read_on(&mut stream, &mut received, 1 << 20).await;
+        answer(&mut stream, "r1", "200 OK").await;
+        assert!(is_answered(&wait_for("the answer", first).await.expect("no panic")));
+        let second = tokio::spawn(attempt(pool.clone(), request("r2", Bytes::new()), order(address)));
+        let (head, _) = wait_for("the next request", read_head(&mut stream, Vec::new())).await;
+        assert!(head.contains("request-id: r2"), "{head}");
+        answer(&mut stream, "r2", "200 OK").await;
+        assert!(is_answered(&wait_for("the second answer", second).await.expect("no panic")));
+    });
+}
