--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -36,7 +36,7 @@
 pub use durable::{Accepted, Durable, IdleEpoch, Record, RecordError};
 #[doc(hidden)]
 pub use member::TimedStep;
-pub use member::{Input, Member, MemberOptions, Output, Status};
+pub use member::{Departure, Input, Member, MemberOptions, Output, Status};
 pub use message::{Body, DecodeError, Envelope, Ping, PingTime};
 pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
 #[cfg(feature = "plants")]
--- a/crates/woadreach-chain/tests/simulation/mod.rs
+++ b/crates/woadreach-chain/tests/simulation/mod.rs
@@ -10,4 +10,5 @@
 pub mod faults;
 pub mod history;
 pub mod operator;
+pub mod stops;
 pub mod world;
--- a/crates/woadreach-control/tests/operator_api.rs
+++ b/crates/woadreach-control/tests/operator_api.rs
@@ -10,12 +10,13 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tower::ServiceExt;
 use woadreach_chain::{Blob, Command, MemberOptions, Place, PutStorageView, Reply, Tolerance};
 use woadreach_control::durable_log::{RecoveredMember, encode_snapshot, recover};
 use woadreach_control::member_driver::{MemberDriver, new_durable};
 use woadreach_control::operator;
-use woadreach_control::order::{OrderService, submit_storage_view};
+use woadreach_control::order::{ORDER_TIMEOUT, Order, OrderService, Unanswered, submit_storage_view};
 use woadreach_journal::{Journal, JournalOptions};
 use woadreach_rpc::{Client, ClientOptions};
 use woadreach_storage::{StorageMember, StorageView};
@@ -29,9 +30,24 @@
 
 /// The same, with the machine's member.
 async fn start_core(folder: &Path) -> (Router, Arc<MemberDriver>) {
+    let driver = start_member(folder, vec![ADDRESS]).await;
+    let mut changes = driver.changes();
+    while !driver.status().is_head {
+        changes.changed().await.expect("the driver runs");
+    }
+    let orders = order_service(Arc::clone(&driver));
+    (operator::router(Arc::new(orders)), driver)
+}
+
+fn order_service(driver: Arc<MemberDriver>) -> OrderService {
+    OrderService::new(driver, Client::new(ClientOptions::default()), SocketAddr::V4(ADDRESS), 0)
+}
+
+/// A core machine whose seeds are these.
+async fn start_member(folder: &Path, seeds: Vec<SocketAddrV4>) -> Arc<MemberDriver> {
     let options = MemberOptions {
         address: ADDRESS,
-        seeds: vec![ADDRESS],
+        seeds,
         tolerance: Tolerance::default(),
         place: Place::default(),
         random_seed: 1,
@@ -45,14 +61,7 @@
             RecoveredMember { durable, number: 0 }
         }
     };
-    let rpc = Client::new(ClientOptions::default());
-    let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let mut changes = driver.changes();
-    while !driver.status().is_head {
-        changes.changed().await.expect("the driver runs");
-    }
-    let orders = OrderService::new(Arc::clone(&driver), rpc, SocketAddr::V4(ADDRESS), 0);
-    (operator::router(Arc::new(orders)), driver)
+    MemberDriver::start(options, recovered, journal, Client::new(ClientOptions::default()))
 }
 
 /// A settled view of the storage machines `store-0` to `store-(count - 1)`.
@@ -331,3 +340,23 @@
     assert_eq!(get(&api, "/retire/store-0").await.0, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(put_value(&api, 0, &configuration(5, 1000)).await, StatusCode::OK, "other orders go on");
 }
+
+#[tokio::test]
+async fn a_machine_that_is_cut_off_from_the_others_sends_callers_elsewhere() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let others = [2, 3].map(|port| SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
+    let driver = start_member(folder.path(), vec![ADDRESS, others[0], others[1]]).await;
+    let orders = order_service(driver);
+    let orders_of_all_kinds = [
+        Order::ReadConfiguration,
+        Order::Retire { node: "storage-1".to_owned() },
+        Order::RetireState { node: "storage-1".to_owned() },
+    ];
+    for order in orders_of_all_kinds {
+        let answer = orders.execute(order, Instant::now() + ORDER_TIMEOUT).await;
+        assert_eq!(answer, Err(Unanswered::OutOfQuorum), "before the time for an order is over");
+    }
+    let api = operator::router(Arc::new(orders));
+    assert_eq!(put_value(&api, 0, &configuration(5, 1000)).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(put(&api, 0, "{}").await, StatusCode::BAD_REQUEST, "invalid whatever is in force");
+}
