--- a/crates/woadreach-proxy/tests/proper_requests.rs
+++ b/crates/woadreach-proxy/tests/proper_requests.rs
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn no_429_408_or_402_of_a_replicas_is_told_as_our_promise_for_what_may_have_run() {
+fn no_402_of_a_replicas_is_passed_on_for_what_may_have_run() {
     on_one_thread(async {
         for status in ["402 Payment Required", "421 Misdirected Request"] {
             let lines = ["Response-Signature: s", "Content-Length: 0"];
