--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -46,4 +46,4 @@
     Command, ControlState, Digest, PutConfiguration, PutStorageView, Rejection, Stamp, StoredConfiguration,
     StoredStorageView, TakenConfiguration, Verdict,
 };
-pub use view::{MemberId, View};
+pub use view::{MemberId, View, ViewError};
--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -1,13 +1,13 @@
 //! Messages between members.
 
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use speedy::{Readable, Writable};
 
 use crate::agreement::{Ballot, Report};
 use crate::durable::Accepted;
 use crate::plan::Place;
 use crate::state::{Command, ControlState, Stamp};
-use crate::view::{MemberId, View};
+use crate::view::{MemberId, View, ViewError};
 
 /// Version of the messages' format.
 const MESSAGE_VERSION: u8 = 1;
@@ -21,6 +21,10 @@
     MessageVersion { found: u8 },
     #[snafu(display("malformed message"))]
     MalformedMessage { source: speedy::Error },
+    #[snafu(display("unsound view: {source}"))]
+    UnsoundView { source: ViewError },
+    #[snafu(display("a vote in epoch {epoch} on the view of epoch {found}"))]
+    ViewDoesNotFollow { epoch: u64, found: u64 },
 }
 
 /// A sign of life.
@@ -123,6 +127,22 @@
         bytes
     }
 
+    /// Checks the views that a message carries: a view that is voted on follows the sender's, and no view is
+    /// one that a proposer would not make.
+    pub fn check(&self) -> Result<(), DecodeError> {
+        let voted = match &self.body {
+            Body::Accept(accepted) => Some(&accepted.view),
+            Body::Promise { report, .. } => report.accepted.as_ref().map(|accepted| &accepted.view),
+            _ => None,
+        };
+        if let Some(view) = voted {
+            let (epoch, found) = (self.epoch, view.epoch);
+            ensure!(epoch.checked_add(1) == Some(found), ViewDoesNotFollowSnafu { epoch, found });
+        }
+        let decided = if let Body::Decided(view) = &self.body { Some(view) } else { None };
+        decided.or(voted).map_or(Ok(()), |view| view.check().context(UnsoundViewSnafu))
+    }
+
     /// Reads a message.
     pub fn decode(bytes: &[u8]) -> Result<Envelope, DecodeError> {
         let (&version, rest) = bytes.split_first().context(EmptyMessageSnafu)?;
--- a/crates/woadreach-chain/src/view.rs
+++ b/crates/woadreach-chain/src/view.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use snafu::{Snafu, ensure};
 use speedy::{Context, Readable, Reader, Writable, Writer};
 
 /// A core machine with one life of its disk.
@@ -57,6 +58,19 @@
     pub floor: u64,
 }
 
+/// A view that no proposer makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum ViewError {
+    #[snafu(display("the view of epoch {epoch} has no voters"))]
+    NoVoters { epoch: u64 },
+    #[snafu(display("the view of epoch {epoch} names a member twice"))]
+    NamedTwice { epoch: u64 },
+    #[snafu(display("the chain of epoch {epoch} has {member:?}, who does not vote"))]
+    Stranger { epoch: u64, member: MemberId },
+    #[snafu(display("the view of epoch {epoch} has a floor above it, {floor}"))]
+    Floor { epoch: u64, floor: u64 },
+}
+
 impl View {
     /// The view that a system starts from: the seeds vote, known by address only.
     pub fn bootstrap(seeds: &[SocketAddrV4]) -> View {
@@ -77,6 +91,21 @@
         self.voters.contains(&member)
     }
 
+    /// Checks what holds of every view that a proposer makes.
+    pub fn check(&self) -> Result<(), ViewError> {
+        ensure!(!self.voters.is_empty(), NoVotersSnafu { epoch: self.epoch });
+        let is_named_twice =
+            |members: &[MemberId]| (1..members.len()).any(|place| members[..place].contains(&members[place]));
+        let is_twice = is_named_twice(&self.voters) || is_named_twice(&self.chain);
+        ensure!(!is_twice, NamedTwiceSnafu { epoch: self.epoch });
+        let stranger = self.chain.iter().find(|member| !self.voters.contains(member));
+        if let Some(&member) = stranger {
+            return StrangerSnafu { epoch: self.epoch, member }.fail();
+        }
+        ensure!(self.floor <= self.epoch, FloorSnafu { epoch: self.epoch, floor: self.floor });
+        Ok(())
+    }
+
     pub fn head(&self) -> Option<MemberId> {
         self.chain.first().copied()
     }
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -109,11 +109,11 @@
     let chain = Arc::clone(driver);
     let orders = Arc::clone(orders);
     Router::new()
-        .route(ServiceId::CHAIN, move |_peer, body| {
-            chain.receive(&body);
-            async { Vec::new() }
+        .route_checked(ServiceId::CHAIN, move |_peer, body| {
+            let received = chain.receive(&body);
+            async { received.map(|()| Vec::new()) }
         })
-        .route(ServiceId::FORWARD, move |_peer, body| {
+        .route_checked(ServiceId::FORWARD, move |_peer, body| {
             let orders = Arc::clone(&orders);
             async move { orders.take_forwarded(body).await }
         })
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -15,8 +15,8 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::Instant;
 use woadreach_chain::{
-    ControlState, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply, Request, RequestId,
-    Status,
+    ControlState, DecodeError, Durable, Envelope, Input, Member, MemberOptions, Output, Record, Reply,
+    Request, RequestId, Status,
 };
 use woadreach_journal::{Journal, JournalError, Synced};
 use woadreach_rpc::{Client, ServiceId};
@@ -116,12 +116,12 @@
         driver
     }
 
-    /// Takes a message of another member.
-    pub fn receive(&self, body: &[u8]) {
-        match Envelope::decode(body) {
-            Ok(envelope) => self.input(Input::Message(envelope)),
-            Err(error) => tracing::warn!(%error, "message of another member dropped"),
-        }
+    /// Takes a message of another member; nothing of one that can't be read.
+    pub fn receive(&self, body: &[u8]) -> Result<(), DecodeError> {
+        let envelope = Envelope::decode(body)?;
+        envelope.check()?;
+        self.input(Input::Message(envelope));
+        Ok(())
     }
 
     /// Gives the member an input and carries its outputs out.
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use snafu::Snafu;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use speedy::{Endianness, Readable, Writable};
 use tokio::time::{Instant, timeout_at};
 use woadreach_chain::{Blob, Command, PutConfiguration, PutStorageView, Rejection, Reply, Request};
@@ -66,6 +66,27 @@
     Late,
 }
 
+/// An order or an answer of another core machine that can't be read.
+#[derive(Debug, Snafu)]
+pub enum MessageError {
+    #[snafu(display("the order is empty"))]
+    Empty,
+    #[snafu(display("order version {found}, expected {ORDER_VERSION}"))]
+    Version { found: u8 },
+    #[snafu(display("malformed order"))]
+    Malformed { source: speedy::Error },
+}
+
+/// A committed storage view that this program can't read. It stays in force: nothing is judged or planned
+/// on it.
+#[derive(Debug, Snafu)]
+#[snafu(display("the storage view of epoch {epoch} cannot be read: {source}"))]
+pub struct UnreadableView {
+    /// Epoch under which it was committed.
+    pub epoch: u64,
+    source: woadreach_storage::message::MessageError,
+}
+
 /// Passes orders to the head of the chain.
 pub struct OrderService {
     driver: Arc<MemberDriver>,
@@ -118,7 +139,7 @@
         }
         let result = self.forward(head, order, deadline).await;
         *reached_head |= !matches!(result, Err(CallError::Unreachable | CallError::Refused));
-        result.ok().and_then(|response| decode_answer(&response))
+        result.ok().and_then(|response| decode_answer(head, &response))
     }
 
     async fn forward(&self, head: SocketAddr, order: &Order, deadline: Instant) -> Result<Bytes, CallError> {
@@ -127,11 +148,11 @@
     }
 
     /// Answers an order that another core machine passed on; an empty response is no answer.
-    pub async fn take_forwarded(&self, body: Bytes) -> Vec<u8> {
-        let Some((order, left)) = decode_order(&body) else { return Vec::new() };
+    pub async fn take_forwarded(&self, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        let (order, left) = decode_order(&body)?;
         let wait = left.min(ORDER_TIMEOUT).saturating_sub(RETURN_TIME);
         let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, self.tolerated, &order)).await;
-        answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer))
+        Ok(answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer)))
     }
 }
 
@@ -161,8 +182,7 @@
 /// Has a storage machine emptied. Nothing if another change of the storage view came first, or the head
 /// changed.
 async fn retire_at_head(driver: &MemberDriver, node: &str, tolerated: usize) -> Option<Answer> {
-    let (expected_epoch, bytes) = driver.latest_storage_view().unwrap_or_default();
-    let view = StorageView::decode(&bytes).unwrap_or_default();
+    let (expected_epoch, view) = latest_storage_view(driver).inspect_err(log_unreadable).ok()?;
     let answer = match retire(&view, node, tolerated) {
         Ok(changed) if changed.epoch != view.epoch => {
             return submit_storage_view(driver, expected_epoch, &changed).await.then_some(Answer::Done);
@@ -179,8 +199,8 @@
         return None;
     }
     let published = driver.published();
-    let stored = published.storage_view.as_ref().map(|stored| &stored.bytes.0[..]);
-    let view = stored.and_then(StorageView::decode).unwrap_or_default();
+    let stored = published.storage_view.as_ref().map(|stored| (stored.epoch, &stored.bytes.0[..]));
+    let (_, view) = read_storage_view(stored).inspect_err(log_unreadable).ok()?;
     if view.retired.contains(node) {
         Some(Answer::RetireState { is_finished: true })
     } else if view.retiring.contains(node) {
@@ -190,6 +210,23 @@
     }
 }
 
+/// Epoch and content of the storage view with every change that this head has taken; the empty one of epoch 0
+/// before the first.
+pub fn latest_storage_view(driver: &MemberDriver) -> Result<(u64, StorageView), UnreadableView> {
+    let stored = driver.latest_storage_view();
+    read_storage_view(stored.as_ref().map(|(epoch, bytes)| (*epoch, &bytes[..])))
+}
+
+fn read_storage_view(stored: Option<(u64, &[u8])>) -> Result<(u64, StorageView), UnreadableView> {
+    let Some((epoch, bytes)) = stored else { return Ok((0, StorageView::default())) };
+    let view = StorageView::read(bytes).context(UnreadableViewSnafu { epoch })?;
+    Ok((epoch, view))
+}
+
+fn log_unreadable(error: &UnreadableView) {
+    tracing::error!(%error, "no answer: the storage view is of another version or damaged");
+}
+
 /// Puts a storage view in the place of the one of `expected_epoch`. Tells whether it is committed.
 pub async fn submit_storage_view(driver: &MemberDriver, expected_epoch: u64, view: &StorageView) -> bool {
     let bytes = Blob::from(view.encode());
@@ -205,12 +242,10 @@
     bytes
 }
 
-fn decode<'a, T: Readable<'a, Endianness>>(bytes: &'a [u8]) -> Option<T> {
-    let (&version, rest) = bytes.split_first()?;
-    if version != ORDER_VERSION {
-        return None;
-    }
-    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).ok()
+fn decode<'a, T: Readable<'a, Endianness>>(bytes: &'a [u8]) -> Result<T, MessageError> {
+    let (&version, rest) = bytes.split_first().context(EmptySnafu)?;
+    ensure!(version == ORDER_VERSION, VersionSnafu { found: version });
+    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).context(MalformedSnafu)
 }
 
 fn encode_order(order: &Order, left: Duration) -> Vec<u8> {
@@ -218,11 +253,15 @@
     encode(&(left_ms, order))
 }
 
-fn decode_order(bytes: &[u8]) -> Option<(Order, Duration)> {
+fn decode_order(bytes: &[u8]) -> Result<(Order, Duration), MessageError> {
     let (left_ms, order): (u32, Order) = decode(bytes)?;
-    Some((order, Duration::from_millis(u64::from(left_ms))))
+    Ok((order, Duration::from_millis(u64::from(left_ms))))
 }
 
-fn decode_answer(bytes: &[u8]) -> Option<Answer> {
-    decode(bytes)
+/// Reads the head's answer; an empty one says that the head has none.
+fn decode_answer(head: SocketAddr, bytes: &[u8]) -> Option<Answer> {
+    if bytes.is_empty() {
+        return None;
+    }
+    decode(bytes).inspect_err(|error| tracing::warn!(%head, %error, "answer of the head cannot be read")).ok()
 }
--- a/crates/woadreach-control/src/storage_planner.rs
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -2,17 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use parking_lot::Mutex;
 use woadreach_rpc::{Client, Router, ServiceId};
-use woadreach_storage::StorageView;
 use woadreach_storage::announce::{Announcements, handler};
 use woadreach_storage::view::plan;
 
 use crate::member_driver::MemberDriver;
-use crate::order::submit_storage_view;
+use crate::order::{UnreadableView, latest_storage_view, submit_storage_view};
 
 /// Interval between two looks at the announcements.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +28,8 @@
     announcements: Arc<Mutex<Announcements>>,
     seeds: Vec<SocketAddr>,
     tolerated: usize,
+    /// Epoch of the last storage view that could not be read.
+    unreadable_epoch: AtomicU64,
 }
 
 impl StoragePlanner {
@@ -38,14 +40,15 @@
         tolerated: usize,
     ) -> Arc<StoragePlanner> {
         let announcements = Arc::new(Mutex::new(Announcements::new(Instant::now())));
-        Arc::new(StoragePlanner { driver, rpc, announcements, seeds, tolerated })
+        let unreadable_epoch = AtomicU64::new(0);
+        Arc::new(StoragePlanner { driver, rpc, announcements, seeds, tolerated, unreadable_epoch })
     }
 
     /// Adds the handler of the storage machines' announcements.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let planner = Arc::clone(self);
         let heard = handler(Arc::clone(&self.announcements));
-        router.route(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
+        router.route_checked(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
             planner.relay(peer, &body);
             heard(peer, body)
         })
@@ -72,9 +75,18 @@
         }
     }
 
+    /// Nothing is planned on a view that can't be read; logged once an epoch.
+    fn refuse(&self, error: &UnreadableView) {
+        if self.unreadable_epoch.swap(error.epoch, Ordering::Relaxed) != error.epoch {
+            tracing::error!(%error, "nothing is planned for the storage machines");
+        }
+    }
+
     async fn advance(&self) {
-        let (expected_epoch, bytes) = self.driver.latest_storage_view().unwrap_or_default();
-        let view = StorageView::decode(&bytes).unwrap_or_default();
+        let (expected_epoch, view) = match latest_storage_view(&self.driver) {
+            Ok(latest) => latest,
+            Err(error) => return self.refuse(&error),
+        };
         let planned = plan(Instant::now(), &view, &self.announcements.lock(), self.tolerated);
         let Some(next) = planned else { return };
         tracing::info!(
--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -16,8 +16,8 @@
 use crate::core_state::{CoreIdentity, CoreState};
 use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
-    BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
-    encode,
+    BatchResponse, ConfigurationResponse, MessageError, PollRequest, RegistryResponse, Request,
+    VersionedBytes, decode, encode,
 };
 use crate::registry::{Ack, HeartbeatError, RegistryCounters};
 use crate::replica::Heartbeat;
@@ -77,7 +77,7 @@
     /// Adds the handler of discovery to the machine's services.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let discovery = Arc::clone(self);
-        router.route(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
+        router.route_checked(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
     }
 
     /// Sends batches and watches for silence until the task is dropped.
@@ -228,17 +228,17 @@
         }
     }
 
-    async fn handle(self: Arc<Self>, body: Bytes) -> Vec<u8> {
-        match decode::<Request>(&body) {
-            Ok(Request::Poll(request)) => self.poll(request).await,
-            Ok(Request::Configuration) => {
+    async fn handle(self: Arc<Self>, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        Ok(match decode::<Request>(&body)? {
+            Request::Poll(request) => self.poll(request).await,
+            Request::Configuration => {
                 let configuration = self.committed.configuration();
                 encode(&ConfigurationResponse {
                     configuration: configuration
                         .map(|(version, body)| VersionedBytes { version, bytes: body.to_vec() }),
                 })
             }
-            Ok(Request::Batch(batch) | Request::Urgent(batch)) => {
+            Request::Batch(batch) | Request::Urgent(batch) => {
                 let urgency = self.state.lock().receive(self.now(), batch);
                 match urgency {
                     Urgency::Unchanged => self.wake_puller(),
@@ -247,12 +247,8 @@
                 }
                 encode(&BatchResponse { incarnation: self.incarnation })
             }
-            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(self.now(), known)),
-            Err(error) => {
-                tracing::warn!(%error, "discovery request refused");
-                Vec::new()
-            }
-        }
+            Request::Registry(known) => encode(&self.state.lock().registry_since(self.now(), known)),
+        })
     }
 
     async fn poll(&self, request: PollRequest) -> Vec<u8> {
--- a/crates/woadreach-discovery/src/sampler.rs
+++ b/crates/woadreach-discovery/src/sampler.rs
@@ -11,7 +11,7 @@
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
 use woadreach_settings::NodeSettings;
 
-use crate::messages::{decode, encode};
+use crate::messages::{MessageError, decode, encode};
 use crate::sampling::{NodeEntry, NodeRole, PartialView, Shuffle};
 use crate::watcher::rank;
 
@@ -53,7 +53,7 @@
     /// Adds the handler of shuffles to the process's services.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let sampler = Arc::clone(self);
-        router.route(ServiceId::SAMPLING, move |_peer, body| {
+        router.route_checked(ServiceId::SAMPLING, move |_peer, body| {
             let answer = sampler.answer(&body);
             async move { answer }
         })
@@ -100,18 +100,11 @@
         decode(&answer.ok()?).ok()
     }
 
-    fn answer(&self, body: &Bytes) -> Vec<u8> {
-        match decode::<Shuffle>(body) {
-            Ok(shuffle) => {
-                let answer = self.view.lock().answer(self.started.elapsed(), shuffle);
-                self.publish();
-                encode(&answer)
-            }
-            Err(error) => {
-                tracing::warn!(%error, "shuffle refused");
-                Vec::new()
-            }
-        }
+    fn answer(&self, body: &Bytes) -> Result<Vec<u8>, MessageError> {
+        let shuffle: Shuffle = decode(body)?;
+        let answer = self.view.lock().answer(self.started.elapsed(), shuffle);
+        self.publish();
+        Ok(encode(&answer))
     }
 
     fn publish(&self) {
--- a/crates/woadreach-journal/src/error.rs
+++ b/crates/woadreach-journal/src/error.rs
@@ -45,14 +45,14 @@
         /// First byte that cannot be trusted.
         offset: u64,
     },
-    /// A slot was written by a newer program.
-    #[snafu(display("{slot} has format version {version}, this program reads up to {supported}"))]
+    /// A slot was written by a program of another format.
+    #[snafu(display("{slot} has format version {version}, this program reads {supported}"))]
     Version {
         /// Slot concerned.
         slot: Slot,
         /// Version found.
         version: u8,
-        /// Newest version that is understood.
+        /// Version that is understood.
         supported: u8,
     },
     /// Too many bytes wait for the disk already.
--- a/crates/woadreach-journal/src/format.rs
+++ b/crates/woadreach-journal/src/format.rs
@@ -12,7 +12,7 @@
 
 use crc32fast::Hasher;
 
-/// Newest format that is read, and the one that is written.
+/// The format that is read and written.
 pub const FORMAT_VERSION: u8 = 1;
 /// Bytes before the snapshot.
 pub const HEADER_BYTES: usize = 33;
@@ -40,8 +40,8 @@
     Blank,
     /// Written, and not readable.
     Damaged,
-    /// Written by a newer program.
-    Newer(u8),
+    /// Written by a program of another format.
+    Other(u8),
     /// Readable.
     Valid(Header),
 }
@@ -86,8 +86,8 @@
     if bytes[..8] != SLOT_MAGIC || read_u32(bytes, 29) != crc32fast::hash(&bytes[..29]) {
         return HeaderState::Damaged;
     }
-    if bytes[8] > FORMAT_VERSION {
-        return HeaderState::Newer(bytes[8]);
+    if bytes[8] != FORMAT_VERSION {
+        return HeaderState::Other(bytes[8]);
     }
     HeaderState::Valid(Header {
         generation: read_u64(bytes, 9),
--- a/crates/woadreach-journal/src/recovery.rs
+++ b/crates/woadreach-journal/src/recovery.rs
@@ -100,7 +100,7 @@
     let header = match format::decode_header(content) {
         HeaderState::Blank => return Ok(SlotState::Blank),
         HeaderState::Damaged => return Ok(damaged(0)),
-        HeaderState::Newer(version) => {
+        HeaderState::Other(version) => {
             return Err(JournalError::Version { slot, version, supported: format::FORMAT_VERSION });
         }
         HeaderState::Valid(header) => header,
--- a/crates/woadreach-journal/tests/engine.rs
+++ b/crates/woadreach-journal/tests/engine.rs
@@ -184,3 +184,65 @@
     let (_, found) = Engine::open(Box::new(disk), MAX_BYTES).unwrap();
     assert_eq!(found.records, [vec![1; 10], vec![2; 10], vec![3; 10]]);
 }
+
+/// A slot that holds this snapshot and no log, and its content.
+fn slot_with_snapshot(snapshot: &[u8]) -> (Slot, Vec<u8>) {
+    let disk = SimulatedDisk::default();
+    let (mut engine, _) = Engine::open(Box::new(disk.clone()), MAX_BYTES).unwrap();
+    let _receipt = engine.replace(snapshot).unwrap();
+    drop(engine);
+    let mut reader = disk;
+    let mut contents =
+        [Slot::A, Slot::B].map(|slot| (slot, woadreach_journal::Disk::read(&mut reader, slot).unwrap()));
+    contents.sort_by_key(|(_, content)| content.len());
+    let [_, (slot, content)] = contents;
+    (slot, content)
+}
+
+fn open_with(slot: Slot, content: &[u8]) -> Result<woadreach_journal::Recovered, JournalError> {
+    let mut disk = SimulatedDisk::default();
+    woadreach_journal::Disk::write(&mut disk, slot, 0, content).unwrap();
+    Engine::open(Box::new(disk), MAX_BYTES).map(|(_, recovered)| recovered)
+}
+
+/// Nothing of a snapshot that is cut short or has a wrong checksum is used, wherever the damage is.
+#[test]
+fn a_snapshot_cut_or_changed_at_any_byte_is_an_error_that_names_the_slot() {
+    let (slot, content) = slot_with_snapshot(b"the state of everything");
+    assert_eq!(open_with(slot, &content).unwrap().snapshot.unwrap(), b"the state of everything");
+    for length in 1..content.len() {
+        let error = open_with(slot, &content[..length]).unwrap_err();
+        assert!(
+            matches!(error, JournalError::Corrupt { slot: found, .. } if found == slot),
+            "{length}: {error}"
+        );
+    }
+    for place in 0..content.len() {
+        let mut changed = content.clone();
+        changed[place] ^= 1;
+        let error = open_with(slot, &changed).unwrap_err();
+        assert!(
+            matches!(error, JournalError::Corrupt { slot: found, .. } if found == slot),
+            "{place}: {error}"
+        );
+    }
+}
+
+/// A head with a right checksum and another version is of another program: it is neither read nor taken for
+/// damage, which would empty the disk.
+#[test]
+fn a_slot_of_an_older_or_newer_format_is_an_error_of_its_own() {
+    let (slot, content) = slot_with_snapshot(b"state");
+    for version in [0, 2, 255] {
+        let mut other = content.clone();
+        other[8] = version;
+        let checksum = crc32fast::hash(&other[..29]);
+        other[29..33].copy_from_slice(&checksum.to_le_bytes());
+        let error = open_with(slot, &other).unwrap_err();
+        assert!(
+            matches!(error, JournalError::Version { slot: found, version: told, supported: 1 }
+                if found == slot && told == version),
+            "{error}"
+        );
+    }
+}
--- a/crates/woadreach-rpc/src/lib.rs
+++ b/crates/woadreach-rpc/src/lib.rs
@@ -11,9 +11,11 @@
 mod connection;
 mod error;
 mod frame;
+mod rejected;
 mod server;
 
 pub use client::{Client, ClientOptions};
 pub use error::CallError;
 pub use frame::{Frame, FrameError, FrameKind, LONGEST_BODY, ServiceId};
+pub use rejected::RejectedRequests;
 pub use server::{Router, serve};
--- a/crates/woadreach-rpc/src/server.rs
+++ b/crates/woadreach-rpc/src/server.rs
@@ -2,8 +2,10 @@
 
 use crate::connection::{FrameReader, QUEUE, tune, write_frames};
 use crate::frame::{Frame, FrameKind, ServiceId};
+use crate::rejected::RejectedRequests;
 use bytes::Bytes;
 use std::collections::BTreeMap;
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -19,13 +21,15 @@
 /// How long to wait after a connection could not be taken, as when descriptors have run out.
 const AFTER_FAILURE: Duration = Duration::from_millis(100);
 
-type Handling = Pin<Box<dyn Future<Output = Vec<u8>> + Send>>;
+/// A response, or nothing where the request was rejected.
+type Handling = Pin<Box<dyn Future<Output = Option<Vec<u8>>> + Send>>;
 type Handler = Arc<dyn Fn(SocketAddr, Bytes) -> Handling + Send + Sync>;
 
 /// Handlers by service.
 #[derive(Clone, Default)]
 pub struct Router {
     handlers: BTreeMap<ServiceId, Handler>,
+    rejected: RejectedRequests,
 }
 
 impl Router {
@@ -41,9 +45,37 @@
         H: Fn(SocketAddr, Bytes) -> F + Send + Sync + 'static,
         F: Future<Output = Vec<u8>> + Send + 'static,
     {
-        self.handlers.insert(service, Arc::new(move |peer, body| Box::pin(handler(peer, body))));
+        let handle = move |peer, body| -> Handling {
+            let handling = handler(peer, body);
+            Box::pin(async move { Some(handling.await) })
+        };
+        self.handlers.insert(service, Arc::new(handle));
         self
     }
+
+    /// Adds the handler of a service that may reject a request. Nothing of such a request has been taken: it is
+    /// counted and logged with its sender and the reason, and the caller gets [`crate::CallError::Refused`].
+    pub fn route_checked<H, F, E>(mut self, service: ServiceId, handler: H) -> Self
+    where
+        H: Fn(SocketAddr, Bytes) -> F + Send + Sync + 'static,
+        F: Future<Output = Result<Vec<u8>, E>> + Send + 'static,
+        E: Error + Send + 'static,
+    {
+        let rejected = self.rejected.clone();
+        let handle = move |peer, body| -> Handling {
+            let (handling, rejected) = (handler(peer, body), rejected.clone());
+            Box::pin(
+                async move { handling.await.inspect_err(|reason| rejected.note(service, peer, reason)).ok() },
+            )
+        };
+        self.handlers.insert(service, Arc::new(handle));
+        self
+    }
+
+    /// Counts of what the handlers rejected.
+    pub fn rejected(&self) -> RejectedRequests {
+        self.rejected.clone()
+    }
 }
 
 /// Takes connections and has their requests handled, for as long as the returned future is polled.
@@ -92,14 +124,14 @@
 
 async fn handle(frame: Frame, peer: SocketAddr, handler: Option<Handler>) -> Option<Frame> {
     let (service, number) = (frame.service, frame.number);
+    let refusal = Frame { kind: FrameKind::Refusal, service, number, body: Bytes::new() };
     let Some(handler) = handler else {
-        let refusal = Frame { kind: FrameKind::Refusal, service, number, body: Bytes::new() };
         return (frame.kind == FrameKind::Request).then_some(refusal);
     };
     match frame.kind {
         FrameKind::Request => {
-            let body = handler(peer, frame.body).await.into();
-            Some(Frame { kind: FrameKind::Response, service, number, body })
+            let Some(body) = handler(peer, frame.body).await else { return Some(refusal) };
+            Some(Frame { kind: FrameKind::Response, service, number, body: body.into() })
         }
         FrameKind::OneWay => {
             handler(peer, frame.body).await;
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use speedy::{Readable, Writable};
 
-use crate::message;
+use crate::message::{self, MessageError};
 use crate::view::StorageMember;
 
 /// Interval between two announcements of a machine.
@@ -104,17 +104,18 @@
 /// Handler of announcements for a core machine's router.
 pub fn handler(
     announcements: Arc<Mutex<Announcements>>,
-) -> impl Fn(SocketAddr, Bytes) -> Ready<Vec<u8>> + Send + Sync + 'static {
+) -> impl Fn(SocketAddr, Bytes) -> Ready<Result<Vec<u8>, MessageError>> + Send + Sync + 'static {
     move |_, body| {
-        if let Some(announcement) = message::decode::<Announcement>(&body) {
+        let read = message::read::<Announcement>(&body);
+        ready(read.map(|announcement| {
             announcements.lock().heard(Instant::now(), announcement);
-        }
-        ready(Vec::new())
+            Vec::new()
+        }))
     }
 }
 
 /// Checks at compile time that the handler's future may be spawned.
 const _: fn() = || {
     fn sendable<F: Future + Send>() {}
-    sendable::<Ready<Vec<u8>>>();
+    sendable::<Ready<Result<Vec<u8>, MessageError>>>();
 };
--- a/crates/woadreach-storage/src/message.rs
+++ b/crates/woadreach-storage/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between proxies, storage machines and each other.
 
+use snafu::{OptionExt, Snafu, ensure};
 use speedy::{LittleEndian, Readable, Writable};
 
 use crate::budget::Reservation;
@@ -188,13 +189,36 @@
     bytes
 }
 
-/// Decodes a message; `None` if it is not whole, has anything after it or another version.
+/// Why bytes are not a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum MessageError {
+    /// Nothing there.
+    #[snafu(display("the message is empty"))]
+    Empty,
+    /// Another version of the messages.
+    #[snafu(display("message version {found}, expected {MESSAGE_VERSION}"))]
+    Version {
+        /// Version found.
+        found: u8,
+    },
+    /// Not whole, or with bytes after it.
+    #[snafu(display("malformed message"))]
+    Malformed,
+}
+
+/// Reads a message.
+///
+/// # Errors
+/// [`MessageError`] if it is not whole, has anything after it or another version.
+pub fn read<'a, T: Readable<'a, LittleEndian>>(bytes: &'a [u8]) -> Result<T, MessageError> {
+    let (&version, body) = bytes.split_first().context(EmptySnafu)?;
+    ensure!(version == MESSAGE_VERSION, VersionSnafu { found: version });
+    let (message, used) = T::read_with_length_from_buffer(body);
+    message.ok().filter(|_| used == body.len()).context(MalformedSnafu)
+}
+
+/// Decodes a message; `None` where [`read`] fails.
 #[must_use]
 pub fn decode<'a, T: Readable<'a, LittleEndian>>(bytes: &'a [u8]) -> Option<T> {
-    let (version, body) = bytes.split_first()?;
-    if *version != MESSAGE_VERSION {
-        return None;
-    }
-    let (message, used) = T::read_with_length_from_buffer(body);
-    message.ok().filter(|_| used == body.len())
+    read(bytes).ok()
 }
--- a/crates/woadreach-storage/src/server/mod.rs
+++ b/crates/woadreach-storage/src/server/mod.rs
@@ -20,7 +20,7 @@
 use self::upkeep::Upkeep;
 use crate::announce::Announcement;
 use crate::member::{Member, Pending, Step};
-use crate::message::{Answer, Request, Response, decode, encode};
+use crate::message::{MessageError, Request, Response, encode, read};
 use crate::view::{StorageMember, StorageView};
 
 /// Why a storage machine cannot run.
@@ -108,7 +108,7 @@
     #[must_use]
     pub fn routes(&self, router: Router) -> Router {
         let server = self.clone();
-        router.route(ServiceId::STORAGE, move |_, body| {
+        router.route_checked(ServiceId::STORAGE, move |_, body| {
             let server = server.clone();
             async move { server.answer(body).await }
         })
@@ -158,14 +158,11 @@
         self.upkeep();
     }
 
-    async fn answer(&self, body: Bytes) -> Vec<u8> {
-        let Some(request) = decode::<Request>(&body) else {
-            let epoch = self.shared.member.lock().view().epoch;
-            return encode(&Response { epoch, answer: Answer::Malformed });
-        };
+    async fn answer(&self, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        let request: Request = read(&body)?;
         let now = self.now();
         let step = self.shared.member.lock().handle(now, request);
-        encode(&self.finish(step).await)
+        Ok(encode(&self.finish(step).await))
     }
 
     /// Syncs what a step demands and gives its answer. Appends are queued in the order of the steps, as one
--- a/crates/woadreach-storage/src/view/mod.rs
+++ b/crates/woadreach-storage/src/view/mod.rs
@@ -46,6 +46,14 @@
         message::encode(self)
     }
 
+    /// View from the control state's bytes.
+    ///
+    /// # Errors
+    /// [`message::MessageError`] if they are not one.
+    pub fn read(bytes: &[u8]) -> Result<StorageView, message::MessageError> {
+        message::read(bytes)
+    }
+
     /// View from the control state's bytes; `None` if they are not one.
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<StorageView> {
