--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -52,6 +52,8 @@
     StaleRead { read: u64, acknowledged: u64 },
     /// A read gave bytes that nobody sent under that generation.
     ForeignRead { generation: u64 },
+    /// A member sent a view that other members reject.
+    UnsoundView { node: usize },
     /// After everything was well again, nothing could be written.
     NoProgress,
 }
--- a/crates/woadreach-chain/tests/simulation/world.rs
+++ b/crates/woadreach-chain/tests/simulation/world.rs
@@ -11,7 +11,7 @@
 };
 
 use super::disk::SimulatedDisk;
-use super::history::History;
+use super::history::{History, Violation};
 use super::operator::{CallId, Operators};
 
 /// A defence that a test switches off in every machine.
@@ -312,6 +312,9 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddrV4, envelope: Envelope) {
+        if envelope.check().is_err() {
+            self.history.report(Violation::UnsoundView { node: from });
+        }
         let Some(to) = self.nodes.iter().position(|node| node.address == to) else { return };
         if self.cuts.contains(&(from, to)) || self.chance(self.loss) {
             return;
