Storage and control: what another version wrote is neither destroyed nor taken for empty

It now ends with an error and leaves the disk as it is (records_of_another_version_are_left_as_they_are, a_disk_of_another_format_is_left_as_it_is). A committed storage view that cannot be read was taken for an empty one: retire answered 404 for machines that are there, and the planner planned on nothing. Now nothing is judged on it (an_unreadable_storage_view_is_not_taken_for_an_empty_one fails before: an empty view).

Messages of members, orders passed on, requests to storage machines and announcements that cannot be read are typed errors, rejected by the router. A second retire and orders without a number have tests.

--- /dev/null
+++ b/crates/woadreach-control/tests/bad_input.rs
@@ -0,0 +1,174 @@
+//! Messages, views and orders that cannot be taken: an error of their own kind, and nothing of them in force.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use axum::body::{Body as HttpBody, Bytes};
+use axum::http::{Request as HttpRequest, StatusCode};
+use support::start_core;
+use tower::ServiceExt;
+use woadreach_chain::{
+    Accepted, Ballot, Blob, Body, Command, DecodeError, Envelope, MemberId, PutStorageView, Reply, Request,
+    View, ViewError,
+};
+use woadreach_control::operator;
+use woadreach_control::order::{MessageError, latest_storage_view};
+use woadreach_storage::{StorageMember, StorageView};
+
+fn stranger(number: u8) -> MemberId {
+    MemberId { address: SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, number), 2), identity: u64::from(number) }
+}
+
+fn envelope(epoch: u64, body: Body) -> Envelope {
+    Envelope { from: stranger(9), epoch, body }
+}
+
+fn view(epoch: u64, voters: &[u8], chain: &[u8]) -> View {
+    let members = |numbers: &[u8]| numbers.iter().copied().map(stranger).collect();
+    View { epoch, voters: members(voters), chain: members(chain), floor: 0 }
+}
+
+#[tokio::test]
+async fn messages_of_other_versions_or_cut_short_change_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (driver, _orders) = start_core(folder.path()).await;
+    let before = driver.status();
+    let whole = envelope(before.epoch + 1, Body::Decided(view(before.epoch + 1, &[9], &[9]))).encode();
+    assert!(matches!(driver.receive(&[]), Err(DecodeError::EmptyMessage)));
+    for version in [0, whole[0] + 1, 255] {
+        let mut other = whole.clone();
+        other[0] = version;
+        let error = driver.receive(&other).expect_err("another version");
+        assert!(matches!(error, DecodeError::MessageVersion { found } if found == version), "{error}");
+    }
+    for length in 1..whole.len() {
+        let error = driver.receive(&whole[..length]).expect_err("cut short");
+        assert!(matches!(error, DecodeError::MalformedMessage { .. }), "{length}: {error}");
+    }
+    assert_eq!(driver.status().members, before.members);
+    assert!(driver.status().is_head && driver.status().epoch == before.epoch);
+}
+
+#[tokio::test]
+async fn views_that_no_proposer_makes_or_that_do_not_follow_are_not_taken() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (driver, _orders) = start_core(folder.path()).await;
+    let epoch = driver.status().epoch;
+    let unsound = [
+        (view(epoch + 1, &[], &[]), ViewError::NoVoters { epoch: epoch + 1 }),
+        (view(epoch + 1, &[1, 2, 1], &[1]), ViewError::NamedTwice { epoch: epoch + 1 }),
+        (view(epoch + 1, &[1, 2], &[1, 1]), ViewError::NamedTwice { epoch: epoch + 1 }),
+        (view(epoch + 1, &[1, 2], &[3]), ViewError::Stranger { epoch: epoch + 1, member: stranger(3) }),
+        (
+            View { floor: epoch + 2, ..view(epoch + 1, &[1], &[1]) },
+            ViewError::Floor { epoch: epoch + 1, floor: epoch + 2 },
+        ),
+    ];
+    let ballot = Ballot { round: 1, proposer: stranger(9) };
+    for (view, expected) in unsound {
+        let vote = Body::Accept(Accepted { ballot, view: view.clone() });
+        for body in [Body::Decided(view), vote] {
+            let error = driver.receive(&envelope(epoch, body).encode()).expect_err("unsound");
+            assert!(matches!(error, DecodeError::UnsoundView { source } if source == expected), "{error}");
+        }
+    }
+    for found in [0, epoch, epoch + 2, u64::MAX] {
+        let vote = Body::Accept(Accepted { ballot, view: view(found, &[1], &[1]) });
+        let error = driver.receive(&envelope(epoch, vote).encode()).expect_err("does not follow");
+        assert!(matches!(error, DecodeError::ViewDoesNotFollow { .. }), "{found}: {error}");
+    }
+    // An older view is sound, and comes late: it is taken for what it is.
+    driver
+        .receive(&envelope(epoch, Body::Decided(view(epoch, &[9], &[9]))).encode())
+        .expect("a sound message");
+    assert!(driver.status().is_head && driver.status().epoch == epoch);
+}
+
+#[tokio::test]
+async fn orders_of_other_versions_or_cut_short_are_errors() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (_driver, orders) = start_core(folder.path()).await;
+    let error = orders.take_forwarded(Bytes::new()).await.expect_err("empty");
+    assert!(matches!(error, MessageError::Empty), "{error}");
+    for version in [0, 2, 255] {
+        let error = orders.take_forwarded(Bytes::from(vec![version, 0, 0])).await.expect_err("version");
+        assert!(matches!(error, MessageError::Version { found } if found == version), "{error}");
+    }
+    let error = orders.take_forwarded(Bytes::from_static(&[1, 0, 0])).await.expect_err("cut short");
+    assert!(matches!(error, MessageError::Malformed { .. }), "{error}");
+}
+
+async fn status_of(api: &axum::Router, request: HttpRequest<HttpBody>) -> StatusCode {
+    api.clone().oneshot(request).await.expect("an answer").status()
+}
+
+async fn retire(api: &axum::Router, node: &str) -> StatusCode {
+    status_of(api, HttpRequest::post(format!("/retire/{node}")).body(HttpBody::empty()).expect("a request"))
+        .await
+}
+
+fn storage_member(number: u8) -> StorageMember {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, u16::from(number)).into();
+    StorageMember {
+        node: format!("storage-{number}"),
+        disk: u64::from(number),
+        address,
+        zone: "z1".to_owned(),
+    }
+}
+
+#[tokio::test]
+async fn a_second_retire_of_a_machine_changes_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (driver, orders) = start_core(folder.path()).await;
+    let api = operator::router(orders);
+    let current = vec![storage_member(1), storage_member(2), storage_member(3)];
+    let first = StorageView { epoch: 1, current, ..StorageView::default() };
+    let put = PutStorageView { expected_epoch: 0, epoch: 1, bytes: Blob::from(first.encode()) };
+    assert_eq!(driver.request(Request::Submit(Command::PutStorageView(put))).await, Reply::Taken);
+    assert_eq!(retire(&api, "storage-2").await, StatusCode::OK);
+    let retiring = latest_storage_view(&driver).expect("a view");
+    assert_eq!((retiring.0, retiring.1.retiring.len()), (2, 1));
+    assert_eq!(retire(&api, "storage-2").await, StatusCode::OK, "the same order again");
+    assert_eq!(latest_storage_view(&driver).expect("a view"), retiring);
+    assert_eq!(retire(&api, "storage-9").await, StatusCode::NOT_FOUND);
+}
+
+/// A storage view of another version stays in force, and nothing is judged on it: no order has the answer
+/// that an empty view would give.
+#[tokio::test]
+async fn an_unreadable_storage_view_is_not_taken_for_an_empty_one() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (driver, orders) = start_core(folder.path()).await;
+    let api = operator::router(orders);
+    let mut bytes =
+        StorageView { epoch: 1, current: vec![storage_member(1)], ..StorageView::default() }.encode();
+    bytes[0] += 1;
+    let put = PutStorageView { expected_epoch: 0, epoch: 1, bytes: Blob::from(bytes.clone()) };
+    assert_eq!(driver.request(Request::Submit(Command::PutStorageView(put))).await, Reply::Taken);
+    let error = latest_storage_view(&driver).expect_err("another version");
+    assert_eq!(error.epoch, 1);
+    assert_eq!(retire(&api, "storage-1").await, StatusCode::SERVICE_UNAVAILABLE);
+    let question = HttpRequest::get("/retire/storage-1").body(HttpBody::empty()).expect("a request");
+    assert_eq!(status_of(&api, question).await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(driver.latest_storage_view(), Some((1, Bytes::from(bytes))), "it stays in force");
+}
+
+#[tokio::test]
+async fn a_configuration_without_a_number_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (driver, orders) = start_core(folder.path()).await;
+    let api = operator::router(orders);
+    for base in [None, Some(""), Some("x"), Some("-1"), Some("18446744073709551616")] {
+        let request = HttpRequest::put("/config");
+        let request = base.into_iter().fold(request, |request, base| request.header("If-Match", base));
+        let body = HttpBody::from(r#"{"generation":1,"routes":[],"services":[]}"#);
+        assert_eq!(status_of(&api, request.body(body).expect("a request")).await, StatusCode::BAD_REQUEST);
+    }
+    for body in [r#"{"routes":[],"services":[]}"#, r#"{"generation":"1","routes":[],"services":[]}"#, "{}"] {
+        let request = HttpRequest::put("/config").header("If-Match", "0").body(HttpBody::from(body));
+        assert_eq!(status_of(&api, request.expect("a request")).await, StatusCode::BAD_REQUEST, "{body}");
+    }
+    assert!(driver.published().configuration.is_none());
+}
--- a/crates/woadreach-control/tests/operator_api.rs
+++ b/crates/woadreach-control/tests/operator_api.rs
@@ -1,50 +1,21 @@
 //! The operator's API on one core machine with a real journal in a temporary folder.
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+mod support;
+
 use std::path::Path;
-use std::sync::Arc;
 
 use axum::Router;
 use axum::body::Body;
 use axum::http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
+use support::start_core;
 use tower::ServiceExt;
-use woadreach_chain::{MemberOptions, Place, Tolerance};
-use woadreach_control::durable_log::{RecoveredMember, encode_snapshot, recover};
-use woadreach_control::member_driver::{MemberDriver, new_durable};
 use woadreach_control::operator;
-use woadreach_control::order::OrderService;
-use woadreach_journal::{Journal, JournalOptions};
-use woadreach_rpc::{Client, ClientOptions};
-
-const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
 
 /// The API of a core machine that is the whole core, once it is the head.
 async fn start(folder: &Path) -> Router {
-    let options = MemberOptions {
-        address: ADDRESS,
-        seeds: vec![ADDRESS],
-        tolerance: Tolerance::default(),
-        place: Place::default(),
-        random_seed: 1,
-    };
-    let (journal, found) = Journal::open(folder, JournalOptions::default()).expect("a journal");
-    let recovered = match &found.snapshot {
-        Some(snapshot) => recover(snapshot, &found.records).expect("own records"),
-        None => {
-            let durable = new_durable(true, &options, 7);
-            let _receipt = journal.replace(encode_snapshot(0, &durable)).await.expect("a sync");
-            RecoveredMember { durable, number: 0 }
-        }
-    };
-    let rpc = Client::new(ClientOptions::default());
-    let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let mut changes = driver.changes();
-    while !driver.status().is_head {
-        changes.changed().await.expect("the driver runs");
-    }
-    operator::router(Arc::new(OrderService::new(driver, rpc, SocketAddr::V4(ADDRESS), 0)))
+    operator::router(start_core(folder).await.1)
 }
 
 fn configuration(generation: u64, timeout_ms: u64) -> Value {
--- a/crates/woadreach-storage/src/server/mod.rs
+++ b/crates/woadreach-storage/src/server/mod.rs
@@ -5,7 +5,7 @@
 mod upkeep;
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -32,6 +32,12 @@
         /// What the journal says.
         source: JournalError,
     },
+    /// The disk is whole and holds what this program can't read. It is left as it is.
+    #[snafu(display("{} holds the state of another version of this program", path.display()))]
+    Unreadable {
+        /// Folder of the journal.
+        path: PathBuf,
+    },
 }
 
 /// Who a storage machine is.
@@ -86,8 +92,7 @@
     /// [`ServerError::Disk`].
     pub async fn open(folder: &Path, rpc: Client, options: ServerOptions) -> Result<Server, ServerError> {
         let started = Instant::now();
-        let (journal, member) =
-            start::start(folder, &options).await.map_err(|source| ServerError::Disk { source })?;
+        let (journal, member) = start::start(folder, &options).await?;
         let epoch = member.view().epoch;
         let shared = Shared {
             started,
--- a/crates/woadreach-storage/src/server/start.rs
+++ b/crates/woadreach-storage/src/server/start.rs
@@ -3,17 +3,21 @@
 use std::path::Path;
 use std::time::Duration;
 
+use snafu::{ResultExt, ensure};
 use woadreach_journal::{Journal, JournalError, JournalOptions};
 
-use super::ServerOptions;
+use super::{DiskSnafu, ServerError, ServerOptions, UnreadableSnafu};
 use crate::client::random_number;
 use crate::member::Member;
 
 /// Most bytes that wait for the disk before requests are refused.
 const MOST_QUEUED_BYTES: usize = 8 << 20;
 
-/// The machine as its disk has it, or a new one on a disk that holds nothing that can be trusted.
-pub(super) async fn start(folder: &Path, options: &ServerOptions) -> Result<(Journal, Member), JournalError> {
+/// The machine as its disk has it, or a new one on a disk that holds nothing or is damaged.
+///
+/// What another version of the program has written is no damage: emptying that disk would destroy what was
+/// acknowledged, on every machine in turn where a version is rolled back.
+pub(super) async fn start(folder: &Path, options: &ServerOptions) -> Result<(Journal, Member), ServerError> {
     let bounds = JournalOptions { max_bytes: options.disk_bytes, max_queued_bytes: MOST_QUEUED_BYTES };
     match Journal::open(folder, bounds) {
         Ok((journal, found)) => {
@@ -24,16 +28,16 @@
             if let Some(member) = recovered {
                 return Ok((journal, member));
             }
-            if !found.was_empty {
-                tracing::warn!("the journal does not hold a machine's state: beginning anew");
-            }
+            // A new disk whose identity was not synced yet has neither.
+            let is_new = found.snapshot.is_none() && found.records.is_empty();
+            ensure!(is_new, UnreadableSnafu { path: folder });
         }
-        Err(error @ (JournalError::Corrupt { .. } | JournalError::Version { .. })) => {
+        Err(error @ JournalError::Corrupt { .. }) => {
             tracing::error!(%error, "the disk's content cannot be trusted: beginning anew");
         }
-        Err(error) => return Err(error),
+        Err(source) => return Err(ServerError::Disk { source }),
     }
-    begin_anew(folder, bounds, options).await
+    begin_anew(folder, bounds, options).await.context(DiskSnafu)
 }
 
 /// Gives the disk a new identity.
--- /dev/null
+++ b/crates/woadreach-storage/tests/bad_input.rs
@@ -0,0 +1,140 @@
+//! Disks, requests and announcements that cannot be read: an error of their own kind, nothing of them taken,
+//! and nothing destroyed.
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use woadreach_journal::{Journal, JournalError, JournalOptions};
+use woadreach_rpc::{CallError, Client, ClientOptions, Router, ServiceId, serve};
+use woadreach_storage::announce::{Announcements, handler};
+use woadreach_storage::message::{MessageError, encode, read};
+use woadreach_storage::record::Record;
+use woadreach_storage::server::{Server, ServerError, ServerOptions};
+use woadreach_storage::{StorageMember, StorageView};
+
+const LONG: Duration = Duration::from_secs(10);
+
+fn options() -> ServerOptions {
+    let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let (node, zone) = ("storage-1".to_owned(), "z1".to_owned());
+    ServerOptions { node, address, zone, tolerated: 1, disk_bytes: 50 << 20 }
+}
+
+fn rpc() -> Client {
+    Client::new(ClientOptions::default())
+}
+
+async fn open(folder: &Path) -> Result<Server, ServerError> {
+    Server::open(folder, rpc(), options()).await
+}
+
+fn files(folder: &Path) -> BTreeMap<String, Vec<u8>> {
+    let entries = std::fs::read_dir(folder).unwrap().map(Result::unwrap);
+    entries
+        .map(|entry| {
+            let name = entry.file_name().into_string().unwrap();
+            (name, std::fs::read(entry.path()).unwrap())
+        })
+        .collect()
+}
+
+/// The file that holds the journal's slot in use.
+fn used_slot(folder: &Path) -> std::path::PathBuf {
+    let used = files(folder).into_iter().find(|(_, content)| !content.is_empty()).unwrap();
+    folder.join(used.0)
+}
+
+#[tokio::test]
+async fn a_disk_of_another_format_is_left_as_it_is() {
+    let folder = tempfile::tempdir().unwrap();
+    drop(open(folder.path()).await.unwrap());
+    let slot = used_slot(folder.path());
+    let mut content = std::fs::read(&slot).unwrap();
+    content[8] += 1;
+    let checksum = crc32fast::hash(&content[..29]);
+    content[29..33].copy_from_slice(&checksum.to_le_bytes());
+    std::fs::write(&slot, &content).unwrap();
+    let before = files(folder.path());
+    let error = open(folder.path()).await.err().expect("another format");
+    let is_version = matches!(&error, ServerError::Disk { source: JournalError::Version { version: 2, .. } });
+    assert!(is_version, "{error}");
+    assert_eq!(files(folder.path()), before);
+}
+
+#[tokio::test]
+async fn records_of_another_version_are_left_as_they_are() {
+    let folder = tempfile::tempdir().unwrap();
+    let (journal, _) = Journal::open(folder.path(), JournalOptions::default()).unwrap();
+    let mut record = encode(&Record::Identity { disk: 7 });
+    record[0] += 1;
+    let _receipt = journal.append(record).await.unwrap();
+    drop(journal);
+    let before = files(folder.path());
+    let error = open(folder.path()).await.err().expect("another version");
+    assert!(matches!(&error, ServerError::Unreadable { path } if path == folder.path()), "{error}");
+    assert_eq!(files(folder.path()), before);
+}
+
+/// Damage is another matter: the machine begins anew, with a new identity, and pulls from the others.
+#[tokio::test]
+async fn a_damaged_disk_begins_anew() {
+    let folder = tempfile::tempdir().unwrap();
+    let server = open(folder.path()).await.unwrap();
+    let disk = server.announcement().member.disk;
+    drop(server);
+    let slot = used_slot(folder.path());
+    let mut content = std::fs::read(&slot).unwrap();
+    content[10] ^= 1;
+    std::fs::write(&slot, &content).unwrap();
+    let server = open(folder.path()).await.unwrap();
+    assert_ne!(server.announcement().member.disk, disk);
+}
+
+#[tokio::test]
+async fn requests_of_other_versions_or_cut_short_are_refused_and_counted() {
+    let folder = tempfile::tempdir().unwrap();
+    let server = open(folder.path()).await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = server.routes(Router::new());
+    let rejected = router.rejected();
+    tokio::spawn(serve(listener, router));
+    let bad: [&[u8]; 5] = [&[], &[0, 1, 2], &[2, 1, 2], &[1], &[1, 0, 0, 0]];
+    for body in bad {
+        let answer = rpc().call(address, ServiceId::STORAGE, body.to_vec(), LONG).await;
+        assert_eq!(answer, Err(CallError::Refused), "{body:?}");
+    }
+    assert_eq!(rejected.count(ServiceId::STORAGE), 5);
+}
+
+#[test]
+fn announcements_that_cannot_be_read_are_not_heard() {
+    let announcements = Arc::new(Mutex::new(Announcements::new(Instant::now())));
+    let hear = handler(announcements.clone());
+    let peer: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let error = hear(peer, Bytes::from_static(&[9, 1])).into_inner().unwrap_err();
+    assert_eq!(error, MessageError::Version { found: 9 });
+    assert_eq!(hear(peer, Bytes::new()).into_inner().unwrap_err(), MessageError::Empty);
+    assert_eq!(announcements.lock().sightings().count(), 0);
+}
+
+#[test]
+fn a_view_cut_at_any_byte_or_of_another_version_is_an_error() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let member = StorageMember { node: "storage-1".to_owned(), disk: 1, address, zone: "z1".to_owned() };
+    let view = StorageView { epoch: 3, current: vec![member], ..StorageView::default() };
+    let bytes = view.encode();
+    assert_eq!(StorageView::read(&bytes), Ok(view));
+    assert_eq!(StorageView::read(&[]), Err(MessageError::Empty));
+    for length in 1..bytes.len() {
+        assert_eq!(StorageView::read(&bytes[..length]), Err(MessageError::Malformed), "{length}");
+    }
+    assert_eq!(read::<StorageView>(&[&bytes[..], &[0]].concat()), Err(MessageError::Malformed));
+    let other = [&[bytes[0] + 1], &bytes[1..]].concat();
+    assert_eq!(StorageView::read(&other), Err(MessageError::Version { found: bytes[0] + 1 }));
+}
