--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -36,14 +36,14 @@
 pub use durable::{Accepted, Durable, IdleEpoch, Record, RecordError};
 #[doc(hidden)]
 pub use member::TimedStep;
-pub use member::{Input, Member, MemberOptions, Output, Status};
-pub use message::{Body, DecodeError, Envelope, Ping};
+pub use member::{Departure, Input, Member, MemberOptions, Output, Status};
+pub use message::{Body, DecodeError, Envelope, Ping, PingTime};
 pub use plan::{Candidate, Place, PlanError, Policy, Tolerance, next_view};
 #[cfg(feature = "plants")]
 pub use plants::Plant;
 pub use requests::{Reply, Request, RequestId};
 pub use state::{
     Command, ControlState, Digest, PutConfiguration, PutStorageView, Rejection, Stamp, StoredConfiguration,
-    StoredStorageView, TakenConfiguration, Verdict,
+    StoredStorageView, TAKEN_LIMIT, TakenConfiguration, Undecided, Verdict,
 };
 pub use view::{MemberId, View, ViewError};
--- a/crates/woadreach-control/src/storage_planner.rs
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -9,10 +9,12 @@
 use parking_lot::Mutex;
 use woadreach_rpc::{Client, Router, ServiceId};
 use woadreach_storage::announce::{Announcements, handler};
+use woadreach_storage::message::MessageError;
 use woadreach_storage::view::plan;
 
 use crate::member_driver::MemberDriver;
-use crate::order::{UnreadableView, latest_storage_view, submit_storage_view};
+use crate::order::submit_storage_view;
+use crate::retire_order::read;
 
 /// Interval between two looks at the announcements.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,7 +49,8 @@
     /// Adds the handler of the storage machines' announcements.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let planner = Arc::clone(self);
-        let heard = handler(Arc::clone(&self.announcements));
+        let driver = Arc::clone(&self.driver);
+        let heard = handler(Arc::clone(&self.announcements), move || driver.status().in_quorum);
         router.route_checked(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
             planner.relay(peer, &body);
             heard(peer, body)
@@ -76,16 +79,18 @@
     }
 
     /// Nothing is planned on a view that can't be read; logged once an epoch.
-    fn refuse(&self, error: &UnreadableView) {
-        if self.unreadable_epoch.swap(error.epoch, Ordering::Relaxed) != error.epoch {
-            tracing::error!(%error, "nothing is planned for the storage machines");
+    fn refuse(&self, epoch: u64, error: MessageError) {
+        if self.unreadable_epoch.swap(epoch, Ordering::Relaxed) != epoch {
+            tracing::error!(epoch, %error, "nothing is planned: the stored storage view can't be read");
         }
     }
 
     async fn advance(&self) {
-        let (expected_epoch, view) = match latest_storage_view(&self.driver) {
-            Ok(latest) => latest,
-            Err(error) => return self.refuse(&error),
+        let stored = self.driver.latest_storage_view();
+        let expected_epoch = stored.as_ref().map_or(0, |(epoch, _)| *epoch);
+        let view = match read(stored.as_ref()) {
+            Ok(view) => view,
+            Err(error) => return self.refuse(expected_epoch, error),
         };
         let planned = plan(Instant::now(), &view, &self.announcements.lock(), self.tolerated);
         let Some(next) = planned else { return };
--- a/crates/woadreach-proxy/src/request_headers.rs
+++ b/crates/woadreach-proxy/src/request_headers.rs
@@ -30,6 +30,8 @@
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// The replica that a request is meant for.
 pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+/// The version of the weights that a request is meant for.
+pub const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 /// Rank of a request at a replica.
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
 
@@ -158,6 +160,8 @@
     let malformed = HeaderError::Malformed { name: shown, expected: "milliseconds" };
     let Some(value) = single(headers, name, malformed)? else { return Ok(None) };
     let number: f64 = value.parse().map_err(|_| malformed)?;
+    // The time until an aim is under zero once the aim has passed.
+    let number = if *name == FINISH_MS && number < 0.0 { 0.0 } else { number };
     Duration::try_from_secs_f64(number / 1000.0).map(Some).map_err(|_| malformed)
 }
 
