--- a/crates/woadreach-chain/src/lib.rs
+++ b/crates/woadreach-chain/src/lib.rs
@@ -46,4 +46,4 @@
     Command, ControlState, Digest, PutConfiguration, PutStorageView, Rejection, Stamp, StoredConfiguration,
     StoredStorageView, TAKEN_LIMIT, TakenConfiguration, Undecided, Verdict,
 };
-pub use view::{MemberId, View};
+pub use view::{MemberId, View, ViewError};
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use snafu::Snafu;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use speedy::{Endianness, Readable, Writable};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -77,6 +77,17 @@
     Late,
 }
 
+/// An order or an answer of another core machine that can't be read.
+#[derive(Debug, Snafu)]
+pub enum MessageError {
+    #[snafu(display("the order is empty"))]
+    Empty,
+    #[snafu(display("order version {found}, expected {ORDER_VERSION}"))]
+    Version { found: u8 },
+    #[snafu(display("malformed order"))]
+    Malformed { source: speedy::Error },
+}
+
 /// How far an order has come.
 #[derive(Default)]
 struct Progress {
@@ -166,7 +177,7 @@
                 let result = self.forward(head, order, until).await;
                 progress.has_reached_head |=
                     !matches!(result, Err(CallError::Unreachable | CallError::Refused));
-                Ok(result.ok().and_then(|response| decode_answer(&response)))
+                Ok(result.ok().and_then(|response| decode_answer(head, &response)))
             }
         }
     }
@@ -180,14 +191,11 @@
     }
 
     /// Answers an order that another core machine passed on; an empty response is no answer.
-    pub async fn take_forwarded(&self, body: Bytes) -> Vec<u8> {
-        let Some((order, left)) = decode_order(&body) else {
-            tracing::warn!(bytes = body.len(), "order of another core machine can't be read");
-            return Vec::new();
-        };
+    pub async fn take_forwarded(&self, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        let (order, left) = decode_order(&body)?;
         let wait = left.min(ORDER_TIMEOUT).saturating_sub(RETURN_TIME);
         let answer = tokio::time::timeout(wait, execute_at_head(&self.driver, self.tolerated, &order)).await;
-        answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer))
+        Ok(answer.ok().flatten().map_or_else(Vec::new, |answer| encode(&answer)))
     }
 }
 
@@ -265,12 +273,10 @@
     bytes
 }
 
-fn decode<'a, T: Readable<'a, Endianness>>(bytes: &'a [u8]) -> Option<T> {
-    let (&version, rest) = bytes.split_first()?;
-    if version != ORDER_VERSION {
-        return None;
-    }
-    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).ok()
+fn decode<'a, T: Readable<'a, Endianness>>(bytes: &'a [u8]) -> Result<T, MessageError> {
+    let (&version, rest) = bytes.split_first().context(EmptySnafu)?;
+    ensure!(version == ORDER_VERSION, VersionSnafu { found: version });
+    T::read_from_buffer_with_ctx(Endianness::LittleEndian, rest).context(MalformedSnafu)
 }
 
 fn encode_order(order: &Order, left: Duration) -> Vec<u8> {
@@ -278,11 +284,15 @@
     encode(&(left_ms, order))
 }
 
-fn decode_order(bytes: &[u8]) -> Option<(Order, Duration)> {
+fn decode_order(bytes: &[u8]) -> Result<(Order, Duration), MessageError> {
     let (left_ms, order): (u32, Order) = decode(bytes)?;
-    Some((order, Duration::from_millis(u64::from(left_ms))))
+    Ok((order, Duration::from_millis(u64::from(left_ms))))
 }
 
-fn decode_answer(bytes: &[u8]) -> Option<Answer> {
-    decode(bytes)
+/// Reads the head's answer; an empty one says that the head has none.
+fn decode_answer(head: SocketAddr, bytes: &[u8]) -> Option<Answer> {
+    if bytes.is_empty() {
+        return None;
+    }
+    decode(bytes).inspect_err(|error| tracing::warn!(%head, %error, "answer of the head cannot be read")).ok()
 }
--- a/crates/woadreach-control/src/retire_order.rs
+++ b/crates/woadreach-control/src/retire_order.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use woadreach_storage::StorageView;
+use woadreach_storage::message::MessageError;
 use woadreach_storage::view::{RetireError, retire};
 
 use crate::order::Answer;
@@ -55,12 +56,15 @@
     }
 }
 
-/// The stored view, the empty one before the first; nothing if it is of a format that isn't known here.
+/// The stored view, the empty one before the first; an error if it is of a format that isn't known here.
+pub fn read(stored: Option<&(u64, Bytes)>) -> Result<StorageView, MessageError> {
+    stored.map_or_else(|| Ok(StorageView::default()), |(_, bytes)| StorageView::read(bytes))
+}
+
+/// The same; nothing where it is an error, which is logged.
 pub fn decode(stored: Option<&(u64, Bytes)>) -> Option<StorageView> {
-    let Some((epoch, bytes)) = stored else { return Some(StorageView::default()) };
-    let view = StorageView::decode(bytes);
-    if view.is_none() {
-        tracing::error!(epoch, bytes = bytes.len(), "the stored storage view can't be read");
-    }
-    view
+    let epoch = stored.map(|(epoch, _)| *epoch);
+    read(stored)
+        .inspect_err(|error| tracing::error!(epoch, %error, "the stored storage view can't be read"))
+        .ok()
 }
--- a/crates/woadreach-control/tests/order_races.rs
+++ b/crates/woadreach-control/tests/order_races.rs
@@ -156,11 +156,11 @@
     let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc, address, 1));
     let (chain, forwarded) = (Arc::clone(&driver), Arc::clone(&orders));
     let services = Router::new()
-        .route(ServiceId::CHAIN, move |_peer, body| {
-            chain.receive(&body);
-            async { Vec::new() }
+        .route_checked(ServiceId::CHAIN, move |_peer, body| {
+            let received = chain.receive(&body);
+            async { received.map(|()| Vec::new()) }
         })
-        .route(ServiceId::FORWARD, move |_peer, body| {
+        .route_checked(ServiceId::FORWARD, move |_peer, body| {
             let orders = Arc::clone(&forwarded);
             async move { orders.take_forwarded(body).await }
         });
--- a/crates/woadreach-rpc/src/lib.rs
+++ b/crates/woadreach-rpc/src/lib.rs
@@ -14,6 +14,7 @@
 mod frame;
 #[cfg(feature = "plants")]
 mod plants;
+mod rejected;
 mod server;
 
 pub use client::{Client, ClientOptions};
@@ -21,4 +22,5 @@
 pub use frame::{Frame, FrameError, FrameKind, LONGEST_BODY, ServiceId};
 #[cfg(feature = "plants")]
 pub use plants::Plant;
+pub use rejected::RejectedRequests;
 pub use server::{Router, serve};
