--- a/crates/woadreach-storage/tests/view_model/machine.rs
+++ b/crates/woadreach-storage/tests/view_model/machine.rs
@@ -75,7 +75,7 @@
     }
 
     pub fn announcement(&self) -> Announcement {
-        Announcement { member: self.identity(), pulled_epoch: self.member.pulled_epoch() }
+        Announcement { member: self.identity(), pulled_epoch: self.member.pulled_epoch(), leaving: false }
     }
 
     fn finish(&mut self, step: Step) -> Response {
