Tests of retire orders say that the machines stay

Cause: announcements now say whether a machine is being stopped (storage leave). Change: one initializer.

--- a/crates/woadreach-control/tests/retire_orders.rs
+++ b/crates/woadreach-control/tests/retire_orders.rs
@@ -141,7 +141,8 @@
         self.now += TICK;
         let pulled_epoch = self.committed.storage_epoch();
         for (&number, &disk) in self.disks.iter().filter(|(number, _)| !self.silent.contains(number)) {
-            self.heard.heard(self.now, Announcement { member: member(number, disk), pulled_epoch });
+            self.heard
+                .heard(self.now, Announcement { member: member(number, disk), pulled_epoch, leaving: false });
         }
     }
 
