--- a/crates/woadreach-chain/src/member/chain.rs
+++ b/crates/woadreach-chain/src/member/chain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Member, Output};
+use super::{Member, Output, STATE_REQUEST_PAUSE};
 use crate::durable::Record;
 use crate::message::{Barrier, Body, Write};
 use crate::state::{ControlState, Stamp};
@@ -122,7 +122,8 @@
         let Some(persisted) = self.replication.persisted_in(epoch) else { return };
         let Some(successor) = self.successor() else {
             let barrier = self.replication.barrier();
-            if self.durable.view.chain.len() >= self.policy.minimum {
+            let view = &self.durable.view;
+            if view.chain.len() >= self.policy.minimum && view.meets_every_majority() {
                 self.chain_confirmed(now, Some(persisted), barrier);
             }
             return;
@@ -154,6 +155,8 @@
             return;
         }
         self.published = Arc::clone(&state);
+        self.next_state_request = self.next_state_request.min(now + STATE_REQUEST_PAUSE);
+        self.state_request_pause = STATE_REQUEST_PAUSE;
         self.outputs.push(Output::Committed(state));
         if self.is_active() && self.successor().is_none() {
             self.ping_others_than_chain(now);
@@ -162,11 +165,11 @@
 
     /// Lets the members outside the chain know at once that there is something newer.
     pub(super) fn ping_others_than_chain(&mut self, now: Duration) {
-        let ping = self.ping(now);
         let chain = self.durable.view.chain.clone();
         for peer in self.peers.heard_lately(now) {
             if !chain.contains(&peer) {
-                self.send_now(peer.address, ping.clone());
+                let ping = self.ping(now, peer.address);
+                self.send_now(peer.address, ping);
             }
         }
     }
--- a/crates/woadreach-proxy/src/request_task/streaming.rs
+++ b/crates/woadreach-proxy/src/request_task/streaming.rs
@@ -35,6 +35,9 @@
 
     /// The body has ended as its framing says: the turn is made durable, then the answer ends.
     pub(super) async fn finish_stream(&mut self) -> Option<RequestEnd> {
+        if self.stream.as_ref()?.ends_inside_event() {
+            return self.drop_broken_stream();
+        }
         let active = self.stream.take()?;
         let attempt = active.attempt;
         let rest = active.reader.into_rest();
@@ -62,6 +65,10 @@
     pub(super) fn drop_broken_stream(&mut self) -> Option<RequestEnd> {
         let active = self.stream.take()?;
         self.change(|progress| progress.attempt_ended(false));
+        if self.side.is_unanswered() {
+            // Nothing of this replica's was passed on: its head belongs to no part of the answer.
+            self.stream_head = None;
+        }
         let outcome = Outcome::Broken { sent: true, events: self.turn.ledger.events() };
         self.proxy.dispatcher.outcome(self.id, active.attempt, outcome, None);
         (self.position == StreamPosition::Unknown).then(|| self.fail(FailReason::MayHaveRun))
