Replica path test: the stand-in waits before its answer's head, so that a repeat would show

With the head at once, every answer had begun when the way failed and could not be repeated whatever the edge believed. Now some requests have run without a byte of an answer.

--- a/crates/woadreach-tier/src/replica.rs
+++ b/crates/woadreach-tier/src/replica.rs
@@ -41,7 +41,7 @@
     Pieces {
         /// Number of pieces.
         pieces: usize,
-        /// Pause before each piece, in ms.
+        /// Pause before the head and before each piece, in ms.
         pause_ms: u64,
     },
 }
@@ -194,6 +194,7 @@
     let response = match shared.kind {
         ReplicaKind::Plain => response.body(Body::from("done")),
         ReplicaKind::Pieces { pieces, pause_ms } => {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let piece = move |number| piece(&request_id, number);
             response.body(paused_body(1..=pieces, Duration::from_millis(pause_ms), piece))
         }
--- a/crates/woadreach-tier/tests/replica_path.rs
+++ b/crates/woadreach-tier/tests/replica_path.rs
@@ -17,8 +17,8 @@
 /// Zone of the edges and zone of the replicas, between which the relay stands.
 const EDGES: usize = 0;
 const REPLICAS: usize = 1;
-const PIECES: usize = 8;
-const KIND: ReplicaKind = ReplicaKind::Pieces { pieces: PIECES, pause_ms: 25 };
+const PIECES: usize = 6;
+const KIND: ReplicaKind = ReplicaKind::Pieces { pieces: PIECES, pause_ms: 60 };
 /// Requests sent before the way fails, and as many after.
 const AT_ONCE: usize = 20;
 /// Of the first so many have begun to run when the way fails.
