--- a/crates/woadreach-proxy/tests/budgets.rs
+++ b/crates/woadreach-proxy/tests/budgets.rs
@@ -48,6 +48,7 @@
             _ => false,
         };
         let _storage = Storage::swallowing(&tier, &[("i-1", &replica)], swallows).await;
+        // Before the machine counts as silent, whose later writes would wait behind the first one.
         let seen = ask(tier.front, &turn("a1", "Budget: 6\r\nTimeout-Ms: 400\r\n")).await;
         assert_eq!((seen.status(), seen.whole), (200, false), "what is not durable does not look whole");
         wait_until_it_fits(&tier, 6).await;
