--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -10,6 +10,8 @@
 //! Messages that promise something durable leave only once every record before them is synced.
 
 mod chain;
+mod contact;
+mod departure;
 mod head;
 mod messages;
 mod signs_of_life;
@@ -34,12 +36,18 @@
 use crate::state::ControlState;
 use crate::view::{MemberId, View};
 
+pub use departure::Departure;
+use departure::Leaving;
+
 /// Interval between two signs of life.
 pub(crate) const PING_INTERVAL: Duration = Duration::from_millis(200);
 /// A tick that comes so much after the last one tells that this process stood still.
 const STANDSTILL: Duration = Duration::from_millis(450);
-/// Shortest pause between two requests for the committed state.
-const STATE_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+/// Pause between two requests for the committed state. It doubles while no state comes, up to
+/// [`LONGEST_STATE_REQUEST_PAUSE`]: a state may be long under way.
+const STATE_REQUEST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause between two requests for the committed state.
+const LONGEST_STATE_REQUEST_PAUSE: Duration = Duration::from_millis(2400);
 
 /// What a member is told.
 #[derive(Clone, Debug)]
@@ -99,8 +107,11 @@
     pub head: Option<MemberId>,
     pub is_head: bool,
     pub in_chain: bool,
-    /// Whether a majority of the voters was heard lately.
+    /// Whether this member is in contact with a majority of the voters, and since then has had every state
+    /// that one of them knew to be committed.
     pub in_quorum: bool,
+    /// Internal addresses of the voters.
+    pub voters: Vec<SocketAddrV4>,
     /// Internal addresses of the core machines that are known, this one included.
     pub members: Vec<SocketAddrV4>,
 }
@@ -120,8 +131,11 @@
     waiting: WaitingRequests,
     published: Arc<ControlState>,
     barrier_session: u64,
+    /// Since it came into contact with a majority, this member has had what was committed then.
+    is_caught_up: bool,
     pub(crate) is_disk_healthy: bool,
     pub(crate) is_leaving: bool,
+    leaving: Leaving,
     record_number: u64,
     synced_number: u64,
     /// Messages that wait for the sync of a record.
@@ -131,7 +145,9 @@
     outputs: Vec<Output>,
     last_tick: Duration,
     next_ping: Duration,
-    state_requested: Duration,
+    /// When the committed state may be asked for again.
+    next_state_request: Duration,
+    state_request_pause: Duration,
     random: oorandom::Rand64,
     #[cfg(feature = "plants")]
     plant: Option<crate::plants::Plant>,
@@ -142,6 +158,8 @@
     pub fn new(now: Duration, options: MemberOptions, durable: Durable) -> Member {
         let id = MemberId { address: options.address, identity: durable.identity };
         let mut random = oorandom::Rand64::new(u128::from(options.random_seed));
+        // Names this life of the process in its signs of life, and its first term as head in its barriers.
+        let session = random.rand_u64() | 1;
         let replication = Replication::new(durable.active_epoch, &durable.state);
         let mut proposer = Proposer::default();
         if let Some(promise) = durable.promise {
@@ -152,15 +170,17 @@
             seeds: options.seeds,
             policy: Policy::tolerating(options.tolerance),
             place: options.place,
-            peers: Peers::new(id, now),
+            peers: Peers::new(id, session, now),
             proposer,
             election: Election::new(now),
             replication,
             waiting: WaitingRequests::default(),
             published: Arc::new(ControlState::default()),
-            barrier_session: random.rand_u64() | 1,
+            barrier_session: session,
+            is_caught_up: false,
             is_disk_healthy: true,
             is_leaving: false,
+            leaving: Leaving::default(),
             record_number: 0,
             synced_number: 0,
             deferred: VecDeque::new(),
@@ -168,7 +188,8 @@
             outputs: Vec::new(),
             last_tick: now,
             next_ping: now,
-            state_requested: Duration::ZERO,
+            next_state_request: Duration::ZERO,
+            state_request_pause: STATE_REQUEST_PAUSE,
             random,
             #[cfg(feature = "plants")]
             plant: None,
@@ -213,7 +234,6 @@
 
     pub fn status(&self, now: Duration) -> Status {
         let view = &self.durable.view;
-        let heard = view.voters.iter().filter(|&&voter| self.hears_voter(now, voter)).count();
         let mut members: Vec<SocketAddrV4> =
             self.peers.heard_lately(now).iter().map(|peer| peer.address).collect();
         members.extend(self.peers.heard_of(now).iter().map(|peer| peer.address));
@@ -225,7 +245,8 @@
             head: view.head(),
             is_head: self.is_serving_head(),
             in_chain: view.chain.contains(&self.id),
-            in_quorum: !view.voters.is_empty() && heard >= view.majority(),
+            in_quorum: self.is_in_quorum(now),
+            voters: view.voters.iter().map(|voter| voter.address).collect(),
             members,
         }
     }
@@ -252,6 +273,7 @@
     /// Takes an input; gives back what is to be done, in order.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.wake_from_standstill(now);
+        self.update_contact(now);
         match input {
             Input::Tick => self.tick(now),
             Input::Message(envelope) => self.receive(now, envelope),
@@ -270,6 +292,7 @@
         while let Some(envelope) = self.loopback.pop_front() {
             self.receive(now, envelope);
         }
+        self.update_contact(now);
         #[cfg(feature = "plants")]
         if self.has_plant(crate::plants::Plant::AcknowledgeBeforeSync) {
             self.synced(now, self.record_number);
@@ -294,6 +317,9 @@
         if now >= self.next_ping {
             self.next_ping = now + PING_INTERVAL;
             self.ping_all(now);
+            if self.is_leaving {
+                self.ask_for_active_members();
+            }
         }
         self.run_election(now);
         self.drive(now);
@@ -311,5 +337,6 @@
     fn leave(&mut self, now: Duration) {
         self.is_leaving = true;
         self.ping_all(now);
+        self.ask_for_active_members();
     }
 }
--- a/crates/woadreach-chain/tests/member_model/core.rs
+++ b/crates/woadreach-chain/tests/member_model/core.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use woadreach_chain::{
-    Body, Durable, Envelope, Input, MemberId, Output, Ping, Place, RequestId, Stamp, TimedStep, View,
+    Body, Durable, Envelope, Input, MemberId, Output, Ping, PingTime, Place, RequestId, Stamp, TimedStep,
+    View,
 };
 
 use super::machine::{Machine, address, first_identity, index_of};
@@ -138,6 +139,8 @@
             bootstrap: false,
             place: Place::default(),
             committed: Stamp::default(),
+            sent: PingTime::default(),
+            echo: PingTime::default(),
             hears: self.machines.iter().map(|machine| machine.id()).collect(),
         };
         Envelope { from: machine.id(), epoch: machine.epoch(), body: Body::Ping(ping) }
