Core: whoever promises to another proposer gives it the time to finish

Cause: while a voter's report was still missing, a proposer waits 150 ms for it. Other members that had found the same reason went on with proposals of their own in that time, or 0 to 240 ms after they were superseded, and so deposed each other again and again.

Change: a promise to another proposer puts the own proposal back to the wait of a sealed epoch, and so does being superseded.

--- a/crates/woadreach-chain/src/election.rs
+++ b/crates/woadreach-chain/src/election.rs
@@ -26,7 +26,7 @@
 /// Longest random wait before a proposal.
 const RANDOM_WAIT: Duration = Duration::from_millis(120);
 /// Time in which whoever has sealed an epoch may be expected to finish.
-const SEALED_WAIT: Duration = Duration::from_millis(150);
+pub(crate) const SEALED_WAIT: Duration = Duration::from_millis(150);
 /// In the first start, seeds are waited for so long; after that a majority of them suffices.
 const BOOTSTRAP_WAIT: Duration = Duration::from_millis(1000);
 
@@ -65,6 +65,11 @@
         self.at = None;
     }
 
+    /// Another member proposes: it is given the time to finish.
+    pub fn promised_to_another(&mut self) {
+        self.at = None;
+    }
+
     /// A proposal failed: the next one begins at `at`, if there is still reason for it.
     pub fn retry(&mut self, at: Duration) {
         self.at = Some(at);
--- a/crates/woadreach-chain/src/member/views.rs
+++ b/crates/woadreach-chain/src/member/views.rs
@@ -6,6 +6,7 @@
 use super::{Member, Output};
 use crate::agreement::{Ballot, Phase, Promise, Report};
 use crate::durable::{Accepted, Record};
+use crate::election::SEALED_WAIT;
 use crate::message::Body;
 use crate::replication::Replication;
 use crate::requests::Reply;
@@ -29,6 +30,7 @@
         if current.is_none_or(|promise| promise.ballot < ballot) {
             let epoch = self.durable.view.epoch;
             self.persist(Record::Promise(Promise { epoch, ballot }));
+            self.election.promised_to_another();
         }
         let report = self.report();
         self.send_after_sync(from, Body::Promise { ballot, report });
@@ -90,7 +92,7 @@
         if self.proposer.ballot().is_some_and(|ballot| ballot < promised) {
             self.proposer.abandon();
             let wait = self.wait_after_failure();
-            self.election.retry(now + wait);
+            self.election.retry(now + SEALED_WAIT + wait);
         }
     }
 
