Storage groups bear the greatest of the tolerated losses, not machines alone

Cause: with fault_tolerance.machines 0 and zones 1 the storage role, its planner, orders to empty a machine and the proxy's client took f = 0: one copy, though the loss of a zone is to be borne.

Result: a test of the settings; a property: with three to five zones the loss of any zone leaves a write quorum of a group for f = 1. Fewer zones than 2f + 1, and regions, stay open (docs/storage.md).

--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -64,7 +64,7 @@
     let (journal, recovered) = open_member(&settings, &options).await?;
     let rpc = Client::new(ClientOptions::default());
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let tolerated = settings.fault_tolerance.machines;
+    let tolerated = settings.fault_tolerance.members_of_a_group();
     let own_address = settings.internal_address();
     let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc.clone(), own_address, tolerated));
     let committed = Arc::new(PublishedState::new(Arc::clone(&driver)));
--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -54,7 +54,8 @@
     let signals = Signals::new().context(SignalsSnafu)?;
 
     let rpc = Client::new(ClientOptions::default());
-    let turns = StorageClient::new(rpc.clone(), settings.zone.clone(), settings.fault_tolerance.machines);
+    let tolerated = settings.fault_tolerance.members_of_a_group();
+    let turns = StorageClient::new(rpc.clone(), settings.zone.clone(), tolerated);
     let seed = RandomState::new().hash_one(&settings.node);
     let proxy = Arc::new(Proxy::new(seed, &settings.zone, settings.limits.memory_mb, turns));
     let sampler = Sampler::new(&settings, NodeRole::Proxy, seed);
--- a/crates/woadreach-settings/src/settings.rs
+++ b/crates/woadreach-settings/src/settings.rs
@@ -86,6 +86,14 @@
     pub regions: usize,
 }
 
+impl FaultTolerance {
+    /// How many members of a group may be lost at once, if the group spreads over zones and regions: the loss of
+    /// one of those is the loss of one member.
+    pub fn members_of_a_group(&self) -> usize {
+        self.machines.max(self.zones).max(self.regions)
+    }
+}
+
 /// Time bounds of the rules, under the names of the operators' pages.
 #[derive(Clone, Debug)]
 pub struct Bounds {
--- a/crates/woadreach-settings/tests/settings.rs
+++ b/crates/woadreach-settings/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use quickcheck::quickcheck;
 use std::time::Duration;
-use woadreach_settings::{NodeSettings, SettingsError};
+use woadreach_settings::{FaultTolerance, NodeSettings, SettingsError};
 
 const EDGE: &str = r#"
 node: "edge-1"
@@ -109,3 +109,12 @@
         true
     }
 }
+
+#[test]
+fn a_group_bears_the_greatest_of_the_tolerated_losses() {
+    let tolerance = |machines, zones, regions| FaultTolerance { machines, zones, regions };
+    assert_eq!(tolerance(1, 0, 0).members_of_a_group(), 1);
+    assert_eq!(tolerance(0, 1, 0).members_of_a_group(), 1);
+    assert_eq!(tolerance(1, 2, 1).members_of_a_group(), 2);
+    assert_eq!(tolerance(0, 0, 1).members_of_a_group(), 1);
+}
--- a/crates/woadreach-storage/tests/placement.rs
+++ b/crates/woadreach-storage/tests/placement.rs
@@ -33,6 +33,14 @@
         nodes.len() == group_size(count as usize, 1) && zones_of.len() == zones_there.min(nodes.len())
     }
 
+    fn the_loss_of_a_zone_leaves_a_write_quorum(program: String, count: u8, zones: u8, lost: u8) -> bool {
+        let zones = u64::from(zones % 3) + 3;
+        let members = machines(u64::from(count % 10) + zones, zones);
+        let lost = format!("zone-{}", u64::from(lost) % zones);
+        let chosen = group(&members, &program, 1);
+        chosen.iter().filter(|member| member.zone != lost).count() >= write_quorum(chosen.len(), 1)
+    }
+
     fn a_new_disk_keeps_its_place(program: String, count: u8) -> bool {
         let members = machines(u64::from(count % 8) + 2, 3);
         let mut wiped = members.clone();
