--- a/crates/woadreach-chain/src/message.rs
+++ b/crates/woadreach-chain/src/message.rs
@@ -1,16 +1,16 @@
 //! Messages between members.
 
-use snafu::{OptionExt, ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use speedy::{Readable, Writable};
 
 use crate::agreement::{Ballot, Report};
 use crate::durable::Accepted;
 use crate::plan::Place;
 use crate::state::{Command, ControlState, Stamp};
-use crate::view::{MemberId, View};
+use crate::view::{MemberId, View, ViewError};
 
 /// Version of the messages' format.
-const MESSAGE_VERSION: u8 = 1;
+const MESSAGE_VERSION: u8 = 2;
 
 /// A message that can't be read.
 #[derive(Debug, Snafu)]
@@ -21,11 +21,27 @@
     MessageVersion { found: u8 },
     #[snafu(display("malformed message"))]
     MalformedMessage { source: speedy::Error },
+    #[snafu(display("unsound view: {source}"))]
+    UnsoundView { source: ViewError },
+    #[snafu(display("a vote in epoch {epoch} on the view of epoch {found}"))]
+    ViewDoesNotFollow { epoch: u64, found: u64 },
+}
+
+/// When a member sent a sign of life, by its own clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct PingTime {
+    /// Differs between lives of the process; 0 for no sign of life at all.
+    pub life: u64,
+    pub micros: u64,
 }
 
 /// A sign of life.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct Ping {
+    /// When it was sent.
+    pub sent: PingTime,
+    /// When the newest sign of life was sent that the sender has heard from the receiver.
+    pub echo: PingTime,
     /// Whether the sender may be in a chain (neither leaving nor unable to sync).
     pub fit: bool,
     /// Whether the sender is stopping and wants to be replaced.
@@ -118,6 +134,14 @@
     pub body: Body,
 }
 
+impl Body {
+    /// Whether it may hold a configuration, and so may take long on its way. Such messages go over a
+    /// connection of their own, in order, so that signs of life and votes don't wait behind them.
+    pub fn is_bulk(&self) -> bool {
+        matches!(self, Body::Replicate { .. } | Body::Transfer { .. } | Body::Committed(_))
+    }
+}
+
 impl Envelope {
     /// The message as it is sent.
     pub fn encode(&self) -> Vec<u8> {
@@ -127,6 +151,22 @@
         bytes
     }
 
+    /// Checks the views that a message carries: a view that is voted on follows the sender's, and no view is
+    /// one that a proposer would not make.
+    pub fn check(&self) -> Result<(), DecodeError> {
+        let voted = match &self.body {
+            Body::Accept(accepted) => Some(&accepted.view),
+            Body::Promise { report, .. } => report.accepted.as_ref().map(|accepted| &accepted.view),
+            _ => None,
+        };
+        if let Some(view) = voted {
+            let (epoch, found) = (self.epoch, view.epoch);
+            ensure!(epoch.checked_add(1) == Some(found), ViewDoesNotFollowSnafu { epoch, found });
+        }
+        let decided = if let Body::Decided(view) = &self.body { Some(view) } else { None };
+        decided.or(voted).map_or(Ok(()), |view| view.check().context(UnsoundViewSnafu))
+    }
+
     /// Reads a message.
     pub fn decode(bytes: &[u8]) -> Result<Envelope, DecodeError> {
         let (&version, rest) = bytes.split_first().context(EmptyMessageSnafu)?;
--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -73,7 +73,12 @@
 /// Plays a run and checks it.
 pub fn play(run: Run) -> Finding {
     let world = World::new(run.seed, run.nodes, run.zones, run.fault_tolerance, run.bug);
-    play_in(world, run.length, &FAULTS)
+    play_in(world, run.length)
+}
+
+/// Plays faults for `length` in a world that has just been made, and checks it.
+pub fn play_in(world: World, length: Duration) -> Finding {
+    play_kinds(world, length, &FAULTS)
 }
 
 /// Plays a run in which machines are stopped and replaced again and again, with a state that takes a while to
@@ -81,10 +86,10 @@
 pub fn play_planned_work(run: Run) -> Finding {
     let mut world = World::new(run.seed, run.nodes, run.zones, run.fault_tolerance, run.bug);
     world.longest_transfer = LONGEST_TRANSFER;
-    play_in(world, run.length, &PLANNED)
+    play_kinds(world, run.length, &PLANNED)
 }
 
-fn play_in(mut world: World, length: Duration, kinds: &'static [Fault]) -> Finding {
+fn play_kinds(mut world: World, length: Duration, kinds: &'static [Fault]) -> Finding {
     world.fault_kinds = kinds;
     let first = Duration::from_millis(1500) + world.random_duration(PAUSE);
     world.schedule(first, Event::Fault);
@@ -98,7 +103,7 @@
 }
 
 /// Ends all faults, and sees that writes go on and that nothing was lost.
-fn finish(mut world: World) -> Finding {
+pub(super) fn finish(mut world: World) -> Finding {
     world.operators.is_stopped = true;
     world.trace(|| "healed".to_owned());
     world.heal();
@@ -242,6 +247,11 @@
 
 fn cut(world: &mut World, struck: &[usize], one_way: bool) {
     let is_outward = world.chance(0.5);
+    cut_off(world, struck, one_way, is_outward);
+}
+
+/// Cuts machines off from the others, one way or both. They may be cut off already.
+pub(super) fn cut_off(world: &mut World, struck: &[usize], one_way: bool, is_outward: bool) {
     for &node in struck {
         for other in (0..world.nodes.len()).filter(|other| !struck.contains(other)) {
             if !one_way || is_outward {
--- a/crates/woadreach-chain/tests/simulation/mod.rs
+++ b/crates/woadreach-chain/tests/simulation/mod.rs
@@ -4,6 +4,8 @@
 // Each test program uses a part of this module.
 #![allow(dead_code)]
 
+pub mod capacity;
+pub mod cuts;
 pub mod disk;
 pub mod faults;
 pub mod history;
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -66,7 +66,9 @@
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
     let tolerated = settings.fault_tolerance.members_of_a_group();
     let own_address = settings.internal_address();
-    let orders = Arc::new(OrderService::new(Arc::clone(&driver), rpc.clone(), own_address, tolerated));
+    // An order may hold a configuration; signs of life and heartbeats don't wait behind it.
+    let orders_rpc = Client::new(ClientOptions::default());
+    let orders = Arc::new(OrderService::new(Arc::clone(&driver), orders_rpc, own_address, tolerated));
     let committed = Arc::new(PublishedState::new(Arc::clone(&driver)));
     let discovery = CoreDiscovery::new(&settings, random_number() | 1, rpc.clone(), committed);
     let seeds = settings.seed_internal_addresses();
@@ -111,11 +113,11 @@
     let chain = Arc::clone(driver);
     let orders = Arc::clone(orders);
     Router::new()
-        .route(ServiceId::CHAIN, move |_peer, body| {
-            chain.receive(&body);
-            async { Vec::new() }
+        .route_checked(ServiceId::CHAIN, move |_peer, body| {
+            let received = chain.receive(&body);
+            async { received.map(|()| Vec::new()) }
         })
-        .route(ServiceId::FORWARD, move |_peer, body| {
+        .route_checked(ServiceId::FORWARD, move |_peer, body| {
             let orders = Arc::clone(&orders);
             async move { orders.take_forwarded(body).await }
         })
--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -6,18 +6,20 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
+use snafu::Snafu;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::{Instant, MissedTickBehavior, sleep_until, timeout_at};
 use woadreach_rpc::{Client, Router, ServiceId};
 use woadreach_settings::NodeSettings;
 
 use crate::committed::CommittedState;
 use crate::core_state::{CoreIdentity, CoreState};
+use crate::departure::{DepartureRound, MAJORITY, Verdict};
 use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
-    BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
-    encode,
+    BatchResponse, ConfigurationResponse, MessageError, PollRequest, RegistryResponse, Request,
+    VersionedBytes, decode, decode_answer, encode,
 };
 use crate::registry::{Ack, HeartbeatError, RegistryCounters};
 use crate::replica::Heartbeat;
@@ -25,8 +27,8 @@
 
 /// How often silence is looked at and batches are sent.
 const TICK: Duration = Duration::from_millis(250);
-/// How long a replica's departure waits for the other core machines to be told.
-const URGENT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause before a peer that could not be told of a departure is told again.
+const URGENT_RETRY: Duration = Duration::from_millis(60);
 /// How long a core machine waits for another's registry.
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest wait of a poll.
@@ -34,6 +36,20 @@
 /// Pause before peers are asked for their registries again.
 const REGISTRY_RETRY: Duration = Duration::from_millis(500);
 
+/// Why a replica's call is not acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum AcknowledgeError {
+    /// The call is not taken.
+    #[snafu(transparent)]
+    Refused {
+        /// Why.
+        source: HeartbeatError,
+    },
+    /// The call is taken here, but others may not hear of it; another core machine is to be called.
+    #[snafu(display("taken, but this machine may be cut off from the core's majority"))]
+    OutOfQuorum,
+}
+
 /// Discovery on a core machine.
 pub struct CoreDiscovery {
     incarnation: u64,
@@ -77,7 +93,7 @@
     /// Adds the handler of discovery to the machine's services.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let discovery = Arc::clone(self);
-        router.route(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
+        router.route_checked(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
     }
 
     /// Sends batches and watches for silence until the task is dropped.
@@ -86,17 +102,15 @@
     }
 
     /// Takes a replica's heartbeat. A departure is acknowledged after the other core machines have been told.
-    pub async fn heartbeat(&self, id: &str, heartbeat: Heartbeat) -> Result<(), HeartbeatError> {
+    pub async fn heartbeat(&self, id: &str, heartbeat: Heartbeat) -> Result<(), AcknowledgeError> {
         let ack = self.state.lock().heartbeat(self.now(), id, heartbeat)?;
-        self.after_change(id, ack).await;
-        Ok(())
+        self.after_change(id, ack).await
     }
 
     /// Takes a replica's word that it ends, and tells the other core machines before it returns.
-    pub async fn leave(&self, id: &str) -> Result<(), HeartbeatError> {
+    pub async fn leave(&self, id: &str) -> Result<(), AcknowledgeError> {
         let ack = self.state.lock().leave(self.now(), id)?;
-        self.after_change(id, ack).await;
-        Ok(())
+        self.after_change(id, ack).await
     }
 
     /// What the registry took and refused since the start.
@@ -113,15 +127,24 @@
         self.started.elapsed()
     }
 
-    async fn after_change(&self, id: &str, ack: Ack) {
-        match ack {
-            Ack::Unchanged => {}
-            Ack::Changed => self.flush.notify_one(),
+    async fn after_change(&self, id: &str, ack: Ack) -> Result<(), AcknowledgeError> {
+        let is_acknowledged = match ack {
+            Ack::Unchanged => self.may_acknowledge(ack),
+            Ack::Changed => {
+                self.flush.notify_one();
+                self.may_acknowledge(ack)
+            }
             Ack::Leaving => {
                 self.publish();
-                self.tell_peers(id).await;
+                self.tell_peers(id).await
             }
-        }
+        };
+        if is_acknowledged { Ok(()) } else { OutOfQuorumSnafu.fail() }
+    }
+
+    fn may_acknowledge(&self, ack: Ack) -> bool {
+        let view = self.committed.view();
+        self.state.lock().may_acknowledge(self.now(), ack, &view)
     }
 
     /// Wakes the polls if the registry has news, and the puller if a peer knows more.
@@ -141,19 +164,45 @@
         }
     }
 
-    async fn tell_peers(&self, id: &str) {
-        let (batch, peers) = {
+    /// Tells the peers of a departure. Returns whether it may be acknowledged.
+    async fn tell_peers(&self, id: &str) -> bool {
+        let now = self.now();
+        let view = self.committed.view();
+        let (batch, peers, round) = {
             let state = self.state.lock();
-            let now = self.now();
-            (state.urgent_batch(now, id), state.peers(now, &self.committed.view()))
+            (state.urgent_batch(now, id), state.peers(now, &view), state.begin_departure(now, &view))
         };
         let body = encode(&Request::Urgent(batch));
+        match round {
+            Some(round) => self.await_peers(round, peers, body).await,
+            None => {
+                peers.into_iter().for_each(|peer| self.rpc.send(peer, ServiceId::DISCOVERY, body.clone()));
+                false
+            }
+        }
+    }
+
+    async fn await_peers(&self, mut round: DepartureRound, peers: Vec<SocketAddr>, body: Vec<u8>) -> bool {
+        let deadline = Instant::now() + MAJORITY;
         let mut calls = JoinSet::new();
         for peer in peers {
-            let (rpc, body) = (self.rpc.clone(), body.clone());
-            calls.spawn(async move { rpc.call(peer, ServiceId::DISCOVERY, body, URGENT_TIMEOUT).await });
+            calls.spawn(tell_peer(self.rpc.clone(), peer, body.clone(), deadline));
         }
-        while calls.join_next().await.is_some() {}
+        let is_acknowledged = loop {
+            let until = match round.verdict(self.now()) {
+                Verdict::Acknowledged => break true,
+                Verdict::Unconfirmed => break false,
+                Verdict::Wait { until } => self.started + until,
+            };
+            match timeout_at(until, calls.join_next()).await {
+                Ok(Some(Ok(Some(peer)))) => round.answered(peer),
+                Ok(Some(_)) | Err(_) => {}
+                Ok(None) => sleep_until(until).await,
+            }
+        };
+        // Peers that have not answered are told all the same, until the deadline.
+        calls.detach_all();
+        is_acknowledged
     }
 
     async fn exchange_batches(&self) {
@@ -219,7 +268,7 @@
             let known = self.state.lock().version_of_peer(peer);
             let body = encode(&Request::Registry(known));
             let answer = self.rpc.call(peer, ServiceId::DISCOVERY, body, REGISTRY_TIMEOUT).await.ok()?;
-            let response: RegistryResponse = decode(&answer).ok()?;
+            let response: RegistryResponse = decode_answer(peer, &answer)?;
             let (warming, more) = (response.warming, response.more);
             self.state.lock().take_registry(self.now(), peer, response);
             if !more {
@@ -228,17 +277,17 @@
         }
     }
 
-    async fn handle(self: Arc<Self>, body: Bytes) -> Vec<u8> {
-        match decode::<Request>(&body) {
-            Ok(Request::Poll(request)) => self.poll(request).await,
-            Ok(Request::Configuration) => {
+    async fn handle(self: Arc<Self>, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        Ok(match decode::<Request>(&body)? {
+            Request::Poll(request) => self.poll(request).await,
+            Request::Configuration => {
                 let configuration = self.committed.configuration();
                 encode(&ConfigurationResponse {
                     configuration: configuration
                         .map(|(version, body)| VersionedBytes { version, bytes: body.to_vec() }),
                 })
             }
-            Ok(Request::Batch(batch) | Request::Urgent(batch)) => {
+            Request::Batch(batch) | Request::Urgent(batch) => {
                 let urgency = self.state.lock().receive(self.now(), batch);
                 match urgency {
                     Urgency::Unchanged => self.wake_puller(),
@@ -247,12 +296,8 @@
                 }
                 encode(&BatchResponse { incarnation: self.incarnation })
             }
-            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(self.now(), known)),
-            Err(error) => {
-                tracing::warn!(%error, "discovery request refused");
-                Vec::new()
-            }
-        }
+            Request::Registry(known) => encode(&self.state.lock().registry_since(self.now(), known)),
+        })
     }
 
     async fn poll(&self, request: PollRequest) -> Vec<u8> {
@@ -275,3 +320,15 @@
         }
     }
 }
+
+/// Tells `peer` of a departure, again if need be. Returns the peer once it has answered.
+async fn tell_peer(rpc: Client, peer: SocketAddr, body: Vec<u8>, deadline: Instant) -> Option<SocketAddr> {
+    while Instant::now() < deadline {
+        let left = deadline - Instant::now();
+        if rpc.call(peer, ServiceId::DISCOVERY, body.clone(), left).await.is_ok() {
+            return Some(peer);
+        }
+        tokio::time::sleep(URGENT_RETRY).await;
+    }
+    None
+}
--- a/crates/woadreach-journal/src/engine.rs
+++ b/crates/woadreach-journal/src/engine.rs
@@ -83,6 +83,11 @@
         self
     }
 
+    /// Bytes of a snapshot that are written at once.
+    pub(crate) fn piece_bytes(&self) -> usize {
+        self.piece_bytes
+    }
+
     /// Appends `records` in one frame and syncs it.
     ///
     /// # Errors
@@ -147,26 +152,36 @@
         if end < replacement.snapshot.len() {
             let written = self.write(slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..end]);
             if let Err(error) = written.and_then(|()| self.sync(slot)) {
+                self.give_up(slot);
                 return Some(Err(error));
             }
             replacement.written = end;
             self.replacement = Some(replacement);
             return None;
         }
-        Some(self.end_replacement(&replacement))
+        let outcome = self.end_replacement(&replacement);
+        if outcome.is_err() && !self.replacement_in_doubt {
+            self.give_up(slot);
+        }
+        Some(outcome)
     }
 
-    /// Writes the last piece, the head and what was appended meanwhile, and goes on in the new slot.
+    /// Writes the last piece and what was appended meanwhile, then the head, and goes on in the new slot.
+    ///
+    /// The head makes the slot the newer one, so it is written only once all the rest is synced: with a head
+    /// and without the appended frames, a loss of power would bring the slot back without acknowledged
+    /// records.
     fn end_replacement(&mut self, replacement: &Replacement) -> Result<Synced, JournalError> {
         let previous = self.position.slot;
         let start = replacement.written;
         let (position, tail) = self.tail_frames(replacement);
-        self.replacement_in_doubt = true;
         self.write(position.slot, (HEADER_BYTES + start) as u64, &replacement.snapshot[start..])?;
         self.write(position.slot, position.log_start, &tail)?;
+        self.truncate(position.slot, position.end)?;
+        self.sync(position.slot)?;
+        self.replacement_in_doubt = true;
         let header = self.next_header(&replacement.snapshot);
         self.write(position.slot, 0, &format::encode_header(&header))?;
-        self.truncate(position.slot, position.end)?;
         self.sync(position.slot)?;
         self.replacement_in_doubt = false;
         self.position = position;
@@ -229,12 +244,13 @@
         Ok(())
     }
 
-    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back. Failures
-    /// are left: the newer slot is durable, and is preferred by its generation.
+    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back, or in which
+    /// a replacement has failed, so that it takes no room. Failures are left: the slot in use is durable, and is
+    /// preferred by its generation.
     fn give_up(&mut self, slot: Slot) {
         let emptied = self.disk.truncate(slot, 0).and_then(|()| self.disk.sync(slot));
         if let Err(error) = emptied {
-            tracing::warn!(%slot, %error, "a replaced slot could not be emptied");
+            tracing::warn!(%slot, %error, "the slot that is not in use could not be emptied");
         }
     }
 
--- a/crates/woadreach-journal/src/journal.rs
+++ b/crates/woadreach-journal/src/journal.rs
@@ -45,6 +45,8 @@
     waiting_appends: usize,
     waiting_bytes: usize,
     oldest: Option<Instant>,
+    /// Start of what the disk is doing for a snapshot.
+    piece_begun: Option<Instant>,
     log_bytes: u64,
 }
 
@@ -135,10 +137,13 @@
         self.progress.lock().log_bytes
     }
 
-    /// How long the oldest request that is not synced has waited; zero if none waits.
+    /// How long the oldest record that is not synced has waited, or the disk has been at one piece of a
+    /// snapshot if that is longer; zero if there is neither.
     #[must_use]
     pub fn stalled_for(&self) -> Duration {
-        self.progress.lock().oldest.map_or(Duration::ZERO, |since| since.elapsed())
+        let progress = self.progress.lock();
+        let since = progress.oldest.into_iter().chain(progress.piece_begun).min();
+        since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
     fn enqueue(&self, record: Vec<u8>, reply: Reply) -> Result<(), JournalError> {
@@ -188,6 +193,7 @@
         }
         let started = Instant::now();
         let (batch, snapshot) = next_batch(first, queue);
+        let appended = batch.bytes;
         commit(&mut engine, batch, started, progress);
         if let Some((snapshot, reply)) = snapshot {
             // A newer snapshot holds everything that the one before it does.
@@ -196,7 +202,7 @@
             }
             replacing = begin_replacement(&mut engine, snapshot, reply);
         }
-        replacing = replacing.and_then(|reply| continue_replacement(&mut engine, reply, progress));
+        replacing = replacing.and_then(|reply| continue_replacement(&mut engine, reply, appended, progress));
     }
 }
 
@@ -210,11 +216,29 @@
     }
 }
 
-fn continue_replacement(engine: &mut Engine, reply: Reply, progress: &Mutex<Progress>) -> Option<Reply> {
-    let Some(outcome) = engine.continue_replacement() else { return Some(reply) };
-    progress.lock().log_bytes = engine.log_bytes();
-    let _ = reply.send(outcome);
-    None
+/// Writes at least one piece, and as many bytes as were just appended: so no more is appended during a
+/// replacement than the snapshot is long, and one batch.
+fn continue_replacement(
+    engine: &mut Engine,
+    reply: Reply,
+    appended: usize,
+    progress: &Mutex<Progress>,
+) -> Option<Reply> {
+    let mut written = 0;
+    loop {
+        progress.lock().piece_begun = Some(Instant::now());
+        let outcome = engine.continue_replacement();
+        progress.lock().piece_begun = None;
+        if let Some(outcome) = outcome {
+            progress.lock().log_bytes = engine.log_bytes();
+            let _ = reply.send(outcome);
+            return None;
+        }
+        written += engine.piece_bytes();
+        if written >= appended {
+            return Some(reply);
+        }
+    }
 }
 
 /// Collects what waits, up to a frame's size or a snapshot.
--- a/crates/woadreach-proxy/src/replica_connection.rs
+++ b/crates/woadreach-proxy/src/replica_connection.rs
@@ -1,10 +1,11 @@
 //! One connection to a replica.
 
 use crate::deadline::within;
+use crate::plants::{Plant, planted};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -66,12 +67,26 @@
     Broken,
 }
 
+/// Number of a connection; never used twice in a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    fn next() -> Self {
+        static OPENED: AtomicU64 = AtomicU64::new(0);
+        ConnectionNumber(OPENED.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
 /// A connection that serves one request at a time. It is reset when it is dropped, which stops the replica's
 /// work and takes back what the network still holds of the request.
 pub struct ReplicaConnection {
+    number: ConnectionNumber,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     written: Arc<AtomicU64>,
+    /// What `written` must have come to for the last request's body to have left.
+    body_written: u64,
     idle_since: Instant,
     expires: Option<Instant>,
     requests: u64,
@@ -94,8 +109,16 @@
             }
         });
         let driver = driver.abort_handle();
-        let idle_since = Instant::now();
-        Ok(ReplicaConnection { sender, driver, written, idle_since, expires: None, requests: 0 })
+        Ok(ReplicaConnection {
+            number: ConnectionNumber::next(),
+            sender,
+            driver,
+            written,
+            body_written: 0,
+            idle_since: Instant::now(),
+            expires: None,
+            requests: 0,
+        })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -108,16 +131,22 @@
         }
         self.requests += 1;
         let written_before = self.written.load(Ordering::Relaxed);
+        self.body_written = written_before + request.body().size_hint().lower();
         let sent = self.sender.try_send_request(request).await;
         sent.map_err(|mut error| {
             let nothing_left = self.written.load(Ordering::Relaxed) == written_before;
-            match error.take_message().is_some() || nothing_left {
+            match error.take_message().is_some() || nothing_left || planted(Plant::BrokenIsUnsent) {
                 true => SendFailure::NotSent,
                 false => SendFailure::Broken,
             }
         })
     }
 
+    /// Its number.
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
     /// Whether it has carried no request yet.
     pub fn is_new(&self) -> bool {
         self.requests == 0
@@ -128,6 +157,12 @@
         !self.sender.is_closed() && self.expires.is_none_or(|expires| now < expires)
     }
 
+    /// Whether the last request's body has left. A replica may answer before it has read it: the next request
+    /// would wait behind the rest.
+    pub fn has_written_body(&self) -> bool {
+        self.written.load(Ordering::Relaxed) >= self.body_written
+    }
+
     /// Since when no request has been on it.
     pub fn idle_since(&self) -> Instant {
         self.idle_since
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use speedy::{Readable, Writable};
 
-use crate::message;
+use crate::message::{self, MessageError};
 use crate::view::StorageMember;
 
 /// Interval between two announcements of a machine.
@@ -106,20 +106,29 @@
     }
 }
 
-/// Handler of announcements for a core machine's router.
+/// Handler of announcements for a core machine's router. It answers whether that machine is in quorum now:
+/// a storage machine that hears only core machines that are cut off is cut off itself.
 pub fn handler(
     announcements: Arc<Mutex<Announcements>>,
-) -> impl Fn(SocketAddr, Bytes) -> Ready<Vec<u8>> + Send + Sync + 'static {
+    is_in_quorum: impl Fn() -> bool + Send + Sync + 'static,
+) -> impl Fn(SocketAddr, Bytes) -> Ready<Result<Vec<u8>, MessageError>> + Send + Sync + 'static {
     move |_, body| {
-        if let Some(announcement) = message::decode::<Announcement>(&body) {
+        let read = message::read::<Announcement>(&body);
+        ready(read.map(|announcement| {
             announcements.lock().heard(Instant::now(), announcement);
-        }
-        ready(Vec::new())
+            vec![u8::from(is_in_quorum())]
+        }))
     }
 }
 
+/// Whether the answer to an announcement comes from a core machine in quorum.
+#[must_use]
+pub fn is_from_quorum(answer: &[u8]) -> bool {
+    answer == [1]
+}
+
 /// Checks at compile time that the handler's future may be spawned.
 const _: fn() = || {
     fn sendable<F: Future + Send>() {}
-    sendable::<Ready<Vec<u8>>>();
+    sendable::<Ready<Result<Vec<u8>, MessageError>>>();
 };
--- a/crates/woadreach-storage/tests/simulation/faults.rs
+++ b/crates/woadreach-storage/tests/simulation/faults.rs
@@ -30,6 +30,8 @@
     CheckStop(usize, u64),
     ThawCore,
     StartAll,
+    /// All lose power, some their disks.
+    Final,
 }
 
 impl World {
@@ -58,6 +60,7 @@
             Fault::Stop(index, stop) => self.stop(index, stop),
             Fault::CheckStop(index, incarnation) => self.check_stop(index, incarnation),
             Fault::ThawCore => self.core.frozen = false,
+            Fault::Final => self.strike_finally(),
             Fault::StartAll => {
                 for index in 0..self.machines.len() {
                     self.start_machine(index);
