--- /dev/null
+++ b/crates/woadreach-discovery/src/heartbeat_check.rs
@@ -0,0 +1,89 @@
+//! Which heartbeats are refused, and why.
+
+use snafu::Snafu;
+
+use crate::replica::Heartbeat;
+
+/// Longest id of a replica in bytes.
+pub const MAX_ID_BYTES: usize = 128;
+/// Longest name of a service, zone, generation, stage or model in bytes.
+pub const MAX_NAME_BYTES: usize = 256;
+/// Most models of one replica, and adapters of one model.
+pub const MAX_MODELS: usize = 64;
+
+/// Why a heartbeat is not taken. Nothing changes.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HeartbeatError {
+    /// The id is empty or longer than [`MAX_ID_BYTES`].
+    #[snafu(display("the replica's id must have 1 to {MAX_ID_BYTES} bytes, it has {length}"))]
+    InvalidId {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// A field is empty or too long.
+    #[snafu(display("replica {id}: field {field} is empty or too long"))]
+    InvalidField {
+        /// The replica.
+        id: String,
+        /// The field's name.
+        field: &'static str,
+    },
+    /// A newer heartbeat has been taken before.
+    #[snafu(display("replica {id}: sequence {sequence} is not above {newest}, which was taken before"))]
+    Stale {
+        /// The replica.
+        id: String,
+        /// Sequence of this heartbeat.
+        sequence: u64,
+        /// Newest sequence taken.
+        newest: u64,
+    },
+    /// The replica has left; a new start needs a new id.
+    #[snafu(display("replica {id} has left; a new start has a new id"))]
+    Departed {
+        /// The replica.
+        id: String,
+    },
+}
+
+/// Whether the id may be a replica's.
+pub(crate) fn check_id(id: &str) -> Result<(), HeartbeatError> {
+    if id.is_empty() || id.len() > MAX_ID_BYTES {
+        return InvalidIdSnafu { length: id.len() }.fail();
+    }
+    Ok(())
+}
+
+/// Whether every field of the heartbeat is within its bounds.
+pub(crate) fn check_heartbeat(id: &str, heartbeat: &Heartbeat) -> Result<(), HeartbeatError> {
+    check_id(id)?;
+    check_name(id, "service", &heartbeat.service)?;
+    check_name(id, "zone", &heartbeat.zone)?;
+    if heartbeat.generation.len() > MAX_NAME_BYTES {
+        return InvalidFieldSnafu { id, field: "generation" }.fail();
+    }
+    if heartbeat.stage.as_ref().is_some_and(|stage| stage.len() > MAX_NAME_BYTES) {
+        return InvalidFieldSnafu { id, field: "stage" }.fail();
+    }
+    if heartbeat.sequence == u64::MAX {
+        return InvalidFieldSnafu { id, field: "sequence" }.fail();
+    }
+    let models_fit = heartbeat.models.len() <= MAX_MODELS
+        && heartbeat.models.iter().all(|model| {
+            model.name.len() <= MAX_NAME_BYTES
+                && model.adapters.len() <= MAX_MODELS
+                && model.adapters.iter().all(|adapter| adapter.len() <= MAX_NAME_BYTES)
+        });
+    if !models_fit {
+        return InvalidFieldSnafu { id, field: "models" }.fail();
+    }
+    Ok(())
+}
+
+fn check_name(id: &str, field: &'static str, name: &str) -> Result<(), HeartbeatError> {
+    if name.is_empty() || name.len() > MAX_NAME_BYTES {
+        return InvalidFieldSnafu { id, field }.fail();
+    }
+    Ok(())
+}
--- a/crates/woadreach-discovery/src/lib.rs
+++ b/crates/woadreach-discovery/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod core_state;
 pub mod departure;
 pub mod exchange;
+mod heartbeat_check;
 pub mod messages;
 mod polled_machine;
 pub mod registry;
