--- a/crates/woadreach-control/tests/operator_api.rs
+++ b/crates/woadreach-control/tests/operator_api.rs
@@ -1,6 +1,8 @@
 //! The operator's API on one core machine with a real journal in a temporary folder.
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -9,20 +11,16 @@
 use axum::http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
+use support::{ADDRESS, order_service, start_member};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tower::ServiceExt;
-use woadreach_chain::{Blob, Command, MemberOptions, Place, PutStorageView, Reply, Tolerance};
-use woadreach_control::durable_log::{RecoveredMember, encode_snapshot, recover};
-use woadreach_control::member_driver::{MemberDriver, new_durable};
+use woadreach_chain::{Blob, Command, PutStorageView, Reply};
+use woadreach_control::member_driver::MemberDriver;
 use woadreach_control::operator;
-use woadreach_control::order::{ORDER_TIMEOUT, Order, OrderService, Unanswered, submit_storage_view};
-use woadreach_journal::{Journal, JournalOptions};
-use woadreach_rpc::{Client, ClientOptions};
+use woadreach_control::order::{ORDER_TIMEOUT, Order, Unanswered, submit_storage_view};
 use woadreach_storage::{StorageMember, StorageView};
 
-const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1);
-
 /// The API of a core machine that is the whole core, once it is the head.
 async fn start(folder: &Path) -> Router {
     start_core(folder).await.0
@@ -30,38 +28,8 @@
 
 /// The same, with the machine's member.
 async fn start_core(folder: &Path) -> (Router, Arc<MemberDriver>) {
-    let driver = start_member(folder, vec![ADDRESS]).await;
-    let mut changes = driver.changes();
-    while !driver.status().is_head {
-        changes.changed().await.expect("the driver runs");
-    }
-    let orders = order_service(Arc::clone(&driver));
-    (operator::router(Arc::new(orders)), driver)
-}
-
-fn order_service(driver: Arc<MemberDriver>) -> OrderService {
-    OrderService::new(driver, Client::new(ClientOptions::default()), SocketAddr::V4(ADDRESS), 0)
-}
-
-/// A core machine whose seeds are these.
-async fn start_member(folder: &Path, seeds: Vec<SocketAddrV4>) -> Arc<MemberDriver> {
-    let options = MemberOptions {
-        address: ADDRESS,
-        seeds,
-        tolerance: Tolerance::default(),
-        place: Place::default(),
-        random_seed: 1,
-    };
-    let (journal, found) = Journal::open(folder, JournalOptions::default()).expect("a journal");
-    let recovered = match &found.snapshot {
-        Some(snapshot) => recover(snapshot, &found.records).expect("own records"),
-        None => {
-            let durable = new_durable(true, &options, 7);
-            let _receipt = journal.replace(encode_snapshot(0, &durable)).await.expect("a sync");
-            RecoveredMember { durable, number: 0 }
-        }
-    };
-    MemberDriver::start(options, recovered, journal, Client::new(ClientOptions::default()))
+    let (driver, orders) = support::start_core(folder).await;
+    (operator::router(orders), driver)
 }
 
 /// A settled view of the storage machines `store-0` to `store-(count - 1)`.
--- a/crates/woadreach-discovery/src/core.rs
+++ b/crates/woadreach-discovery/src/core.rs
@@ -18,8 +18,8 @@
 use crate::departure::{DepartureRound, MAJORITY, Verdict};
 use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
-    BatchResponse, ConfigurationResponse, PollRequest, RegistryResponse, Request, VersionedBytes, decode,
-    encode,
+    BatchResponse, ConfigurationResponse, MessageError, PollRequest, RegistryResponse, Request,
+    VersionedBytes, decode, decode_answer, encode,
 };
 use crate::registry::{Ack, HeartbeatError, RegistryCounters};
 use crate::replica::Heartbeat;
@@ -93,7 +93,7 @@
     /// Adds the handler of discovery to the machine's services.
     pub fn handlers(self: &Arc<Self>, router: Router) -> Router {
         let discovery = Arc::clone(self);
-        router.route(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
+        router.route_checked(ServiceId::DISCOVERY, move |_peer, body| Arc::clone(&discovery).handle(body))
     }
 
     /// Sends batches and watches for silence until the task is dropped.
@@ -268,7 +268,7 @@
             let known = self.state.lock().version_of_peer(peer);
             let body = encode(&Request::Registry(known));
             let answer = self.rpc.call(peer, ServiceId::DISCOVERY, body, REGISTRY_TIMEOUT).await.ok()?;
-            let response: RegistryResponse = decode(&answer).ok()?;
+            let response: RegistryResponse = decode_answer(peer, &answer)?;
             let (warming, more) = (response.warming, response.more);
             self.state.lock().take_registry(self.now(), peer, response);
             if !more {
@@ -277,17 +277,17 @@
         }
     }
 
-    async fn handle(self: Arc<Self>, body: Bytes) -> Vec<u8> {
-        match decode::<Request>(&body) {
-            Ok(Request::Poll(request)) => self.poll(request).await,
-            Ok(Request::Configuration) => {
+    async fn handle(self: Arc<Self>, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        Ok(match decode::<Request>(&body)? {
+            Request::Poll(request) => self.poll(request).await,
+            Request::Configuration => {
                 let configuration = self.committed.configuration();
                 encode(&ConfigurationResponse {
                     configuration: configuration
                         .map(|(version, body)| VersionedBytes { version, bytes: body.to_vec() }),
                 })
             }
-            Ok(Request::Batch(batch) | Request::Urgent(batch)) => {
+            Request::Batch(batch) | Request::Urgent(batch) => {
                 let urgency = self.state.lock().receive(self.now(), batch);
                 match urgency {
                     Urgency::Unchanged => self.wake_puller(),
@@ -296,12 +296,8 @@
                 }
                 encode(&BatchResponse { incarnation: self.incarnation })
             }
-            Ok(Request::Registry(known)) => encode(&self.state.lock().registry_since(self.now(), known)),
-            Err(error) => {
-                tracing::warn!(%error, "discovery request refused");
-                Vec::new()
-            }
-        }
+            Request::Registry(known) => encode(&self.state.lock().registry_since(self.now(), known)),
+        })
     }
 
     async fn poll(&self, request: PollRequest) -> Vec<u8> {
--- a/crates/woadreach-storage/src/server/mod.rs
+++ b/crates/woadreach-storage/src/server/mod.rs
@@ -5,7 +5,7 @@
 mod upkeep;
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -20,7 +20,7 @@
 use self::upkeep::Upkeep;
 use crate::announce::Announcement;
 use crate::member::{Member, Pending, Step};
-use crate::message::{Answer, Request, Response, decode, encode};
+use crate::message::{MessageError, Request, Response, encode, read};
 use crate::view::{StorageMember, StorageView};
 
 /// Why a storage machine cannot run.
@@ -32,6 +32,12 @@
         /// What the journal says.
         source: JournalError,
     },
+    /// The disk is whole and holds what this program can't read. It is left as it is.
+    #[snafu(display("{} holds the state of another version of this program", path.display()))]
+    Unreadable {
+        /// Folder of the journal.
+        path: PathBuf,
+    },
 }
 
 /// Who a storage machine is.
@@ -66,6 +72,8 @@
     pull_due: watch::Sender<PullDue>,
     pulled: watch::Sender<u64>,
     upkeep: Mutex<Upkeep>,
+    /// The process is being stopped.
+    leaving: AtomicBool,
     /// The last record was refused; told once.
     disk_refuses: AtomicBool,
 }
@@ -86,8 +94,7 @@
     /// [`ServerError::Disk`].
     pub async fn open(folder: &Path, rpc: Client, options: ServerOptions) -> Result<Server, ServerError> {
         let started = Instant::now();
-        let (journal, member) =
-            start::start(folder, &options).await.map_err(|source| ServerError::Disk { source })?;
+        let (journal, member) = start::start(folder, &options).await?;
         let epoch = member.view().epoch;
         let shared = Shared {
             started,
@@ -99,6 +106,7 @@
             pull_due: watch::Sender::new(PullDue { epoch, missed: 1 }),
             pulled: watch::Sender::new(0),
             upkeep: Mutex::new(Upkeep::new(started, &options.node)),
+            leaving: AtomicBool::new(false),
             disk_refuses: AtomicBool::new(false),
         };
         Ok(Server { shared: Arc::new(shared) })
@@ -108,7 +116,7 @@
     #[must_use]
     pub fn routes(&self, router: Router) -> Router {
         let server = self.clone();
-        router.route(ServiceId::STORAGE, move |_, body| {
+        router.route_checked(ServiceId::STORAGE, move |_, body| {
             let server = server.clone();
             async move { server.answer(body).await }
         })
@@ -126,9 +134,22 @@
                 zone: self.shared.zone.clone(),
             },
             pulled_epoch: member.pulled_epoch(),
+            leaving: self.shared.leaving.load(Ordering::Relaxed),
         }
     }
 
+    /// The process is being stopped: from now on the core is told, at once and with each announcement.
+    pub fn begin_leaving(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        self.shared.pulled.send_modify(|_| {});
+    }
+
+    /// Whether the process, which is being stopped, may end; see [`Member::may_end`].
+    #[must_use]
+    pub fn may_end(&self) -> bool {
+        self.shared.member.lock().may_end()
+    }
+
     /// Changes whenever the announcement should be sent at once.
     #[must_use]
     pub fn pulled(&self) -> watch::Receiver<u64> {
@@ -158,14 +179,11 @@
         self.upkeep();
     }
 
-    async fn answer(&self, body: Bytes) -> Vec<u8> {
-        let Some(request) = decode::<Request>(&body) else {
-            let epoch = self.shared.member.lock().view().epoch;
-            return encode(&Response { epoch, answer: Answer::Malformed });
-        };
+    async fn answer(&self, body: Bytes) -> Result<Vec<u8>, MessageError> {
+        let request: Request = read(&body)?;
         let now = self.now();
         let step = self.shared.member.lock().handle(now, request);
-        encode(&self.finish(step).await)
+        Ok(encode(&self.finish(step).await))
     }
 
     /// Syncs what a step demands and gives its answer. Appends are queued in the order of the steps, as one
