Simulated core: the last fault follows an acknowledgement of a new change

Cause: the number of acknowledgements was noted before some six calm seconds in which operators went on, so that the power was lost at no particular moment, and a repeat counted as well.

--- a/crates/woadreach-chain/tests/simulation/faults.rs
+++ b/crates/woadreach-chain/tests/simulation/faults.rs
@@ -131,12 +131,12 @@
 
 /// As many disks as may be lost are lost a moment after an acknowledgement; the others lose power.
 fn final_fault(world: &mut World) {
-    let before = world.history.acknowledged;
     world.heal();
     let calm = world.over_at.max(world.now + CATCH_UP) + Duration::from_secs(2);
     let deadline = calm + Duration::from_secs(3);
     world.run_until(calm);
-    while world.history.acknowledged == before && world.now < deadline {
+    let before = world.history.newly_taken;
+    while world.history.newly_taken == before && world.now < deadline {
         let next = world.now + Duration::from_millis(1);
         world.run_until(next);
     }
--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -79,6 +79,8 @@
     answers: BTreeMap<Digest, (bool, bool)>,
     pub published_count: u64,
     pub acknowledged: u64,
+    /// Acknowledgements of changes that had not been taken before.
+    pub newly_taken: u64,
     pub last_acknowledged_at: Option<Duration>,
 }
 
@@ -101,6 +103,7 @@
         let Request::Submit(Command::PutConfiguration(put)) = request else { return };
         let (is_acknowledged, is_refused) = self.answers.entry(put.digest).or_default();
         *is_acknowledged |= matches!(reply, Reply::Taken | Reply::AlreadyTaken);
+        self.newly_taken += u64::from(*reply == Reply::Taken);
         *is_refused |= matches!(reply, Reply::Rejected(_));
         if *is_acknowledged && *is_refused {
             self.violations.push(Violation::TwoAnswers { generation: put.generation });
