Core: a learner that is stopped waits for a view that may take it in

Cause: of two machines that were stopped at once, the learner ended as it was in no chain, while a view that took it in was being decided by a proposer that did not know yet; the loss of one disk then left one voter of three. Change: outside the chain a stopped member stays for a second, in which any view begun before is decided.

--- a/crates/woadreach-chain/src/member/departure.rs
+++ b/crates/woadreach-chain/src/member/departure.rs
@@ -6,8 +6,11 @@
 //! | state | event | next |
 //! | --- | --- | --- |
 //! | member | [`Input::Leave`](super::Input::Leave) | leaving: says so in each sign of life |
-//! | leaving, in the chain | a view without it is decided | asks the chain's members whether they are active |
-//! | leaving, outside the chain | `f + 1` members are active, and the votes hold without it | may end |
+//! | leaving, in the chain | a view without it is decided | outside; asks the chain who is active |
+//! | leaving, outside the chain | a view that was begun before takes it in | leaving, in the chain |
+//! | leaving, outside the chain | no such view can come, and it is not needed | may end |
+//!
+//! It is not needed once `f + 1` members are active and the votes hold without it.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -16,6 +19,10 @@
 use crate::message::Body;
 use crate::view::MemberId;
 
+/// A view that was begun before others knew that this member is being stopped may still take it in: one that
+/// is decided at all has both phases behind it by then, each of 0.4 s at most.
+const DECISION_TIME: Duration = Duration::from_millis(1000);
+
 /// Whether a member that is being stopped may end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Departure {
@@ -27,6 +34,8 @@
     VoteNeeded,
     /// The chain contains this member.
     InChain,
+    /// A view that takes this member in may be on its way.
+    ViewPending,
     /// Too few members of the chain are known to have the state on disk.
     ChainWithoutState,
     /// A machine that could take over this member's vote does not have it yet.
@@ -36,6 +45,8 @@
 /// What a leaving member has heard from the chain of the present view.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Leaving {
+    /// Since when this member has told the others that it is being stopped.
+    since: Option<Duration>,
     /// Members that are active, with the state on disk.
     active: BTreeSet<MemberId>,
 }
@@ -61,6 +72,9 @@
         if self.has_plant(crate::plants::Plant::LeavesWithTheView) {
             return Departure::Free;
         }
+        if self.is_view_pending(now) {
+            return Departure::ViewPending;
+        }
         if self.other_voters_in_reach(now) < view.majority() {
             return Departure::VoteNeeded;
         }
@@ -73,6 +87,11 @@
         Departure::Free
     }
 
+    /// Whether a view may be on its way whose proposer did not know that this member is being stopped.
+    fn is_view_pending(&self, now: Duration) -> bool {
+        self.leaving.since.is_none_or(|since| now.saturating_sub(since) < DECISION_TIME)
+    }
+
     fn does_nobody_stay(&self, now: Duration) -> bool {
         let mut others = self.durable.view.voters.iter().filter(|&&voter| voter != self.id);
         others.all(|&voter| self.peers.is_heard(now, voter) && self.peers.is_leaving(voter))
@@ -94,6 +113,11 @@
         others.any(|member| member != self.id && self.peers.is_fit(member))
     }
 
+    /// Notes that the others are being told that this member is being stopped.
+    pub(super) fn begin_leaving(&mut self, now: Duration) {
+        self.leaving.since.get_or_insert(now);
+    }
+
     /// Another view is in force: nothing is known of its chain.
     pub(super) fn forget_active_members(&mut self) {
         self.leaving.active.clear();
--- a/crates/woadreach-chain/src/member/mod.rs
+++ b/crates/woadreach-chain/src/member/mod.rs
@@ -336,6 +336,7 @@
 
     fn leave(&mut self, now: Duration) {
         self.is_leaving = true;
+        self.begin_leaving(now);
         self.ping_all(now);
         self.ask_for_active_members();
     }
