--- a/crates/woadreach-chain/src/member/contact.rs
+++ b/crates/woadreach-chain/src/member/contact.rs
@@ -2,7 +2,7 @@
 //!
 //! | state | event | next |
 //! | --- | --- | --- |
-//! | out of contact | a majority of the voters has echoed a recent sign of life of this member | catching up |
+//! | out of contact | a majority of the voters has echoed a recent sign of life | catching up |
 //! | catching up | the committed state is as new as any of those voters had told | in quorum |
 //! | any | the echoes of a majority are older than [`CONTACT`](crate::peers::CONTACT) | out of contact |
 //!
--- a/crates/woadreach-chain/src/member/steps.rs
+++ b/crates/woadreach-chain/src/member/steps.rs
@@ -1,4 +1,5 @@
-//! Steps that a member takes when their time has come, one by one: for exhaustive searches, which have no clock.
+//! Steps that a member takes when their time has come, one by one: for exhaustive searches, which have no
+//! clock.
 
 use std::fmt::Write;
 use std::time::Duration;
--- a/crates/woadreach-chain/src/replication.rs
+++ b/crates/woadreach-chain/src/replication.rs
@@ -10,11 +10,11 @@
 //! | `Unknown`, `Transferring` | answered "active" | `Streaming` |
 //! | `Streaming` | answered "inactive" (it has lost its place) | `Transferring` |
 //! | any | unsettled, nothing sent for [`RESEND`] | the same, and a probe is sent |
-//! | any | a report without news, [`RESEND`] after sending or progress | the same, and what it lacks is sent |
+//! | any | a report without news, [`RESEND`] after sending or progress | the same; sends what it lacks |
 //!
 //! A state or a write may be long under way, on a slow link or to a slow disk. A probe goes behind it on the
-//! same connection and is answered once everything before it has come and is synced. So an answer without news
-//! says that something was lost; silence says nothing, and nothing long is sent twice for it.
+//! same connection and is answered once everything before it has come and is synced. So an answer without
+//! news says that something was lost; silence says nothing, and nothing long is sent twice for it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/woadreach-chain/src/view.rs
+++ b/crates/woadreach-chain/src/view.rs
@@ -110,8 +110,8 @@
         self.chain.first().copied()
     }
 
-    /// Whether every majority of the voters has a member of the chain among it. A chain that doesn't meet them
-    /// all commits nothing: its epoch could end without it.
+    /// Whether every majority of the voters has a member of the chain among it. A chain that doesn't meet
+    /// them all commits nothing: its epoch could end without it.
     pub fn meets_every_majority(&self) -> bool {
         let in_chain = self.voters.iter().filter(|voter| self.chain.contains(voter)).count();
         in_chain + self.majority() > self.voters.len()
--- a/crates/woadreach-chain/tests/catch_up.rs
+++ b/crates/woadreach-chain/tests/catch_up.rs
@@ -251,7 +251,8 @@
     world.nodes.iter().position(|node| node.address == address).expect("a machine")
 }
 
-/// Kills one head after the other, so that each member leads; at the end everyone holds what was acknowledged.
+/// Kills one head after the other, so that each member leads; at the end everyone holds what was
+/// acknowledged.
 fn check_leadership(world: &mut World, writer: &mut Writer) -> Result<(), String> {
     for _ in 0..3 {
         write_until(world, writer, |world, _| all_active(world) && head(world).is_some())
--- a/crates/woadreach-chain/tests/cut_off.rs
+++ b/crates/woadreach-chain/tests/cut_off.rs
@@ -1,5 +1,5 @@
-//! Machines that are cut off for long, one way or both: what holds in every run, and that a machine which says
-//! that it is in quorum is never far behind.
+//! Machines that are cut off for long, one way or both: what holds in every run, and that a machine which
+//! says that it is in quorum is never far behind.
 //!
 //! `WOADREACH_RUNS` and `WOADREACH_SEED` as in `world.rs`.
 
--- a/crates/woadreach-chain/tests/simulation/capacity.rs
+++ b/crates/woadreach-chain/tests/simulation/capacity.rs
@@ -1,5 +1,5 @@
-//! What a link and a disk can carry: long messages of one machine leave one after the other at the link's rate,
-//! short ones beside them; a sync takes as long as the bytes that it covers.
+//! What a link and a disk can carry: long messages of one machine leave one after the other at the link's
+//! rate, short ones beside them; a sync takes as long as the bytes that it covers.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/woadreach-chain/tests/simulation/cuts.rs
+++ b/crates/woadreach-chain/tests/simulation/cuts.rs
@@ -1,6 +1,6 @@
-//! Long cuts of one machine, of as many as may be lost, or of the link between two: both ways, or one way only;
-//! with restarts, power loss and freezes of those that are cut off. Operators ask both sides, and are answered
-//! all the time.
+//! Long cuts of one machine, of as many as may be lost, or of the link between two: both ways, or one way
+//! only; with restarts, power loss and freezes of those that are cut off. Operators ask both sides, and are
+//! answered all the time.
 
 use std::time::Duration;
 
--- a/crates/woadreach-chain/tests/simulation/history.rs
+++ b/crates/woadreach-chain/tests/simulation/history.rs
@@ -58,7 +58,8 @@
     ForeignRead { generation: u64 },
     /// A member sent a view that other members reject.
     UnsoundView { node: usize },
-    /// A machine that said that it was in quorum had an older configuration than one acknowledged long before.
+    /// A machine that said that it was in quorum had an older configuration than one acknowledged long
+    /// before.
     StaleInQuorum { node: usize, published: u64, acknowledged: u64 },
     /// While a majority was connected, no order was answered for long.
     NoAnswers,
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -239,8 +239,8 @@
     }
 }
 
-/// Asks to be taken out of the chain, and waits until nothing hangs on this machine's disk: it may be gone for
-/// good.
+/// Asks to be taken out of the chain, and waits until nothing hangs on this machine's disk: it may be gone
+/// for good.
 async fn leave(driver: &MemberDriver, grace_period: Duration) {
     tracing::info!("leaving the chain");
     driver.input(Input::Leave);
--- a/crates/woadreach-control/src/durable_log.rs
+++ b/crates/woadreach-control/src/durable_log.rs
@@ -1,8 +1,8 @@
 //! A member's durable state in the journal: numbered records after a snapshot.
 //!
-//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), those after
-//! the gap are left out: the driver reported none of them as synced. The life that starts from there appends
-//! the missing number anew, behind what was left out; recovery goes on with it.
+//! Records carry consecutive numbers. Where one is missing (an append failed, later ones did not), those
+//! after the gap are left out: the driver reported none of them as synced. The life that starts from there
+//! appends the missing number anew, behind what was left out; recovery goes on with it.
 
 use woadreach_chain::{Durable, Record, RecordError};
 
--- a/crates/woadreach-control/src/member_driver.rs
+++ b/crates/woadreach-control/src/member_driver.rs
@@ -241,8 +241,8 @@
         self.expect_sync(number, Box::pin(synced));
     }
 
-    /// Replaces a long log by a snapshot, while records are appended. Called when every record that the member
-    /// has made is appended, so that the snapshot holds none that is still to come.
+    /// Replaces a long log by a snapshot, while records are appended. Called when every record that the
+    /// member has made is appended, so that the snapshot holds none that is still to come.
     fn compact(&self, state: &mut State) {
         if !state.compaction.is_due(self.started.elapsed(), self.journal.log_bytes()) {
             return;
@@ -253,7 +253,8 @@
         let _ = self.snapshots.send(Box::pin(self.journal.replace(snapshot)));
     }
 
-    /// Awaits the snapshots that replace the log. One that gives way to that of a repair has failed in nothing.
+    /// Awaits the snapshots that replace the log. One that gives way to that of a repair has failed in
+    /// nothing.
     async fn await_snapshots(self: Arc<Self>, mut pending: mpsc::UnboundedReceiver<SyncFuture>) {
         while let Some(replaced) = pending.recv().await {
             let outcome = replaced.await;
--- a/crates/woadreach-control/src/order.rs
+++ b/crates/woadreach-control/src/order.rs
@@ -131,8 +131,8 @@
         OrderService { driver, rpc, own_address, tolerated }
     }
 
-    /// Carries an order out, here or at the head, and waits for the answer until `deadline`. A new head is asked
-    /// at once, whatever the former one does; an order may be carried out twice.
+    /// Carries an order out, here or at the head, and waits for the answer until `deadline`. A new head is
+    /// asked at once, whatever the former one does; an order may be carried out twice.
     pub async fn execute(&self, order: Order, deadline: Instant) -> Result<Answer, Unanswered> {
         let mut changes = self.driver.changes();
         let mut progress = Progress::default();
--- a/crates/woadreach-control/src/storage_role.rs
+++ b/crates/woadreach-control/src/storage_role.rs
@@ -104,7 +104,8 @@
     Ok(())
 }
 
-/// Waits for SIGTERM, and then until the other machines do without this one's disk, which may be gone for good.
+/// Waits for SIGTERM, and then until the other machines do without this one's disk, which may be gone for
+/// good.
 async fn stopped(server: &Server, terminate: &mut Signal, grace_period: Duration) {
     terminate.recv().await;
     tracing::info!("leaving the storage machines");
@@ -129,8 +130,8 @@
     }
 }
 
-/// Tells the core machines, at intervals and at once when a pull has ended. One of them that is in quorum is to
-/// answer: after a time without such answers this machine was cut off and may have missed records.
+/// Tells the core machines, at intervals and at once when a pull has ended. One of them that is in quorum is
+/// to answer: after a time without such answers this machine was cut off and may have missed records.
 async fn announce(
     server: &Server,
     rpc: &Client,
--- a/crates/woadreach-control/tests/journal_bounds.rs
+++ b/crates/woadreach-control/tests/journal_bounds.rs
@@ -48,8 +48,8 @@
     most_used: usize,
 }
 
-/// Starts a machine on `disk` and changes the configuration `count` times, or until the power is cut at change
-/// `cut` of the disk.
+/// Starts a machine on `disk` and changes the configuration `count` times, or until the power is cut at
+/// change `cut` of the disk.
 async fn live(disk: &SimulatedDisk, count: u64, bytes: usize, cut: Option<u64>) -> Life {
     let journal_options = JournalOptions { max_bytes: SHARE, max_queued_bytes: 64 << 20 };
     let (journal, found) =
--- a/crates/woadreach-control/tests/retire_orders.rs
+++ b/crates/woadreach-control/tests/retire_orders.rs
@@ -264,7 +264,8 @@
         self.places = vec![Place::Free; PLACES];
     }
 
-    /// A machine joins, falls silent, comes back, or comes back with an empty disk, also one that was taken away.
+    /// A machine joins, falls silent, comes back, or comes back with an empty disk, also one that was taken
+    /// away.
     fn strike(&mut self, choice: usize) {
         let number = (choice % usize::from(MACHINES)) as u8;
         if !self.silent.remove(&number) {
--- a/crates/woadreach-discovery/src/watcher.rs
+++ b/crates/woadreach-discovery/src/watcher.rs
@@ -1,10 +1,10 @@
 //! Decisions of the client side: which core machines to poll when, and what to make of their answers.
 //!
-//! Up to [`POLLED_MACHINES`](crate::selection::POLLED_MACHINES) machines are polled at once. A machine that does not answer is asked again with
-//! backoff, and the next by rank takes its place meanwhile; so it does beside a machine that answers, but is
-//! cut off from the core's majority. Ranks follow from the process's own name, so that the processes spread
-//! over the core machines. A process that hears no machine in quorum for [`LOST_AFTER`] asks every address
-//! it has heard of: members, seeds and hints.
+//! Up to [`POLLED_MACHINES`](crate::selection::POLLED_MACHINES) machines are polled at once. A machine that
+//! does not answer is asked again with backoff, and the next by rank takes its place meanwhile; so it does
+//! beside a machine that answers, but is cut off from the core's majority. Ranks follow from the process's
+//! own name, so that the processes spread over the core machines. A process that hears no machine in quorum
+//! for [`LOST_AFTER`] asks every address it has heard of: members, seeds and hints.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/crates/woadreach-discovery/tests/catch_up.rs
+++ b/crates/woadreach-discovery/tests/catch_up.rs
@@ -1,8 +1,8 @@
 //! How long a process that was cut off from the core takes to have the newest configuration again, while
 //! further changes come, on a link that carries a bounded number of bytes. Simulated time.
 //!
-//! Everything that the core machines answer comes through one link, one answer after the other, whether or not
-//! it is awaited any more.
+//! Everything that the core machines answer comes through one link, one answer after the other, whether or
+//! not it is awaited any more.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -211,8 +211,8 @@
     }
 }
 
-/// Time from the end of a cut, in which `missed` changes came, to the newest configuration of that moment; and
-/// how many fetches that took.
+/// Time from the end of a cut, in which `missed` changes came, to the newest configuration of that moment;
+/// and how many fetches that took.
 fn catch_up(bytes: u64, link_rate: u64, change_every: Duration, missed: u64) -> Option<(Duration, u64)> {
     let mut scene = Scene::new(bytes, link_rate, change_every);
     scene.time_to(3)?;
--- a/crates/woadreach-journal/src/engine.rs
+++ b/crates/woadreach-journal/src/engine.rs
@@ -244,9 +244,9 @@
         Ok(())
     }
 
-    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back, or in which
-    /// a replacement has failed, so that it takes no room. Failures are left: the slot in use is durable, and is
-    /// preferred by its generation.
+    /// Empties a slot that has been replaced, so that damage to the newer one cannot bring it back, or in
+    /// which a replacement has failed, so that it takes no room. Failures are left: the slot in use is
+    /// durable, and is preferred by its generation.
     fn give_up(&mut self, slot: Slot) {
         let emptied = self.disk.truncate(slot, 0).and_then(|()| self.disk.sync(slot));
         if let Err(error) = emptied {
--- a/crates/woadreach-journal/src/simulated.rs
+++ b/crates/woadreach-journal/src/simulated.rs
@@ -116,14 +116,14 @@
         self.state.lock().changes
     }
 
-    /// The change of this number (see [`SimulatedDisk::changes`]) fails, and no other. A write or a truncation
-    /// is done all the same, a sync isn't.
+    /// The change of this number (see [`SimulatedDisk::changes`]) fails, and no other. A write or a
+    /// truncation is done all the same, a sync isn't.
     pub fn fail_change(&self, number: u64) {
         self.state.lock().failing_change = Some(number);
     }
 
-    /// From the change of this number on everything fails, until [`SimulatedDisk::return_power`]. A write or a
-    /// truncation of this very number may be found afterwards.
+    /// From the change of this number on everything fails, until [`SimulatedDisk::return_power`]. A write or
+    /// a truncation of this very number may be found afterwards.
     pub fn cut_power(&self, number: u64) {
         self.state.lock().last_change = Some(number);
     }
--- a/crates/woadreach-journal/tests/engine.rs
+++ b/crates/woadreach-journal/tests/engine.rs
@@ -171,7 +171,8 @@
     assert_eq!(found.snapshot, Some(vec![5; 100]));
 }
 
-/// Disk errors at each step of a snapshot: the log goes on, and what was written of the snapshot takes no room.
+/// Disk errors at each step of a snapshot: the log goes on, and what was written of the snapshot takes no
+/// room.
 #[test]
 fn a_snapshot_that_fails_gives_its_room_back() {
     for pieces in 0..4 {
--- a/crates/woadreach-rpc/src/rejected.rs
+++ b/crates/woadreach-rpc/src/rejected.rs
@@ -28,8 +28,8 @@
         self.counts.lock().by_service.get(&service).copied().unwrap_or(0)
     }
 
-    /// Counts a request of `peer`. It is logged if it is the sender's first, second, fourth and so on, so that
-    /// a machine of another version does not fill the disk.
+    /// Counts a request of `peer`. It is logged if it is the sender's first, second, fourth and so on, so
+    /// that a machine of another version does not fill the disk.
     pub(crate) fn note(&self, service: ServiceId, peer: SocketAddr, reason: &dyn Error) {
         let count = self.add(service, peer.ip());
         if count.is_power_of_two() {
--- a/crates/woadreach-rpc/src/server.rs
+++ b/crates/woadreach-rpc/src/server.rs
@@ -53,8 +53,9 @@
         self
     }
 
-    /// Adds the handler of a service that may reject a request. Nothing of such a request has been taken: it is
-    /// counted and logged with its sender and the reason, and the caller gets [`crate::CallError::Refused`].
+    /// Adds the handler of a service that may reject a request. Nothing of such a request has been taken: it
+    /// is counted and logged with its sender and the reason, and the caller gets
+    /// [`crate::CallError::Refused`].
     pub fn route_checked<H, F, E>(mut self, service: ServiceId, handler: H) -> Self
     where
         H: Fn(SocketAddr, Bytes) -> F + Send + Sync + 'static,
--- a/crates/woadreach-settings/src/settings.rs
+++ b/crates/woadreach-settings/src/settings.rs
@@ -87,8 +87,8 @@
 }
 
 impl FaultTolerance {
-    /// How many members of a group may be lost at once, if the group spreads over zones and regions: the loss of
-    /// one of those is the loss of one member.
+    /// How many members of a group may be lost at once, if the group spreads over zones and regions: the loss
+    /// of one of those is the loss of one member.
     pub fn members_of_a_group(&self) -> usize {
         self.machines.max(self.zones).max(self.regions)
     }
--- a/crates/woadreach-storage/src/client/mod.rs
+++ b/crates/woadreach-storage/src/client/mod.rs
@@ -154,8 +154,8 @@
     /// Stores a turn and settles its reservation. When this returns, the turn is durable.
     ///
     /// # Errors
-    /// [`Unavailable`]; the turn must then not be answered as whole, and its reservation is settled when it is
-    /// dropped.
+    /// [`Unavailable`]; the turn must then not be answered as whole, and its reservation is settled when it
+    /// is dropped.
     pub async fn put_turn(
         &self,
         turn: Turn,
--- a/crates/woadreach-storage/src/member.rs
+++ b/crates/woadreach-storage/src/member.rs
@@ -162,8 +162,8 @@
         self.pulled_epoch
     }
 
-    /// Whether the process, which is being stopped, may end although the disk may not come back: the view does
-    /// without it, or can't, as too few others are there.
+    /// Whether the process, which is being stopped, may end although the disk may not come back: the view
+    /// does without it, or can't, as too few others are there.
     #[must_use]
     pub fn may_end(&self) -> bool {
         let is_here = |member: &StorageMember| member.disk == self.disk;
--- a/crates/woadreach-storage/src/view/plan.rs
+++ b/crates/woadreach-storage/src/view/plan.rs
@@ -114,8 +114,8 @@
     view.latest().iter().filter(|member| stays(&member.node)).filter(heard).count()
 }
 
-/// Machines whose processes are being stopped and that are not needed: a full group of others is there. Without
-/// one a stopped machine keeps its place, for it may come back with its disk.
+/// Machines whose processes are being stopped and that are not needed: a full group of others is there.
+/// Without one a stopped machine keeps its place, for it may come back with its disk.
 fn stopping_to_drop(
     now: Instant,
     view: &StorageView,
--- a/crates/woadreach-storage/tests/view_model/main.rs
+++ b/crates/woadreach-storage/tests/view_model/main.rs
@@ -1,4 +1,5 @@
-//! Every run of small worlds of the storage view: the real machines, pulls, writes and plan of the membership.
+//! Every run of small worlds of the storage view: the real machines, pulls, writes and plan of the
+//! membership.
 //!
 //! `STORAGE_MODEL_DEPTH=3` searches three actions deeper than usual.
 
