--- a/crates/woadreach-discovery/src/departure.rs
+++ b/crates/woadreach-discovery/src/departure.rs
@@ -6,7 +6,7 @@
 //! | state | event | next |
 //! | --- | --- | --- |
 //! | telling | every peer has answered | acknowledged |
-//! | telling, [`ALL_PEERS`] have passed | a majority of the voters, with this machine, knows it | acknowledged |
+//! | telling, [`ALL_PEERS`] have passed | a majority of the voters knows it | acknowledged |
 //! | telling | [`MAJORITY`] have passed | unconfirmed: the replica is to ask another machine |
 //!
 //! Without a majority this machine may be cut off, with observers on the other side that do not hear of it.
