--- a/crates/woadreach-chain/src/plants.rs
+++ b/crates/woadreach-chain/src/plants.rs
@@ -15,6 +15,8 @@
     DigestsForgotten,
     /// A member that hears a majority takes itself for in quorum, whoever hears it.
     QuorumByHearing,
+    /// The committed state is asked for at members that do not hear this one, too.
+    StateFromTheDeaf,
     /// A read is answered without a barrier.
     ReadWithoutBarrier,
     /// A change on a generation that isn't current yet is refused.
--- a/crates/woadreach-control/src/core_role.rs
+++ b/crates/woadreach-control/src/core_role.rs
@@ -64,7 +64,7 @@
     let (journal, recovered) = open_member(&settings, &options).await?;
     let rpc = Client::new(ClientOptions::default());
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let tolerated = settings.fault_tolerance.machines;
+    let tolerated = settings.fault_tolerance.members_of_a_group();
     let own_address = settings.internal_address();
     // An order may hold a configuration; signs of life and heartbeats don't wait behind it.
     let orders_rpc = Client::new(ClientOptions::default());
@@ -113,11 +113,11 @@
     let chain = Arc::clone(driver);
     let orders = Arc::clone(orders);
     Router::new()
-        .route(ServiceId::CHAIN, move |_peer, body| {
-            chain.receive(&body);
-            async { Vec::new() }
+        .route_checked(ServiceId::CHAIN, move |_peer, body| {
+            let received = chain.receive(&body);
+            async { received.map(|()| Vec::new()) }
         })
-        .route(ServiceId::FORWARD, move |_peer, body| {
+        .route_checked(ServiceId::FORWARD, move |_peer, body| {
             let orders = Arc::clone(&orders);
             async move { orders.take_forwarded(body).await }
         })
--- a/crates/woadreach-control/src/storage_planner.rs
+++ b/crates/woadreach-control/src/storage_planner.rs
@@ -2,17 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use parking_lot::Mutex;
 use woadreach_rpc::{Client, Router, ServiceId};
 use woadreach_storage::announce::{Announcements, handler};
+use woadreach_storage::message::MessageError;
 use woadreach_storage::view::plan;
 
 use crate::member_driver::MemberDriver;
 use crate::order::submit_storage_view;
-use crate::retire_order::decode;
+use crate::retire_order::read;
 
 /// Interval between two looks at the announcements.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,6 +30,8 @@
     announcements: Arc<Mutex<Announcements>>,
     seeds: Vec<SocketAddr>,
     tolerated: usize,
+    /// Epoch of the last storage view that could not be read.
+    unreadable_epoch: AtomicU64,
 }
 
 impl StoragePlanner {
@@ -38,7 +42,8 @@
         tolerated: usize,
     ) -> Arc<StoragePlanner> {
         let announcements = Arc::new(Mutex::new(Announcements::new(Instant::now())));
-        Arc::new(StoragePlanner { driver, rpc, announcements, seeds, tolerated })
+        let unreadable_epoch = AtomicU64::new(0);
+        Arc::new(StoragePlanner { driver, rpc, announcements, seeds, tolerated, unreadable_epoch })
     }
 
     /// Adds the handler of the storage machines' announcements.
@@ -46,7 +51,7 @@
         let planner = Arc::clone(self);
         let driver = Arc::clone(&self.driver);
         let heard = handler(Arc::clone(&self.announcements), move || driver.status().in_quorum);
-        router.route(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
+        router.route_checked(ServiceId::ANNOUNCE, move |peer, body: Bytes| {
             planner.relay(peer, &body);
             heard(peer, body)
         })
@@ -73,10 +78,20 @@
         }
     }
 
+    /// Nothing is planned on a view that can't be read; logged once an epoch.
+    fn refuse(&self, epoch: u64, error: MessageError) {
+        if self.unreadable_epoch.swap(epoch, Ordering::Relaxed) != epoch {
+            tracing::error!(epoch, %error, "nothing is planned: the stored storage view can't be read");
+        }
+    }
+
     async fn advance(&self) {
         let stored = self.driver.latest_storage_view();
-        let Some(view) = decode(stored.as_ref()) else { return };
-        let expected_epoch = stored.map_or(0, |(epoch, _)| epoch);
+        let expected_epoch = stored.as_ref().map_or(0, |(epoch, _)| *epoch);
+        let view = match read(stored.as_ref()) {
+            Ok(view) => view,
+            Err(error) => return self.refuse(expected_epoch, error),
+        };
         let planned = plan(Instant::now(), &view, &self.announcements.lock(), self.tolerated);
         let Some(next) = planned else { return };
         tracing::info!(
--- a/crates/woadreach-proxy/src/replica_pool.rs
+++ b/crates/woadreach-proxy/src/replica_pool.rs
@@ -103,6 +103,11 @@
 }
 
 impl PooledConnection {
+    /// Id of the replica.
+    pub fn replica(&self) -> &str {
+        &self.replica.0
+    }
+
     /// The connection, opened if need be.
     pub async fn connection(&mut self) -> Result<&mut ReplicaConnection, ConnectError> {
         let address = self.replica.1;
@@ -120,7 +125,7 @@
         connection.set_idle(now, keep_alive.map(|time| time.saturating_sub(KEEP_ALIVE_MARGIN)));
         let mut entries = self.pool.entries.lock();
         let entry = entries.entry(self.replica.clone()).or_default();
-        if connection.is_usable(now) {
+        if connection.is_usable(now) && connection.has_written_body() {
             entry.idle.push(connection);
             entry.open += 1;
         }
--- a/crates/woadreach-storage/src/announce.rs
+++ b/crates/woadreach-storage/src/announce.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use speedy::{Readable, Writable};
 
-use crate::message;
+use crate::message::{self, MessageError};
 use crate::view::StorageMember;
 
 /// Interval between two announcements of a machine.
@@ -27,6 +27,8 @@
     pub member: StorageMember,
     /// Joint epoch for which everything has been pulled; 0 if none.
     pub pulled_epoch: u64,
+    /// The process is being stopped, and its disk may not come back.
+    pub leaving: bool,
 }
 
 /// What is known of one storage machine.
@@ -36,6 +38,8 @@
     pub member: StorageMember,
     /// Joint epoch for which everything has been pulled; 0 if none.
     pub pulled_epoch: u64,
+    /// Its process is being stopped.
+    pub leaving: bool,
     /// When it was first heard.
     pub first: Instant,
     /// When it was last heard.
@@ -72,6 +76,7 @@
         let sighting = Sighting {
             member: announcement.member,
             pulled_epoch: announcement.pulled_epoch,
+            leaving: announcement.leaving,
             first: known.unwrap_or(now),
             last: now,
         };
@@ -106,12 +111,13 @@
 pub fn handler(
     announcements: Arc<Mutex<Announcements>>,
     is_in_quorum: impl Fn() -> bool + Send + Sync + 'static,
-) -> impl Fn(SocketAddr, Bytes) -> Ready<Vec<u8>> + Send + Sync + 'static {
+) -> impl Fn(SocketAddr, Bytes) -> Ready<Result<Vec<u8>, MessageError>> + Send + Sync + 'static {
     move |_, body| {
-        if let Some(announcement) = message::decode::<Announcement>(&body) {
+        let read = message::read::<Announcement>(&body);
+        ready(read.map(|announcement| {
             announcements.lock().heard(Instant::now(), announcement);
-        }
-        ready(vec![u8::from(is_in_quorum())])
+            vec![u8::from(is_in_quorum())]
+        }))
     }
 }
 
@@ -124,5 +130,5 @@
 /// Checks at compile time that the handler's future may be spawned.
 const _: fn() = || {
     fn sendable<F: Future + Send>() {}
-    sendable::<Ready<Vec<u8>>>();
+    sendable::<Ready<Result<Vec<u8>, MessageError>>>();
 };
