Admission: a program has a home, agreed on by rendezvous hashing

Change: on engines the usable, sound replica of the highest rank for the program counts as keeping three quarters of the prompt. Objects (Affinity-Key) have homes in the same way among replicas with as few calls. Hints that cannot be read are counted, and are not there. The hash moves from storage to the shared crate.

--- a/crates/woadreach-admission/src/call.rs
+++ b/crates/woadreach-admission/src/call.rs
@@ -55,6 +55,8 @@
     pub program: Option<u64>,
     /// A line of turns of a program.
     pub session: Option<u64>,
+    /// The object that the request is about, where replicas are faster on what they have seen lately.
+    pub affinity: Option<u64>,
     /// Parts of the prompt in order; empty if unknown.
     pub prefix: Vec<PrefixPart>,
     /// Tokens of the prompt, and the most that it may generate.
--- a/crates/woadreach-admission/src/decisions.rs
+++ b/crates/woadreach-admission/src/decisions.rs
@@ -11,7 +11,7 @@
 use crate::fleet::ReplicaKey;
 use crate::in_hand::{Attempt, AttemptState};
 use crate::outcome::Outcome;
-use crate::placement::{Choice, Placement};
+use crate::placement::{Choice, Placement, tokens_to_read};
 use crate::replica::InFlight;
 use crate::step::Step;
 use crate::timers::has_come;
@@ -153,21 +153,16 @@
     }
 
     fn choose(&mut self, now: f64, id: CallId) -> Choice {
-        let Some(call) = self.calls.get(&id) else { return Choice::Never };
+        let Some(call) = self.calls.get_mut(&id) else { return Choice::Never };
+        let service = self.services.get(&call.service);
+        let placement = Placement::new(now, &self.fleet, &self.routes, &self.zone, service);
+        call.home = placement.home(call);
         let step = Step { now, calls: &self.calls, programs: &self.programs, routes: &self.routes };
+        let Some(call) = self.calls.get(&id) else { return Choice::Never };
         let is_behind = |replica: ReplicaKey| {
             self.held.first(&replica).is_some()
                 && self.held.is_behind(&replica, step.queuing_deadline(call, replica), id)
         };
-        let service = self.services.get(&call.service);
-        let placement = Placement {
-            now,
-            fleet: &self.fleet,
-            routes: &self.routes,
-            zone: &self.zone,
-            connections: service.map_or(usize::MAX, |service| service.connections),
-            mean_read: service.map_or(0, |service| service.mean_read()),
-        };
         placement.choose(call, is_behind, &mut self.random)
     }
 
@@ -208,7 +203,7 @@
             InFlight { sent_at: now, route: call.route, alone, begun_late: None, overtaken: 0, lost: false };
         at.in_flight.insert((id, attempt), sent);
         if let Some(service) = self.services.get_mut(&call.service) {
-            let to_read = call.call.tokens_in.saturating_sub(at.cache.cached_tokens(&call.call.prefix));
+            let to_read = tokens_to_read(call, replica, at);
             at.cache.record(&call.call.prefix, service.cache_share(self.edges));
             service.sent(to_read);
             if repeats { service.budget.spend() } else { service.budget.earn() }
--- a/crates/woadreach-admission/src/in_hand.rs
+++ b/crates/woadreach-admission/src/in_hand.rs
@@ -61,6 +61,8 @@
     pub attempts: Vec<Attempt>,
     /// Whether to look at it again, in microseconds.
     pub timer: Option<i64>,
+    /// The replica that all processes agree on for its program or object.
+    pub home: Option<ReplicaKey>,
     /// Not to be sent before this time, after a replica asked to come back.
     pub not_before: f64,
     state: CallState,
@@ -74,6 +76,7 @@
             service,
             attempts: Vec::new(),
             timer: None,
+            home: None,
             not_before: 0.0,
             state: CallState::Deciding,
         }
--- a/crates/woadreach-admission/src/placement.rs
+++ b/crates/woadreach-admission/src/placement.rs
@@ -4,19 +4,28 @@
 //! be used; those that failed of late, are silent, full by their own word or still cold, as long as others
 //! remain; for engines, calls are weighed by the prompt tokens that would have to be read (a replica that
 //! holds the head of the prompt wins unless it has so many more calls that their reading takes longer);
-//! among equals, the own zone.
+//! among equals, the home of the call's program or object; then the own zone.
+//!
+//! The *home* is where every process sends the calls of one program or object: the usable replica of the
+//! highest rendezvous rank that is not known to be in trouble. What it keeps of the prompt was mostly sent by
+//! other processes, and is known without a message.
 
 use std::sync::Arc;
 
 use woadreach::decide::candidates::Candidates;
+use woadreach::rendezvous::rank;
 
 use crate::fleet::{Fleet, ReplicaKey};
 use crate::in_hand::CallInHand;
 use crate::replica::Replica;
 use crate::routes::{RouteKey, Routes};
+use crate::service::Service;
 
 /// Prompt tokens that count as one in the comparison: finer differences are not worth a longer queue.
 const TOKENS_PER_UNIT: usize = 256;
+/// The part of a prompt that is counted as kept at the home of its program: all but the newest turn's input,
+/// and programs have some four turns.
+const KEPT_AT_HOME: f64 = 0.75;
 /// Replicas that a call may be tried at in all, whatever the route allows: those that it never reached
 /// count too.
 const MOST_ATTEMPTS: usize = 8;
@@ -48,7 +57,25 @@
     pub mean_read: usize,
 }
 
-impl Placement<'_> {
+impl<'a> Placement<'a> {
+    /// What is read for the calls of `service`; a service that is not configured sets no bounds.
+    pub fn new(
+        now: f64,
+        fleet: &'a Fleet,
+        routes: &'a Routes,
+        zone: &'a str,
+        service: Option<&Service>,
+    ) -> Self {
+        Placement {
+            now,
+            fleet,
+            routes,
+            zone,
+            connections: service.map_or(usize::MAX, |service| service.connections),
+            mean_read: service.map_or(0, Service::mean_read),
+        }
+    }
+
     /// Chooses for the next attempt of `call`; `is_behind` tells whether earlier held calls wait at a
     /// replica.
     pub fn choose(
@@ -80,6 +107,18 @@
         }
     }
 
+    /// The home of the call's program or object.
+    pub fn home(&self, call: &CallInHand) -> Option<ReplicaKey> {
+        let is_engine = self.mean_read > 0;
+        let key = if is_engine { call.call.program.or(call.call.session) } else { call.call.affinity };
+        let key = key?.to_le_bytes();
+        let sound = |(_, replica): &(ReplicaKey, &Replica)| {
+            !replica.health.is_ejected_for(call.route) && !self.is_silent(replica)
+        };
+        let sound = self.fleet.usable(&call.service).filter(sound);
+        sound.max_by_key(|(_, replica)| rank(&key, &replica.spec.id)).map(|(key, _)| key)
+    }
+
     /// Chooses for a second copy beside an attempt that is out: only an untried, sound replica that is no
     /// busier than any other.
     pub fn choose_copy(&self, call: &CallInHand, random: &mut oorandom::Rand64) -> Option<ReplicaKey> {
@@ -147,6 +186,7 @@
     ) -> Option<ReplicaKey> {
         let least = candidates.least(|key| self.cost(*key, call))?;
         candidates.prefer(|key| self.cost(*key, call) == least);
+        candidates.prefer(|key| call.home == Some(*key));
         candidates.prefer(|key| self.with(*key, |replica| &*replica.spec.zone == self.zone));
         candidates.choose(|_| 0, random)
     }
@@ -159,8 +199,7 @@
         if self.mean_read == 0 {
             return in_flight;
         }
-        let to_read = call.call.tokens_in.saturating_sub(replica.cache.cached_tokens(&call.call.prefix));
-        (in_flight * self.mean_read + to_read as usize) / TOKENS_PER_UNIT
+        (in_flight * self.mean_read + tokens_to_read(call, key, replica) as usize) / TOKENS_PER_UNIT
     }
 
     fn is_ejected(&self, key: ReplicaKey, route: RouteKey) -> bool {
@@ -182,6 +221,14 @@
     }
 }
 
+/// Prompt tokens that the replica would have to read: those that neither its own cache is known to hold nor,
+/// at the call's home, others have sent.
+pub(crate) fn tokens_to_read(call: &CallInHand, key: ReplicaKey, replica: &Replica) -> u32 {
+    let tokens = call.call.tokens_in;
+    let sent_by_others = if call.home == Some(key) { f64::from(tokens) * KEPT_AT_HOME } else { 0.0 };
+    tokens.saturating_sub(replica.cache.cached_tokens(&call.call.prefix).max(sent_by_others as u32))
+}
+
 /// Whether all replicas of a service that may be used are full, by their own word or by a hold.
 pub(crate) fn is_overloaded(now: f64, fleet: &Fleet, service: &Arc<str>) -> bool {
     let mut usable = fleet.usable(service).peekable();
--- a/crates/woadreach-admission/src/prefix_cache.rs
+++ b/crates/woadreach-admission/src/prefix_cache.rs
@@ -24,10 +24,10 @@
 impl PrefixCache {
     /// Tokens at the head of this prompt that need not be read again: a part counts if all before it do.
     pub fn cached_tokens(&self, prefix: &[PrefixPart]) -> u32 {
-        let mut cached = 0;
+        let mut cached: u32 = 0;
         for part in prefix {
             let known = self.parts.get(&part.id).map_or(0, |known| known.tokens.min(part.tokens));
-            cached += known;
+            cached = cached.saturating_add(known);
             if known < part.tokens {
                 break;
             }
--- a/crates/woadreach-admission/src/second_copies.rs
+++ b/crates/woadreach-admission/src/second_copies.rs
@@ -69,14 +69,7 @@
         if !service.budget.allows() {
             return None;
         }
-        let placement = Placement {
-            now,
-            fleet: &self.fleet,
-            routes: &self.routes,
-            zone: &self.zone,
-            connections: service.connections,
-            mean_read: service.mean_read(),
-        };
+        let placement = Placement::new(now, &self.fleet, &self.routes, &self.zone, Some(service));
         let replica = placement.choose_copy(call, &mut self.random)?;
         (!self.is_hopeless(now, id, replica)).then_some(replica)
     }
--- a/crates/woadreach-admission/tests/common/mod.rs
+++ b/crates/woadreach-admission/tests/common/mod.rs
@@ -51,6 +51,7 @@
         finish_at: None,
         program: None,
         session: None,
+        affinity: None,
         prefix: Vec::new(),
         tokens_in: 0,
         tokens_out: 0,
--- /dev/null
+++ b/crates/woadreach-admission/tests/home.rs
@@ -0,0 +1,128 @@
+//! The home of a program's or an object's calls: processes agree on it without a message.
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use common::{Driver, engine_service, replica, replicas, service, unsafe_call};
+use woadreach_admission::{Call, Outcome, PrefixPart, ReplicaSpec};
+
+/// A turn of a program whose prompt is known to no process yet.
+fn turn(now: f64, id: u64, program: u64) -> Call {
+    let prefix = vec![PrefixPart { id: 1, tokens: 2_560 }, PrefixPart { id: 1_000 + program, tokens: 1_440 }];
+    Call { program: Some(program), prefix, tokens_in: 4_000, ..unsafe_call(now, id) }
+}
+
+fn about(now: f64, id: u64, object: u64) -> Call {
+    Call { affinity: Some(object), ..unsafe_call(now, id) }
+}
+
+fn fleet(size: usize) -> Vec<ReplicaSpec> {
+    (0..size).map(|number| replica(&format!("replica-{number}"))).collect()
+}
+
+/// Where a process that has seen nothing before sends a program's turn.
+fn home_of(seed: u64, list: &[ReplicaSpec], program: u64) -> String {
+    let mut driver = Driver::new(seed, engine_service(), list);
+    driver.arrive(turn(driver.now, 1, program));
+    driver.sent_to(1)[0].clone()
+}
+
+#[test]
+fn processes_that_never_spoke_agree() {
+    for size in [2, 7, 56, 300] {
+        let list = fleet(size);
+        for program in 0..20 {
+            let homes: BTreeSet<String> = (0..4).map(|seed| home_of(seed, &list, program)).collect();
+            assert_eq!(homes.len(), 1, "{size} replicas, program {program}");
+        }
+    }
+}
+
+#[test]
+fn programs_spread_over_all_replicas() {
+    let list = fleet(10);
+    let mut programs: BTreeMap<String, usize> = BTreeMap::new();
+    for program in 0..500 {
+        *programs.entry(home_of(1, &list, program)).or_default() += 1;
+    }
+    assert_eq!(programs.len(), 10);
+    assert!(programs.values().all(|count| (25..=80).contains(count)), "{programs:?}");
+}
+
+#[test]
+fn a_replica_that_leaves_moves_only_its_own_programs() {
+    let before = fleet(12);
+    let after = &before[1..];
+    for program in 0..100 {
+        let home = home_of(1, &before, program);
+        if home != *before[0].id {
+            assert_eq!(home_of(1, after, program), home);
+        }
+    }
+}
+
+#[test]
+fn a_draining_or_unreachable_home_is_replaced_by_the_next_in_rank() {
+    let list = fleet(8);
+    let first = home_of(1, &list, 5);
+    let others: Vec<ReplicaSpec> = list.iter().filter(|spec| *spec.id != *first).cloned().collect();
+    let second = home_of(1, &others, 5);
+    let drain = |spec: &ReplicaSpec| ReplicaSpec { ready: *spec.id != *first, ..spec.clone() };
+    let draining: Vec<ReplicaSpec> = list.iter().map(drain).collect();
+    assert_eq!(home_of(2, &draining, 5), second);
+
+    let mut driver = Driver::new(3, engine_service(), &list);
+    driver.arrive(turn(driver.now, 1, 5));
+    driver.outcome(1, 0, Outcome::Unreachable);
+    assert_eq!(driver.sent_to(1), [first, second.clone()]);
+    driver.arrive(turn(driver.now, 2, 5));
+    assert_eq!(driver.sent_to(2), [second], "the first is ejected here");
+}
+
+#[test]
+fn a_home_with_many_more_own_calls_is_passed_over() {
+    let mut driver = Driver::new(1, engine_service(), &fleet(6));
+    for id in 1..=30 {
+        // Sub-agents side by side, each with an input of its own.
+        let mut call = turn(driver.now, id, 5);
+        call.prefix[1].id += id;
+        driver.arrive(call);
+    }
+    let home = driver.sent_to(1)[0].clone();
+    assert!((1..=3).all(|id| driver.sent_to(id)[0] == home), "a few more calls are cheaper than reading");
+    let at_home = (1..=30).filter(|id| driver.sent_to(*id)[0] == home).count();
+    assert!(at_home <= 10, "{at_home} of 30 calls at the home of six replicas");
+}
+
+#[test]
+fn calls_about_an_object_go_to_its_home_while_it_is_no_busier() {
+    let list = replicas(&["a", "b", "c", "d"]);
+    let mut driver = Driver::new(1, service(), &list);
+    driver.arrive(about(driver.now, 1, 77));
+    let home = driver.sent_to(1)[0].clone();
+    driver.arrive(about(driver.now, 2, 77));
+    assert_ne!(driver.sent_to(2)[0], home, "it has one call more than the others");
+    driver.outcome(1, 0, Outcome::Answered);
+    driver.outcome(2, 0, Outcome::Answered);
+    for seed in 2..10 {
+        let mut other = Driver::new(seed, service(), &list);
+        other.arrive(about(other.now, 1, 77));
+        assert_eq!(other.sent_to(1)[0], home, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_object_has_a_home_in_another_zone_too() {
+    let far = |id: &str| ReplicaSpec { zone: Arc::from("zone-b"), ..replica(id) };
+    let list = [replica("near"), far("far-1"), far("far-2"), far("far-3")];
+    let homes: BTreeSet<String> = (0..40)
+        .map(|object| {
+            let mut driver = Driver::new(1, service(), &list);
+            driver.arrive(about(driver.now, 1, object));
+            driver.sent_to(1)[0].clone()
+        })
+        .collect();
+    assert_eq!(homes.len(), 4);
+}
--- a/crates/woadreach-admission/tests/unit/pace.rs
+++ b/crates/woadreach-admission/tests/unit/pace.rs
@@ -17,6 +17,7 @@
         finish_at: Some(finish_at),
         program: Some(program),
         session: None,
+        affinity: None,
         prefix: Vec::new(),
         tokens_in: 0,
         tokens_out: 0,
--- a/crates/woadreach-admission/tests/unit/prefix_cache.rs
+++ b/crates/woadreach-admission/tests/unit/prefix_cache.rs
@@ -39,3 +39,11 @@
     cache.record(&[part(1, 100), part(2, 100)], 150);
     assert_eq!(cache.cached_tokens(&[part(1, 100), part(2, 100)]), 100);
 }
+
+#[test]
+fn parts_beyond_any_number_of_tokens_saturate() {
+    let mut cache = PrefixCache::default();
+    let huge: Vec<PrefixPart> = (0..64).map(|id| part(id, u32::MAX)).collect();
+    cache.record(&huge, u64::MAX);
+    assert_eq!(cache.cached_tokens(&huge), u32::MAX);
+}
--- a/crates/woadreach-proxy/src/client_request.rs
+++ b/crates/woadreach-proxy/src/client_request.rs
@@ -63,6 +63,7 @@
             finish_at: self.facts.finish.map(|finish| arrived + finish.as_secs_f64()),
             program: self.facts.program.as_deref().map(identity_number),
             session: self.facts.session.as_deref().map(identity_number),
+            affinity: self.facts.affinity.filter(|_| self.route.session_affinity),
             prefix: self.facts.prefix.clone(),
             tokens_in: tokens.input,
             tokens_out: tokens.output,
--- a/crates/woadreach-proxy/src/counters.rs
+++ b/crates/woadreach-proxy/src/counters.rs
@@ -11,6 +11,8 @@
     ends: Mutex<BTreeMap<RequestEnd, u64>>,
     /// Requests that could not be read: malformed, too long, too slow.
     pub rejected: AtomicU64,
+    /// Headers that only help to place a request, and could not be read.
+    pub unread_hints: AtomicU64,
     /// Requests for no route.
     pub unrouted: AtomicU64,
     /// Client connections taken.
--- a/crates/woadreach-proxy/src/request_headers.rs
+++ b/crates/woadreach-proxy/src/request_headers.rs
@@ -6,6 +6,7 @@
 };
 use snafu::Snafu;
 use std::time::Duration;
+use woadreach::rendezvous::{hash64, mix};
 use woadreach_admission::PrefixPart;
 
 /// Identity of one try of a client.
@@ -26,6 +27,8 @@
 pub const PREVIOUS: HeaderName = HeaderName::from_static("previous");
 /// Parts of the prompt.
 pub const PREFIX_HASH: HeaderName = HeaderName::from_static("prefix-hash");
+/// The object that a request is about.
+pub const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
 /// The last event of a stream that the reader has.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// The replica that a request is meant for.
@@ -91,6 +94,10 @@
     pub previous: Option<String>,
     /// `Prefix-Hash`; empty when it is absent or malformed.
     pub prefix: Vec<PrefixPart>,
+    /// `Affinity-Key` as a number; absent when it is malformed.
+    pub affinity: Option<u64>,
+    /// Headers that only help to place the request, and could not be read.
+    pub unread_hints: u64,
     /// `Last-Event-Id`, if it is a number.
     pub last_event_id: Option<u64>,
 }
@@ -99,6 +106,9 @@
     /// Reads the headers of a request.
     pub fn read(headers: &HeaderMap) -> Result<Self, HeaderError> {
         let request_id = identity(headers, &REQUEST_ID, "Request-Id")?;
+        let (prefix, prefix_unread) = hint(headers, &PREFIX_HASH, parse_prefix);
+        let (affinity, affinity_unread) = hint(headers, &AFFINITY_KEY, parse_affinity);
+        let unread_hints = u64::from(prefix_unread) + u64::from(affinity_unread);
         let facts = RequestFacts {
             request_id: request_id.ok_or(HeaderError::Missing { name: "Request-Id" })?,
             timeout: milliseconds(headers, &TIMEOUT_MS, "Timeout-Ms")?,
@@ -108,7 +118,9 @@
             program: identity(headers, &PROGRAM, "Program")?,
             session: identity(headers, &SESSION, "Session")?,
             previous: identity(headers, &PREVIOUS, "Previous")?,
-            prefix: headers.get(&PREFIX_HASH).and_then(parse_prefix).unwrap_or_default(),
+            prefix: prefix.unwrap_or_default(),
+            affinity,
+            unread_hints,
             last_event_id: headers.get(&LAST_EVENT_ID).and_then(|value| text(value)?.parse().ok()),
         };
         if facts.budget.is_some() {
@@ -179,6 +191,26 @@
     Ok(Some(TokenUsage { input: number(input)?, output: number(output)? }))
 }
 
+/// A header without which a request is served as well, if more slowly: what it says, and whether it is there and
+/// cannot be read. Given twice it says nothing.
+fn hint<T>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+    parse: impl Fn(&HeaderValue) -> Option<T>,
+) -> (Option<T>, bool) {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return (None, false) };
+    let said = if values.next().is_some() { None } else { parse(value) };
+    let unread = said.is_none();
+    (said, unread)
+}
+
+/// Reads `Affinity-Key`, which means nothing but itself.
+fn parse_affinity(value: &HeaderValue) -> Option<u64> {
+    let proper = !value.is_empty() && value.len() <= LONGEST_ID;
+    proper.then(|| mix(hash64(value.as_bytes(), 0)))
+}
+
 /// Reads `Prefix-Hash`: ID:TOKENS separated by commas, the id in hex. Malformed: nothing.
 fn parse_prefix(value: &HeaderValue) -> Option<Vec<PrefixPart>> {
     let parts = text(value)?.split(',').take(MOST_PREFIX_PARTS);
--- a/crates/woadreach-proxy/src/request_service.rs
+++ b/crates/woadreach-proxy/src/request_service.rs
@@ -153,6 +153,7 @@
         return Err(Rejection::OldVersion);
     }
     let mut facts = RequestFacts::read(&head.headers).map_err(|source| Rejection::Header { source })?;
+    proxy.counters.unread_hints.fetch_add(facts.unread_hints, Ordering::Relaxed);
     if route.kept && facts.program.is_none() {
         facts.program = Some(facts.session.clone().unwrap_or_else(|| facts.request_id.clone()));
     }
--- a/crates/woadreach-proxy/src/run.rs
+++ b/crates/woadreach-proxy/src/run.rs
@@ -8,6 +8,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -103,6 +104,7 @@
             replicas = knowledge.replicas.len(),
             replica_connections = proxy.pool.open_connections(),
             generation = knowledge.configuration.as_ref().map(|known| known.generation),
+            unread_hints = proxy.counters.unread_hints.load(Ordering::Relaxed),
             ends = ?proxy.counters.ends(),
             "state"
         );
--- a/crates/woadreach-proxy/tests/request_headers.rs
+++ b/crates/woadreach-proxy/tests/request_headers.rs
@@ -38,6 +38,8 @@
         session: Some("77d20b".to_owned()),
         previous: Some("9c41d07be2a35f68".to_owned()),
         prefix: vec![PrefixPart { id: 0x5c1e07a2, tokens: 800 }, PrefixPart { id: 0x91bd3f06, tokens: 410 }],
+        affinity: None,
+        unread_hints: 0,
         last_event_id: Some(12),
     };
     assert_eq!(facts, Ok(expected));
@@ -152,3 +154,39 @@
     }
     QuickCheck::new().quickcheck(property as fn(u32, u32, u64, u32) -> bool);
 }
+
+#[test]
+fn a_hint_that_cannot_be_read_is_counted_and_is_not_there() {
+    let long = "a".repeat(129);
+    let many: Vec<String> = (0..1_000).map(|id| format!("{id:x}:4294967295")).collect();
+    let many = many.join(",");
+    let cases: [(&[(&'static str, &str)], u64, bool); 7] = [
+        (&[("affinity-key", "berth 7 / north")], 0, true),
+        (&[("affinity-key", "")], 1, false),
+        (&[("affinity-key", &long)], 1, false),
+        (&[("affinity-key", "a"), ("affinity-key", "b")], 1, false),
+        (&[("prefix-hash", "zz:1"), ("affinity-key", "")], 2, false),
+        (&[("prefix-hash", "1:99999999999")], 1, false),
+        (&[("prefix-hash", &many)], 0, false),
+    ];
+    for (lines, unread, has_affinity) in cases {
+        let mut map = headers(lines);
+        map.insert("request-id", HeaderValue::from_static("1"));
+        let facts = RequestFacts::read(&map).expect("a hint is no error");
+        assert_eq!((facts.unread_hints, facts.affinity.is_some()), (unread, has_affinity), "{lines:?}");
+    }
+}
+
+#[test]
+fn any_hint_is_read_or_ignored() {
+    fn holds(prefix: Vec<u8>, affinity: Vec<u8>) -> bool {
+        let mut map = headers(&[("request-id", "1")]);
+        for (name, bytes) in [("prefix-hash", &prefix), ("affinity-key", &affinity)] {
+            if let Ok(value) = HeaderValue::from_bytes(bytes) {
+                map.insert(HeaderName::from_static(name), value);
+            }
+        }
+        RequestFacts::read(&map).is_ok_and(|facts| facts.unread_hints <= 2)
+    }
+    QuickCheck::new().tests(2_000).quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
--- a/crates/woadreach-storage/src/placement.rs
+++ b/crates/woadreach-storage/src/placement.rs
@@ -1,8 +1,9 @@
 //! Which machines hold a program's records, and how many of them a quorum needs.
 //!
-//! Rendezvous hashing (Thaler and Ravishankar, 1998): every machine is ranked by a hash of its name and the
-//! program's, so that a change of the membership moves only what it must. Machines of zones that are not
-//! represented yet go first.
+//! Every machine is ranked by rendezvous hashing of its name and the program's. Machines of zones that are
+//! not represented yet go first.
+
+use woadreach::rendezvous::rank;
 
 use crate::view::StorageMember;
 
@@ -11,7 +12,8 @@
 #[must_use]
 pub fn group<'a>(members: &'a [StorageMember], program: &str, tolerated: usize) -> Vec<&'a StorageMember> {
     let size = group_size(members.len(), tolerated);
-    let mut ranked: Vec<_> = members.iter().map(|member| (rank(program, &member.node), member)).collect();
+    let mut ranked: Vec<_> =
+        members.iter().map(|member| (rank(program.as_bytes(), &member.node), member)).collect();
     ranked.sort_by(|left, right| right.0.cmp(&left.0).then_with(|| left.1.node.cmp(&right.1.node)));
     let mut chosen: Vec<&StorageMember> = Vec::with_capacity(size);
     while chosen.len() < size {
@@ -51,21 +53,3 @@
 pub fn read_quorum(group: usize, tolerated: usize) -> usize {
     (group + 1).saturating_sub(write_quorum(group, tolerated)).max(1)
 }
-
-fn rank(program: &str, node: &str) -> u64 {
-    let mut hash = hash64(program.as_bytes(), 0xcbf2_9ce4_8422_2325);
-    hash = hash64(&[0xff], hash);
-    finish(hash64(node.as_bytes(), hash))
-}
-
-/// FNV-1a, continued from `state`.
-pub(crate) fn hash64(bytes: &[u8], state: u64) -> u64 {
-    bytes.iter().fold(state, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// The final mix of SplitMix64, which spreads the low entropy of FNV over all bits.
-pub(crate) fn finish(mut hash: u64) -> u64 {
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
--- a/crates/woadreach-storage/src/server/upkeep.rs
+++ b/crates/woadreach-storage/src/server/upkeep.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use woadreach::rendezvous::{hash64, mix};
+
 use super::Server;
-use crate::placement::{finish, hash64};
 
 /// A pause between two ticks that is longer than this means that the process was frozen.
 const FROZEN_AFTER: Duration = Duration::from_millis(1_200);
@@ -22,7 +23,7 @@
 
 impl Upkeep {
     pub(super) fn new(now: Instant, node: &str) -> Upkeep {
-        let log_percent = 100 + finish(hash64(node.as_bytes(), 3)) % 100;
+        let log_percent = 100 + mix(hash64(node.as_bytes(), 3)) % 100;
         Upkeep { last_tick: now, compacting: false, log_percent }
     }
 }
--- a/crates/woadreach-storage/src/store.rs
+++ b/crates/woadreach-storage/src/store.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use woadreach::rendezvous::{hash64, mix};
+
 use crate::budget::{Budget, Reservation};
 use crate::message::{ProgramDigest, ProgramRecords};
-use crate::placement::{finish, hash64};
 use crate::turn::TurnRecord;
 
 /// Kept beyond the retention, for the way to the client and back.
@@ -33,10 +34,10 @@
     }
 
     fn digest(&self) -> u64 {
-        let turns = self.turns.keys().map(|name| finish(hash64(name.as_bytes(), 1)));
+        let turns = self.turns.keys().map(|name| mix(hash64(name.as_bytes(), 1)));
         let reservations = self.budget.iter().map(|entry| {
             let state = hash64(&entry.id.to_le_bytes(), 2 + u64::from(entry.settled));
-            finish(hash64(&entry.tokens.to_le_bytes(), state))
+            mix(hash64(&entry.tokens.to_le_bytes(), state))
         });
         turns.chain(reservations).fold(0, u64::wrapping_add)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`decide`] holds every decision; [`balancer`] the state that it reads and updates for searches; [`api`]
 //! the plain types that callers pass in and get back. [`fleet`], [`samples`], [`unloaded_latency`] and
-//! [`held_queue`] keep facts, figures and order, and decide nothing. [`plants`] names the defences that the
+//! [`held_queue`] keep facts, figures and order, and decide nothing. [`rendezvous`] is how processes agree
+//! without a message. [`plants`] names the defences that the
 //! rigs can switch off, in builds of their own.
 
 #![warn(missing_docs)]
@@ -12,6 +13,7 @@
 pub mod fleet;
 pub mod held_queue;
 pub mod plants;
+pub mod rendezvous;
 pub mod samples;
 pub mod unloaded_latency;
 
