Admission: programs have their home in the zone where they come in

Change: the own zone's replicas go first, unless it has fewer than half as many as zones have on average.

--- a/crates/woadreach-admission/src/placement.rs
+++ b/crates/woadreach-admission/src/placement.rs
@@ -7,9 +7,10 @@
 //! among equals, the home of the call's program or object; then the own zone.
 //!
 //! The *home* is where every process sends the calls of one program or object: the usable replica of the
-//! highest rendezvous rank that is not known to be in trouble. What it keeps of the prompt was mostly sent by
-//! other processes, and is known without a message.
+//! highest rendezvous rank that is not known to be in trouble; for a program, of the processes' own zone. What it
+//! keeps of the prompt was mostly sent by other processes, and is known without a message.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use woadreach::decide::candidates::Candidates;
@@ -107,16 +108,34 @@
         }
     }
 
-    /// The home of the call's program or object.
+    /// The home of the call's program or object. Programs have it in the own zone, through which their turns
+    /// mostly come in, unless too few replicas are there.
     pub fn home(&self, call: &CallInHand) -> Option<ReplicaKey> {
         let is_engine = self.mean_read > 0;
         let key = if is_engine { call.call.program.or(call.call.session) } else { call.call.affinity };
         let key = key?.to_le_bytes();
-        let sound = |(_, replica): &(ReplicaKey, &Replica)| {
+        let is_sound = |(_, replica): &(ReplicaKey, &Replica)| {
             !replica.health.is_ejected_for(call.route) && !self.is_silent(replica)
         };
-        let sound = self.fleet.usable(&call.service).filter(sound);
-        sound.max_by_key(|(_, replica)| rank(&key, &replica.spec.id)).map(|(key, _)| key)
+        let sound: Vec<(ReplicaKey, &Replica)> = self.fleet.usable(&call.service).filter(is_sound).collect();
+        let stays_near = is_engine && self.own_zone_can_serve(&sound);
+        let preference = |replica: &Replica| {
+            let is_near = stays_near && self.is_near(replica);
+            (is_near, rank(&key, &replica.spec.id))
+        };
+        sound.into_iter().max_by_key(|(_, replica)| preference(replica)).map(|(key, _)| key)
+    }
+
+    /// Whether the own zone has at least half as many of these replicas as zones have on average: with fewer, the
+    /// programs that come in here would crowd them.
+    fn own_zone_can_serve(&self, replicas: &[(ReplicaKey, &Replica)]) -> bool {
+        let zones: BTreeSet<&str> = replicas.iter().map(|(_, replica)| &*replica.spec.zone).collect();
+        let near = replicas.iter().filter(|(_, replica)| self.is_near(replica)).count();
+        2 * near * zones.len() >= replicas.len()
+    }
+
+    fn is_near(&self, replica: &Replica) -> bool {
+        &*replica.spec.zone == self.zone
     }
 
     /// Chooses for a second copy beside an attempt that is out: only an untried, sound replica that is no
@@ -187,7 +206,7 @@
         let least = candidates.least(|key| self.cost(*key, call))?;
         candidates.prefer(|key| self.cost(*key, call) == least);
         candidates.prefer(|key| call.home == Some(*key));
-        candidates.prefer(|key| self.with(*key, |replica| &*replica.spec.zone == self.zone));
+        candidates.prefer(|key| self.with(*key, |replica| self.is_near(replica)));
         candidates.choose(|_| 0, random)
     }
 
--- a/crates/woadreach-admission/tests/home.rs
+++ b/crates/woadreach-admission/tests/home.rs
@@ -126,3 +126,44 @@
         .collect();
     assert_eq!(homes.len(), 4);
 }
+
+/// Replicas by zone, as many as told for each.
+fn zones(counts: &[(&str, usize)]) -> Vec<ReplicaSpec> {
+    let of_zone = |(zone, count): &(&str, usize)| {
+        let zone: Arc<str> = Arc::from(*zone);
+        let named = move |number| ReplicaSpec { zone: zone.clone(), ..replica(&format!("{zone}-{number}")) };
+        (0..*count).map(named).collect::<Vec<_>>()
+    };
+    counts.iter().flat_map(of_zone).collect()
+}
+
+#[test]
+fn programs_have_their_home_in_the_own_zone() {
+    let list = zones(&[(common::ZONE, 3), ("zone-b", 4), ("zone-c", 3)]);
+    for program in 0..50 {
+        assert!(home_of(1, &list, program).starts_with(common::ZONE), "program {program}");
+    }
+}
+
+#[test]
+fn a_zone_with_few_replicas_keeps_its_programs_only_by_chance() {
+    let cases: [(&[(&str, usize)], bool); 4] = [
+        (&[(common::ZONE, 1), ("zone-b", 10), ("zone-c", 10)], false),
+        (&[(common::ZONE, 4), ("zone-b", 10), ("zone-c", 10)], true),
+        (&[(common::ZONE, 1), ("zone-b", 3)], true),
+        (&[(common::ZONE, 1), ("zone-b", 4)], false),
+    ];
+    for (counts, all_stay) in cases {
+        let list = zones(counts);
+        let near = (0..60).filter(|program| home_of(1, &list, *program).starts_with(common::ZONE)).count();
+        assert_eq!(near == 60, all_stay, "{counts:?}: {near} of 60 stay");
+        assert!(all_stay || near < 30, "{counts:?}: {near} of 60 stay");
+    }
+}
+
+#[test]
+fn a_zone_without_replicas_shares_the_homes_of_the_others() {
+    let list = zones(&[("zone-b", 3), ("zone-c", 3)]);
+    let homes: BTreeSet<String> = (0..40).map(|program| home_of(1, &list, program)).collect();
+    assert_eq!(homes.len(), 6);
+}
