--- a/crates/woadreach-admission/src/placement.rs
+++ b/crates/woadreach-admission/src/placement.rs
@@ -24,8 +24,8 @@
 
 /// Prompt tokens that count as one in the comparison: finer differences are not worth a longer queue.
 const TOKENS_PER_UNIT: usize = 256;
-/// The part of a prompt that is counted as kept at the home of its program: all but the newest turn's input,
-/// and programs have some four turns.
+/// The part of a prompt that is counted as kept at the home of its program: all but the newest input, which is
+/// a quarter once a program has grown for a few turns. It understates what long programs keep.
 const KEPT_AT_HOME: f64 = 0.75;
 /// Replicas that a call may be tried at in all, whatever the route allows: those that it never reached
 /// count too.
--- a/crates/woadreach-proxy/src/request_task.rs
+++ b/crates/woadreach-proxy/src/request_task.rs
@@ -115,6 +115,8 @@
         self.proxy.counters.count(end);
         tracing::debug!(
             request = %self.client.facts.request_id,
+            program = self.client.facts.program.as_deref(),
+            session = self.client.facts.session.as_deref(),
             route = %self.client.route.name,
             ?end,
             events = self.turn.ledger.events(),
@@ -231,6 +233,7 @@
             self.proxy.dispatcher.outcome(self.id, number, Outcome::NeverSent, None);
             return;
         }
+        tracing::debug!(request = %self.client.facts.request_id, attempt = number, %replica, "attempt sent");
         let max_conns = knowledge.max_conns(&record.service);
         let order = SendOrder {
             attempt: number,
@@ -254,6 +257,9 @@
 
     fn take_report(&mut self, report: AttemptReport) -> Option<RequestEnd> {
         let AttemptReport { attempt, result, load } = report;
+        if let AttemptResult::Failed { outcome, .. } = &result {
+            tracing::debug!(request = %self.client.facts.request_id, attempt, ?outcome, "attempt failed");
+        }
         let index = self.running.iter().position(|(running, _)| *running == attempt)?;
         self.running.swap_remove(index);
         match result {
