--- a/crates/woadreach-proxy/tests/request_headers.rs
+++ b/crates/woadreach-proxy/tests/request_headers.rs
@@ -160,7 +160,8 @@
     let long = "a".repeat(129);
     let many: Vec<String> = (0..1_000).map(|id| format!("{id:x}:4294967295")).collect();
     let many = many.join(",");
-    let cases: [(&[(&'static str, &str)], u64, bool); 7] = [
+    type Case<'a> = (&'a [(&'static str, &'a str)], u64, bool);
+    let cases: [Case; 7] = [
         (&[("affinity-key", "berth 7 / north")], 0, true),
         (&[("affinity-key", "")], 1, false),
         (&[("affinity-key", &long)], 1, false),
