--- a/crates/woadreach-admission/src/in_hand.rs
+++ b/crates/woadreach-admission/src/in_hand.rs
@@ -61,7 +61,7 @@
     pub attempts: Vec<Attempt>,
     /// Whether to look at it again, in microseconds.
     pub timer: Option<i64>,
-    /// The replica that all processes agree on for its program or object.
+    /// The replica that the processes of a zone agree on for its program, and all for its object.
     pub home: Option<ReplicaKey>,
     /// Not to be sent before this time, after a replica asked to come back.
     pub not_before: f64,
--- a/crates/woadreach-admission/src/placement.rs
+++ b/crates/woadreach-admission/src/placement.rs
@@ -6,9 +6,10 @@
 //! holds the head of the prompt wins unless it has so many more calls that their reading takes longer);
 //! among equals, the home of the call's program or object; then the own zone.
 //!
-//! The *home* is where every process sends the calls of one program or object: the usable replica of the
-//! highest rendezvous rank that is not known to be in trouble; for a program, of the processes' own zone. What it
-//! keeps of the prompt was mostly sent by other processes, and is known without a message.
+//! The *home* is where the processes of a zone send the calls of one program, and all processes those about
+//! one object: the usable replica of the highest rendezvous rank that is not known to be in trouble; for a
+//! program, of the own zone. What it keeps of the prompt was mostly sent by other processes, and is known
+//! without a message.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -24,8 +25,8 @@
 
 /// Prompt tokens that count as one in the comparison: finer differences are not worth a longer queue.
 const TOKENS_PER_UNIT: usize = 256;
-/// The part of a prompt that is counted as kept at the home of its program: all but the newest input, which is
-/// a quarter once a program has grown for a few turns. It understates what long programs keep.
+/// The part of a prompt that is counted as kept at the home of its program: all but the newest input,
+/// which is a quarter once a program has grown for a few turns. It understates what long programs keep.
 const KEPT_AT_HOME: f64 = 0.75;
 /// Replicas that a call may be tried at in all, whatever the route allows: those that it never reached
 /// count too.
@@ -126,8 +127,8 @@
         sound.into_iter().max_by_key(|(_, replica)| preference(replica)).map(|(key, _)| key)
     }
 
-    /// Whether the own zone has at least half as many of these replicas as zones have on average: with fewer, the
-    /// programs that come in here would crowd them.
+    /// Whether the own zone has at least half as many of these replicas as zones have on average: with
+    /// fewer, the programs that come in here would crowd them.
     fn own_zone_can_serve(&self, replicas: &[(ReplicaKey, &Replica)]) -> bool {
         let zones: BTreeSet<&str> = replicas.iter().map(|(_, replica)| &*replica.spec.zone).collect();
         let near = replicas.iter().filter(|(_, replica)| self.is_near(replica)).count();
