Proxy: ids are hashed by the shared FNV-1a

Cause: identity_number held the same hash a second time, found on reading the change again. The numbers stay the same. Tests of woadreach-proxy and clippy of the crates concerned pass; the whole check was not run again.

--- a/crates/woadreach-proxy/src/request_headers.rs
+++ b/crates/woadreach-proxy/src/request_headers.rs
@@ -6,7 +6,7 @@
 };
 use snafu::Snafu;
 use std::time::Duration;
-use woadreach::rendezvous::{hash64, mix};
+use woadreach::rendezvous::{FNV_OFFSET, hash64, mix};
 use woadreach_admission::PrefixPart;
 
 /// Identity of one try of a client.
@@ -223,11 +223,7 @@
 
 /// A number for an id, for decisions that compare ids only.
 pub fn identity_number(id: &str) -> u64 {
-    u64::from_str_radix(id, 16).unwrap_or_else(|_| {
-        id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        })
-    })
+    u64::from_str_radix(id, 16).unwrap_or_else(|_| hash64(id.as_bytes(), FNV_OFFSET))
 }
 
 /// The headers that are passed along: all but those that concern a single connection or describe a body's
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -1,7 +1,8 @@
 //! Rendezvous hashing (Thaler and Ravishankar, 1998): processes that know the same candidates agree on one for a
 //! key without a message, and a candidate that leaves moves only the keys that it had.
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// State from which a hash by FNV-1a begins.
+pub const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0100_0000_01b3;
 
 /// How a candidate ranks for a key; the highest wins.
