--- a/crates/tier/discovery/src/polled_machine.rs
+++ b/crates/tier/discovery/src/polled_machine.rs
@@ -8,11 +8,18 @@
 
 /// Least time between the starts of two polls of one machine.
 pub(crate) const MIN_POLL_INTERVAL: Duration = Duration::from_millis(15);
-/// Backoff after the first failed poll. It doubles with each further failure up to [`MAX_BACKOFF`].
+/// Backoff after the first failed call. It doubles with each further failure up to [`MAX_BACKOFF`].
 pub(crate) const MIN_BACKOFF: Duration = Duration::from_millis(60);
-/// Longest backoff after failed polls.
+/// Longest backoff after failed calls.
 pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Time before the next call after one has failed, when `earlier_failures` in a row had failed before it.
+pub(crate) fn backoff_after(earlier_failures: u32) -> Duration {
+    MIN_BACKOFF
+        .saturating_mul(1 << earlier_failures.min(8))
+        .min(MAX_BACKOFF)
+}
+
 /// Whether a poll is in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PollState {
@@ -89,9 +96,7 @@
 
     /// Records that a poll timed out or could not be sent, and starts the backoff.
     pub(crate) fn record_failure(&mut self, now: Duration) {
-        let backoff = MIN_BACKOFF
-            .saturating_mul(1 << self.consecutive_failures.min(8))
-            .min(MAX_BACKOFF);
+        let backoff = backoff_after(self.consecutive_failures);
         self.consecutive_failures += 1;
         self.state = PollState::Idle {
             next_at: now + backoff,
--- a/crates/tier/discovery/src/watcher.rs
+++ b/crates/tier/discovery/src/watcher.rs
@@ -14,7 +14,7 @@
 
 use crate::committed::CommittedValue;
 use crate::messages::{CoreView, PollRequest, PollResponse, VersionedBytes};
-use crate::polled_machine::{MIN_BACKOFF, PollState, PolledMachine};
+use crate::polled_machine::{PollState, PolledMachine, backoff_after};
 use crate::replica_table::ReplicaTable;
 use crate::selection::{MachineHealth, rank, select};
 
@@ -286,13 +286,11 @@
             return WatchChange::default();
         };
         entry.record_answer(now, response.standing, response.configuration_generation);
-        self.newest_reported_generation = self
-            .newest_reported_generation
-            .max(response.configuration_generation);
+        let trusted = entry.is_trusted();
+        self.record_reported_generation(now, response.configuration_generation);
         if response.standing.in_quorum {
             self.quorum_heard_at = Some(now);
         }
-        let trusted = entry.is_trusted();
         let mut change = WatchChange::default();
         if let Some(view) = response.view {
             change.core_machines = self.merge_view(view);
@@ -340,19 +338,45 @@
                     .for_each(|machine| machine.failed_fetches = 0);
             }
             None => {
-                self.fetch = FetchState::Idle {
-                    next_at: now + MIN_BACKOFF,
-                    attempts: attempts + 1,
-                };
                 if let Some(source) = self.machines.get_mut(&machine) {
                     source.failed_fetches += 1;
                 }
+                self.fetch = FetchState::Idle {
+                    next_at: now + self.fetch_backoff(),
+                    attempts: attempts + 1,
+                };
             }
         }
         self.complete_warm_up(now);
         newer.is_some()
     }
 
+    /// Records the generation that a machine has reported. One that no machine had reported before is fetched at
+    /// once: the backoff was for an older configuration. The time-out stays as long as the attempts have made it, since
+    /// on a slow link a newer configuration takes no less time.
+    fn record_reported_generation(&mut self, now: Duration, generation: u64) {
+        if generation <= self.newest_reported_generation {
+            return;
+        }
+        self.newest_reported_generation = generation;
+        if let FetchState::Idle { next_at, .. } = &mut self.fetch {
+            *next_at = now;
+        }
+    }
+
+    /// Time before the next fetch after a failed one: short while there is a source that has not failed, and twice as
+    /// long with each round in which all of them have. A configuration that this program cannot parse is the same at
+    /// every source.
+    fn fetch_backoff(&self) -> Duration {
+        let known = self.configuration_generation;
+        let sources = self
+            .machines
+            .values()
+            .filter(|machine| machine.reported_generation > known);
+        let rounds = sources.map(|machine| machine.failed_fetches).min();
+        backoff_after(rounds.unwrap_or(0))
+    }
+
     /// Whether a polled machine has reported a newer configuration than the last one fetched.
     fn has_newer_configuration(&self) -> bool {
         self.machines
