Edge, storage: SIGHUP takes up the seeds of the settings file

An edge logged 'settings reloaded' and reloaded nothing; a storage machine ignored the signal. The sampler now owns the seeds: SIGHUP reads them, the watch of the core and the announcements follow them. Tests: a loopback observer with a dead seed, and the log of the process.

--- a/crates/tier/control/src/storage_announcer.rs
+++ b/crates/tier/control/src/storage_announcer.rs
@@ -25,7 +25,7 @@
     server: &'a Server,
     rpc: &'a Client,
     /// Core machines to announce to before any are known.
-    seeds: Vec<SocketAddr>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
     control: watch::Receiver<Arc<ControlSnapshot>>,
     /// Counts up to the core machine that is to answer next.
     next_responder: usize,
@@ -36,7 +36,7 @@
     pub(crate) fn new(
         server: &'a Server,
         rpc: &'a Client,
-        seeds: Vec<SocketAddr>,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
         control: watch::Receiver<Arc<ControlSnapshot>>,
     ) -> StorageAnnouncer<'a> {
         StorageAnnouncer {
@@ -88,7 +88,7 @@
     fn core_machines(&self) -> Vec<SocketAddr> {
         let snapshot = self.control.borrow();
         if snapshot.core_machines.is_empty() {
-            self.seeds.clone()
+            self.seeds.borrow().clone()
         } else {
             snapshot.core_machines.clone()
         }
--- a/crates/tier/control/src/storage_role.rs
+++ b/crates/tier/control/src/storage_role.rs
@@ -20,8 +20,6 @@
 use crate::random::random_number;
 use crate::storage_announcer::StorageAnnouncer;
 
-/// Bytes of a megabyte in the settings.
-const MEGABYTE: u64 = 1_000_000;
 /// Part of the grace period that is reserved for stopping after the departure.
 const STOP_MARGIN: Duration = Duration::from_millis(2_000);
 
@@ -73,7 +71,7 @@
         address,
         zone: settings.zone.clone(),
         tolerated_losses: settings.fault_tolerance.tolerated_losses(),
-        disk_bytes: settings.limits.disk_mb * MEGABYTE,
+        disk_bytes: settings.limits.disk_bytes(),
     };
     let server = Server::open(&folder, rpc.clone(), options)
         .await
@@ -85,18 +83,16 @@
     let router = sampler.handlers(server.handlers(Router::new()));
     let control = ControlWatch::spawn_with_sampler(&settings, rpc.clone(), Arc::clone(&sampler));
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    // The parts that need the changed settings reload them. Without a handler the signal would kill the
-    // process.
-    let _hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    let hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     tracing::info!(node = settings.node, %address, "storage machine started");
-    let seeds = settings.seed_internal_addresses();
     let service = async {
         tokio::join!(
             serve(listener, router),
             server.run_pulls(),
-            sampler.run(),
+            Arc::clone(&sampler).run(),
+            reload_on_hangup(&sampler, hangup),
             follow_views(&server, control.clone()),
-            StorageAnnouncer::new(&server, &rpc, seeds, control).run(),
+            StorageAnnouncer::new(&server, &rpc, sampler.seeds(), control).run(),
         )
     };
     tokio::select! {
@@ -123,6 +119,16 @@
     }
 }
 
+/// Reloads the seeds on each SIGHUP; other settings apply at the next start.
+async fn reload_on_hangup(sampler: &Sampler, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match sampler.reload_seeds() {
+            Ok(()) => tracing::info!(seeds = ?*sampler.seeds().borrow(), "settings reloaded"),
+            Err(error) => tracing::warn!(%error, "settings reload failed"),
+        }
+    }
+}
+
 /// Gives the server each new view of the storage machines.
 async fn follow_views(server: &Server, mut control: watch::Receiver<Arc<ControlSnapshot>>) {
     while control.changed().await.is_ok() {
--- a/crates/tier/discovery/src/control_watch.rs
+++ b/crates/tier/discovery/src/control_watch.rs
@@ -53,6 +53,8 @@
     settings_read_at: Instant,
     /// Source of further addresses of core machines, if the process takes part in peer sampling.
     sampler: Option<Arc<Sampler>>,
+    /// The sampler's seeds, which change when the settings are reloaded.
+    seeds: Option<watch::Receiver<Vec<SocketAddr>>>,
 }
 
 impl ControlWatch {
@@ -86,6 +88,7 @@
             snapshot,
             publisher,
             settings_read_at: Instant::now(),
+            seeds: sampler.as_ref().map(|sampler| sampler.seeds()),
             sampler,
         };
         tokio::spawn(watch.run());
@@ -109,6 +112,7 @@
                     self.handle_completion(completed);
                 }
                 () = sleep_until(next_wake) => {}
+                seeds = changed_seeds(self.seeds.as_mut()) => self.watcher.set_seeds(seeds),
                 () = self.publisher.closed() => return,
             }
             self.discover_core_machines();
@@ -238,19 +242,27 @@
     }
 
     fn reload_seeds(&mut self) {
-        match NodeSettings::load_from_environment() {
-            Ok(settings) => {
-                let seeds = settings.seed_internal_addresses();
-                if let Some(sampler) = &self.sampler {
-                    sampler.set_seeds(seeds.clone());
-                }
-                self.watcher.set_seeds(seeds);
-            }
-            Err(error) => tracing::warn!(%error, "settings reload failed"),
+        let reloaded = match &self.sampler {
+            Some(sampler) => sampler.reload_seeds(),
+            None => NodeSettings::load_from_environment()
+                .map(|settings| self.watcher.set_seeds(settings.seed_internal_addresses())),
+        };
+        if let Err(error) = reloaded {
+            tracing::warn!(%error, "settings reload failed");
         }
     }
 }
 
+/// The seeds when they change next; never returns without a receiver, or once the sampler is gone.
+async fn changed_seeds(seeds: Option<&mut watch::Receiver<Vec<SocketAddr>>>) -> Vec<SocketAddr> {
+    if let Some(seeds) = seeds
+        && seeds.changed().await.is_ok()
+    {
+        return seeds.borrow_and_update().clone();
+    }
+    std::future::pending().await
+}
+
 fn parse_configuration(machine: SocketAddr, answer: &[u8]) -> Option<Configuration> {
     let response: ConfigurationResponse = decode_answer(machine, answer)?;
     let versioned = response.configuration?;
--- a/crates/tier/discovery/src/poll_response.rs
+++ b/crates/tier/discovery/src/poll_response.rs
@@ -30,6 +30,9 @@
         configuration_generation: committed
             .configuration()
             .map_or(0, |configuration| configuration.version),
+        // Machines that are heard of after a view was installed are sent with the next view only: until then its
+        // members answer every poll, and a process that reaches none of them has the seeds and those that peer
+        // sampling has found.
         view: (view.epoch > request.view_epoch).then(|| CoreView {
             epoch: view.epoch,
             core_machines: view
--- a/crates/tier/discovery/src/sampler.rs
+++ b/crates/tier/discovery/src/sampler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
-use woadreach_settings::NodeSettings;
+use woadreach_settings::{NodeSettings, SettingsError};
 
 use crate::messages::{MessageError, decode, decode_answer, encode};
 use crate::sampling::{NodeEntry, NodeRole, PartialView, Shuffle, StartedShuffle};
@@ -29,6 +29,8 @@
     rpc: Client,
     /// Internal addresses of the known core machines, youngest entry first.
     core_machines: watch::Sender<Vec<SocketAddr>>,
+    /// Internal addresses of the core machines in the settings.
+    seeds: watch::Sender<Vec<SocketAddr>>,
 }
 
 impl Sampler {
@@ -46,11 +48,17 @@
         let random_seed = random_seed ^ rank(&settings.node, settings.internal_address());
         Arc::new(Self {
             started: Instant::now(),
-            view: Mutex::new(PartialView::new(Duration::ZERO, own, seeds, random_seed)),
+            view: Mutex::new(PartialView::new(
+                Duration::ZERO,
+                own,
+                seeds.clone(),
+                random_seed,
+            )),
             rpc: Client::new(ClientOptions {
                 connect_timeout: CONNECT_TIMEOUT,
             }),
             core_machines: watch::channel(Vec::new()).0,
+            seeds: watch::channel(seeds).0,
         })
     }
 
@@ -82,7 +90,28 @@
 
     /// Replaces the seeds after the settings have changed.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
-        self.view.lock().set_seeds(seeds);
+        self.view.lock().set_seeds(seeds.clone());
+        self.seeds.send_if_modified(|published| {
+            let modified = *published != seeds;
+            *published = seeds;
+            modified
+        });
+    }
+
+    /// The seeds, as they change.
+    pub fn seeds(&self) -> watch::Receiver<Vec<SocketAddr>> {
+        self.seeds.subscribe()
+    }
+
+    /// Replaces the seeds by those of the settings file, which may have changed. Other settings keep their values until
+    /// the process starts anew.
+    ///
+    /// # Errors
+    /// [`SettingsError`] if the file cannot be read or is invalid; the seeds stay as they were.
+    pub fn reload_seeds(&self) -> Result<(), SettingsError> {
+        let settings = NodeSettings::load_from_environment()?;
+        self.set_seeds(settings.seed_internal_addresses());
+        Ok(())
     }
 
     /// Shuffles until the future is dropped.
--- a/crates/tier/discovery/tests/loopback.rs
+++ b/crates/tier/discovery/tests/loopback.rs
@@ -10,7 +10,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use woadreach_discovery::{ControlSnapshot, ControlWatch, CoreDiscovery, ReplicaState};
+use woadreach_discovery::{
+    ControlSnapshot, ControlWatch, CoreDiscovery, NodeRole, ReplicaState, Sampler,
+};
 use woadreach_rpc::{Client, ClientOptions, Router, serve};
 
 struct Core {
@@ -114,3 +116,23 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn an_observer_polls_new_seeds_as_soon_as_they_are_set() {
+    let port = free_port(&[25]).await;
+    let core = Core::start(25, port, &[25]).await;
+    core.committed.commit_configuration(3);
+    // Nothing listens at the seed of the settings that it starts with.
+    let settings = settings("edge", 27, port, &[26]);
+    let sampler = Sampler::new(&settings, NodeRole::Proxy, 1);
+    let rpc = Client::new(ClientOptions::default());
+    let mut snapshots = ControlWatch::spawn_with_sampler(&settings, rpc, Arc::clone(&sampler));
+    let started = tokio::time::Instant::now();
+    sampler.set_seeds(vec![SocketAddr::from(([127, 0, 0, 25], port))]);
+    wait_for(&mut snapshots, |snapshot| snapshot.configuration.is_some()).await;
+    assert_eq!(
+        *sampler.seeds().borrow(),
+        [SocketAddr::from(([127, 0, 0, 25], port))]
+    );
+    println!("the configuration is there after {:?}", started.elapsed());
+}
--- a/crates/tier/proxy/src/run.rs
+++ b/crates/tier/proxy/src/run.rs
@@ -81,13 +81,13 @@
         sampler.handlers(Router::new()),
     ));
     tokio::spawn(sampler.clone().run());
-    let snapshots = ControlWatch::spawn_with_sampler(&settings, rpc, sampler);
+    let snapshots = ControlWatch::spawn_with_sampler(&settings, rpc, sampler.clone());
     let listener = ClientListener::new(proxy.clone(), &settings.limits);
 
     spawn_services(&proxy, &listener, client_listener, snapshots);
     tokio::spawn(axum::serve(ready_listener, readiness::router(proxy.clone())).into_future());
     tracing::info!(node = %settings.node, zone = %settings.zone, front = %client_address, "serving");
-    signals.wait_for_stop().await;
+    signals.wait_for_stop(&sampler).await;
     shut_down(&proxy, &listener, settings.bounds.grace_period).await;
     Ok(())
 }
@@ -149,14 +149,14 @@
         })
     }
 
-    /// Returns when the process should shut down. SIGHUP only checks that the settings can be read.
-    async fn wait_for_stop(mut self) {
+    /// Returns when the process should shut down. SIGHUP reloads the seeds; other settings apply at the next start.
+    async fn wait_for_stop(mut self, sampler: &Sampler) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => match NodeSettings::load_from_environment() {
-                    Ok(_) => tracing::info!("settings reloaded"),
+                _ = self.hangup.recv() => match sampler.reload_seeds() {
+                    Ok(()) => tracing::info!(seeds = ?*sampler.seeds().borrow(), "settings reloaded"),
                     Err(error) => tracing::warn!(%error, "settings reload failed"),
                 },
             }
--- a/crates/tier/proxy/tests/signals.rs
+++ b/crates/tier/proxy/tests/signals.rs
@@ -9,6 +9,7 @@
 use support::settings::edge_settings;
 use support::{on_one_thread, send_request};
 use tempfile::TempDir;
+use woadreach_settings::NodeSettings;
 
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 
@@ -58,11 +59,11 @@
         }
     }
 
-    fn wait_for_log(&mut self, text: &str) {
-        assert!(
-            self.log.any(|line| line.unwrap().contains(text)),
-            "the log ended without {text:?}"
-        );
+    /// Reads the log up to the line that contains `text`, and returns it.
+    fn wait_for_log(&mut self, text: &str) -> String {
+        let mut lines = self.log.by_ref().map(|line| line.unwrap());
+        let found = lines.find(|line| line.contains(text));
+        found.unwrap_or_else(|| panic!("the log ended without {text:?}"))
     }
 
     fn signal(&self, name: &str) {
@@ -98,12 +99,23 @@
 }
 
 #[test]
-fn a_sighup_reads_the_settings_and_stops_nothing() {
+fn a_sighup_takes_up_the_seeds_and_stops_nothing() {
     let mut process = Process::start();
     process.wait_for_log("serving");
     assert_eq!(process.statuses(), (503, 503), "no core machine is there");
+    let path = process.folder.path().join("settings.yaml");
+    let with_new_seed = settings(process.front, process.ready);
+    std::fs::write(&path, &with_new_seed).unwrap();
     process.signal("-HUP");
-    process.wait_for_log("settings reloaded");
+    // The file names the seed's port for clients; the log has its address for other processes of the tier.
+    let reloaded = process.wait_for_log("settings reloaded");
+    let internal = NodeSettings::parse(&with_new_seed)
+        .unwrap()
+        .seed_internal_addresses();
+    assert!(
+        reloaded.contains(&format!("seeds={internal:?}")),
+        "{reloaded}"
+    );
     assert_eq!(process.statuses(), (503, 503));
     std::fs::write(process.folder.path().join("settings.yaml"), "node: [").unwrap();
     process.signal("-HUP");
