Scheduler: changed targets reach the thresholds, dropped routes are forgotten

A route's latency target was taken at its first call and never again, and what was learned of a route stayed for ever. The edge's check of a generation is that of the configuration.

--- a/crates/routing/src/unloaded_latency.rs
+++ b/crates/routing/src/unloaded_latency.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Replaces the quantile that stands in before the first sample.
+    pub fn set_initial(&mut self, initial: Seconds) {
+        self.initial = initial;
+    }
+
     /// Records the latency of an answered call; that of an ejected replica is kept out of the fleet's.
     pub fn record(&mut self, now: Seconds, replica: &R, latency: Seconds, ejected: bool)
     where
--- a/crates/tier/proxy/src/dispatcher.rs
+++ b/crates/tier/proxy/src/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Clock;
 use parking_lot::Mutex;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -136,6 +136,14 @@
         });
     }
 
+    /// Replaces the names of the configured routes.
+    pub fn update_routes(&self, configured: &BTreeSet<&str>) {
+        self.apply(|scheduler, _now| {
+            scheduler.update_routes(configured);
+            Vec::new()
+        });
+    }
+
     /// Replaces the replicas.
     pub fn update_replicas(&self, replicas: &[ReplicaSpec]) {
         self.apply(|scheduler, now| {
--- a/crates/tier/proxy/src/proxy.rs
+++ b/crates/tier/proxy/src/proxy.rs
@@ -95,6 +95,7 @@
             tracing::info!(generation = after.generation(), "configuration applied");
             self.dispatcher
                 .update_services(&after.service_specs(), self.edges());
+            self.dispatcher.update_routes(&after.route_names());
         }
         if !Arc::ptr_eq(&before.replicas, &after.replicas) {
             self.dispatcher.update_replicas(&after.replica_specs());
--- a/crates/tier/proxy/src/replica/attempt.rs
+++ b/crates/tier/proxy/src/replica/attempt.rs
@@ -326,12 +326,6 @@
     }
 }
 
-/// Connections that one of `edges` processes may have to a replica that accepts `max_conns` from all; at least two.
-pub fn connections_per_edge(max_conns: u32, edges: usize) -> usize {
-    // The pool keeps to this number, at least 2; the scheduler (`Service::configure`) to at least 1.
-    (max_conns as usize / edges.max(1)).max(2)
-}
-
 /// Converts the scheduler's seconds; zero for a number that no `Duration` can have.
 pub fn duration_from_seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::ZERO)
--- a/crates/tier/proxy/src/request/task.rs
+++ b/crates/tier/proxy/src/request/task.rs
@@ -17,7 +17,7 @@
 use crate::proxy::Proxy;
 use crate::replica::attempt::{
     AttemptParams, AttemptReport, AttemptResult, OpenStream, OutgoingRequest, ReplicaResponse,
-    attempt, connections_per_edge, duration_from_seconds,
+    attempt, duration_from_seconds,
 };
 use crate::replica::event_stream::{EventReader, StreamPosition};
 use crate::replica::pool::ReplicaEndpoint;
@@ -34,7 +34,7 @@
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, Sleep, sleep_until};
-use woadreach_scheduler::{CallId, FailReason, Outcome, ServerLoad};
+use woadreach_scheduler::{CallId, FailReason, Outcome, ServerLoad, connections_per_process};
 
 /// A stream that is being forwarded.
 struct ActiveStream {
@@ -296,7 +296,7 @@
                 replica,
                 address: record.heartbeat.address,
             },
-            max_connections: connections_per_edge(max_conns, self.proxy.edges()),
+            max_connections: connections_per_process(max_conns, self.proxy.edges()),
             deadline: (Instant::now() + duration_from_seconds(timeout)).min(self.request.deadline),
             resume_after: self.position.resume_after(),
         };
--- a/crates/tier/proxy/src/routing_state.rs
+++ b/crates/tier/proxy/src/routing_state.rs
@@ -2,7 +2,7 @@
 //!
 //! Readers get one immutable state; a snapshot replaces it as a whole, so that none sees half of an update.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use woadreach_config::{ClientLimits, Configuration, Route, RouteTable, Service};
 use woadreach_discovery::{ControlSnapshot, ReplicaRecord, ReplicaState};
@@ -51,7 +51,7 @@
         let received = snapshot.configuration.as_ref()?;
         match &self.configuration {
             Some(current) if Arc::ptr_eq(current, received) => None,
-            Some(current) if current.generation >= received.generation => None,
+            Some(current) if received.check_follows(current.generation).is_err() => None,
             _ => Some(received),
         }
     }
@@ -103,6 +103,15 @@
             .collect()
     }
 
+    /// Names of the configured routes.
+    pub fn route_names(&self) -> BTreeSet<&str> {
+        let configuration = self.configuration.iter();
+        configuration
+            .flat_map(|configuration| &configuration.routes)
+            .map(|route| route.name.as_str())
+            .collect()
+    }
+
     /// Replicas in the scheduler's form.
     pub fn replica_specs(&self) -> Vec<ReplicaSpec> {
         self.replicas.values().map(replica_spec).collect()
--- a/crates/tier/scheduler/src/lib.rs
+++ b/crates/tier/scheduler/src/lib.rs
@@ -49,4 +49,5 @@
 pub use call::{Call, CallId, CallKind, PrefixPart, WeightedService};
 pub use outcome::{Outcome, ServerLoad};
 pub use scheduler::Scheduler;
+pub use service::connections_per_process;
 pub use spec::{EngineSpec, ReplicaSpec, ServiceSpec};
--- a/crates/tier/scheduler/src/routes.rs
+++ b/crates/tier/scheduler/src/routes.rs
@@ -1,6 +1,6 @@
 //! Latencies by route: unloaded latency, and thresholds from which an attempt is late or lost.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use woadreach_routing::decide::part_budget::PartBudget;
@@ -59,6 +59,22 @@
         }
     }
 
+    /// Applies the route's latency target, which a new configuration may have changed.
+    fn set_target(&mut self, target: f64) {
+        if self.target == target {
+            return;
+        }
+        self.target = target;
+        self.unloaded.set_initial(target * INITIAL_SHARE_OF_TARGET);
+        if self.recent.len() >= MIN_SAMPLES {
+            self.update_thresholds();
+        } else {
+            self.late_after = target;
+            self.lost_after = target * LOST_LONGEST_MULTIPLE;
+            self.typical = target * INITIAL_SHARE_OF_TARGET;
+        }
+    }
+
     /// Records the latency of an attempt that has begun (streams) or was answered.
     pub(crate) fn record(&mut self, latency: f64) {
         push(&mut self.recent, latency, MAX_RECENT_LATENCIES);
@@ -89,26 +105,40 @@
     }
 }
 
-/// Latencies of all routes of which calls have arrived.
+/// Latencies of all configured routes of which calls have arrived.
 #[derive(Default)]
 pub(crate) struct LatenciesByRoute {
     keys: BTreeMap<Arc<str>, RouteKey>,
+    /// Number of keys assigned so far; a key is never used again.
+    assigned: u32,
     routes: BTreeMap<RouteKey, RouteLatencies>,
     pub part_budget: PartBudget,
 }
 
 impl LatenciesByRoute {
-    /// The key of a route, which is assigned at its first call.
+    /// The key of a route, which is assigned at its first call. Its latency target is `target` from now on.
     pub(crate) fn key(&mut self, name: &Arc<str>, target: f64) -> RouteKey {
         if let Some(key) = self.keys.get(name) {
+            if let Some(route) = self.routes.get_mut(key) {
+                route.set_target(target);
+            }
             return *key;
         }
-        let key = RouteKey::new(self.keys.len() as u32);
+        let key = RouteKey::new(self.assigned);
+        self.assigned += 1;
         self.keys.insert(name.clone(), key);
         self.routes.insert(key, RouteLatencies::new(target));
         key
     }
 
+    /// Forgets the routes that are neither `configured` nor those of calls `in_flight`.
+    pub(crate) fn retain(&mut self, configured: &BTreeSet<&str>, in_flight: &BTreeSet<RouteKey>) {
+        self.keys
+            .retain(|name, key| configured.contains(&**name) || in_flight.contains(key));
+        let kept: BTreeSet<RouteKey> = self.keys.values().copied().collect();
+        self.routes.retain(|key, _| kept.contains(key));
+    }
+
     pub(crate) fn get(&self, key: RouteKey) -> Option<&RouteLatencies> {
         self.routes.get(&key)
     }
@@ -161,3 +191,7 @@
             .for_each(|route| route.unloaded.forget(&replica));
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/routes.rs"]
+mod tests;
--- a/crates/tier/scheduler/src/scheduler.rs
+++ b/crates/tier/scheduler/src/scheduler.rs
@@ -72,6 +72,13 @@
         self.displaced.extend(self.postponed.iter());
     }
 
+    /// Applies the names of all routes of the current configuration. What was learned of other routes is forgotten
+    /// once none of their calls is in flight.
+    pub fn update_routes(&mut self, configured: &BTreeSet<&str>) {
+        let in_flight = self.calls.values().map(|call| call.route).collect();
+        self.routes.retain(configured, &in_flight);
+    }
+
     /// Applies the complete list of replicas; one that is missing has departed. Calls that this affects are
     /// decided on the next wake.
     pub fn update_replicas(&mut self, now: f64, listed: &[ReplicaSpec]) {
--- a/crates/tier/scheduler/src/service.rs
+++ b/crates/tier/scheduler/src/service.rs
@@ -9,8 +9,18 @@
 const INITIAL_MEAN_PREFILL: f64 = 512.0;
 /// Lower bound of the mean of the prefill tokens: even a completely cached prompt costs an engine some work.
 const MIN_MEAN_PREFILL: f64 = 64.0;
-/// Limit on the calls of this process in flight at a replica if the configuration says 0.
-const MAX_CONNECTIONS: usize = 1_024;
+/// Connections that a replica is assumed to accept from all processes together if the configuration says 0.
+const DEFAULT_MAX_CONNECTIONS: usize = 1_024;
+
+/// Connections that one of `processes` may have to a replica that accepts `max_conns` from all of them; at least one.
+/// The limit of its calls in flight there, too, since a connection carries one call at a time.
+pub fn connections_per_process(max_conns: u32, processes: usize) -> usize {
+    let max_connections = match max_conns {
+        0 => DEFAULT_MAX_CONNECTIONS,
+        configured => configured as usize,
+    };
+    (max_connections / processes.max(1)).max(1)
+}
 
 /// One service, and what is learned of its calls.
 pub(crate) struct Service {
@@ -51,13 +61,7 @@
 
     /// Applies its configuration. `edges` processes share the connections.
     pub(crate) fn configure(&mut self, spec: &ServiceSpec, edges: usize) {
-        let max_connections = if spec.max_conns == 0 {
-            MAX_CONNECTIONS
-        } else {
-            spec.max_conns as usize
-        };
-        // The pool keeps to `connections_per_edge`, at least 2; the scheduler to at least 1.
-        self.connections = (max_connections / edges.max(1)).max(1);
+        self.connections = connections_per_process(spec.max_conns, edges);
         self.spec = spec.clone();
     }
 
--- a/crates/tier/scheduler/src/spec.rs
+++ b/crates/tier/scheduler/src/spec.rs
@@ -7,7 +7,8 @@
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: Arc<str>,
-    /// Connections that a replica accepts from all processes together; `u32::MAX` if not configured.
+    /// Connections that a replica accepts from all processes together; see
+    /// [`connections_per_process`](crate::connections_per_process) for 0.
     pub max_conns: u32,
     /// How the replicas generate tokens, if they serve a model.
     pub engine: Option<EngineSpec>,
--- a/crates/tier/scheduler/tests/placement.rs
+++ b/crates/tier/scheduler/tests/placement.rs
@@ -7,6 +7,7 @@
 use common::{Driver, call, engine_service, replica, replicas, service, unsafe_call};
 use woadreach_scheduler::{
     Action, Call, Outcome, PrefixPart, ReplicaSpec, ServerLoad, ServiceSpec,
+    connections_per_process,
 };
 
 fn in_zone(id: &str, zone: &str) -> ReplicaSpec {
@@ -224,6 +225,19 @@
     );
 }
 
+#[test]
+fn connections_of_a_replica_are_divided_among_the_processes() {
+    assert_eq!(connections_per_process(230, 6), 38);
+    assert_eq!(connections_per_process(6, 6), 1);
+    assert_eq!(connections_per_process(5, 6), 1, "at least one");
+    assert_eq!(
+        connections_per_process(0, 4),
+        256,
+        "not limited by the configuration"
+    );
+    assert_eq!(connections_per_process(4, 0), 4);
+}
+
 #[test]
 fn a_replica_in_slow_start_receives_calls_as_it_answers() {
     let warming = ReplicaSpec {
--- /dev/null
+++ b/crates/tier/scheduler/tests/unit/routes.rs
@@ -0,0 +1,50 @@
+//! Targets that a new configuration changes, and routes that it drops.
+
+use super::*;
+
+const NAME: &str = "r";
+
+fn name() -> Arc<str> {
+    Arc::from(NAME)
+}
+
+#[test]
+fn a_changed_target_moves_the_thresholds_of_a_route_without_samples() {
+    let mut routes = LatenciesByRoute::default();
+    let key = routes.key(&name(), 0.2);
+    assert_eq!(
+        (routes.late_after(key), routes.lost_after(key)),
+        (0.2, 0.2 * 1.5)
+    );
+    assert_eq!(routes.key(&name(), 2.0), key);
+    assert_eq!((routes.late_after(key), routes.lost_after(key)), (2.0, 3.0));
+    assert_eq!(routes.get(key).unwrap().typical(), 0.2);
+    assert_eq!(routes.unloaded_median(0.0, key), 0.2);
+}
+
+#[test]
+fn a_changed_target_moves_the_least_threshold_of_a_route_with_samples() {
+    let mut routes = LatenciesByRoute::default();
+    let key = routes.key(&name(), 0.8);
+    for _ in 0..MIN_SAMPLES {
+        routes.get_mut(key).unwrap().record(0.001);
+    }
+    assert_eq!(routes.late_after(key), 0.8 * LATE_SHARE_OF_TARGET);
+    routes.key(&name(), 1.6);
+    assert_eq!(routes.late_after(key), 1.6 * LATE_SHARE_OF_TARGET);
+}
+
+#[test]
+fn a_dropped_route_is_forgotten_once_none_of_its_calls_is_in_flight() {
+    let mut routes = LatenciesByRoute::default();
+    let key = routes.key(&name(), 0.2);
+    routes.get_mut(key).unwrap().record(5.0);
+    routes.retain(&BTreeSet::from(["other"]), &BTreeSet::from([key]));
+    assert!(routes.get(key).is_some(), "a call is in flight");
+    routes.retain(&BTreeSet::from([NAME]), &BTreeSet::new());
+    assert!(routes.get(key).is_some(), "it is configured");
+    routes.retain(&BTreeSet::from(["other"]), &BTreeSet::new());
+    assert!(routes.get(key).is_none());
+    assert!(routes.keys.is_empty() && routes.routes.is_empty());
+    assert_ne!(routes.key(&name(), 0.2), key, "keys are not used again");
+}
