Proxy: a burst of clients evicts one idle connection for each

Until the task of an evicted connection had run, the same one was chosen again for every further connection, and the bound was passed. The new test fails on the code before (a client waits 10 s for a close that never comes).

--- a/crates/tier/proxy/src/client/connection.rs
+++ b/crates/tier/proxy/src/client/connection.rs
@@ -118,10 +118,11 @@
         self.state.lock().activity
     }
 
-    /// Since when the connection is idle, in seconds of the process's clock; `None` if it is not.
+    /// Since when the connection is idle, in seconds of the process's clock; `None` if it is not, or is closing.
     pub fn idle_since(&self) -> Option<f64> {
         let state = self.state.lock();
-        (state.activity == Activity::Idle).then_some(state.activity_since)
+        let is_idle = state.activity == Activity::Idle && state.close_requested_at.is_none();
+        is_idle.then_some(state.activity_since)
     }
 
     /// Records that a request's head has been read.
--- a/crates/tier/proxy/tests/connections.rs
+++ b/crates/tier/proxy/tests/connections.rs
@@ -99,6 +99,35 @@
     });
 }
 
+#[test]
+fn a_burst_of_connections_evicts_one_idle_connection_for_each() {
+    on_one_thread(async {
+        let replica = Replica::start(|_, request| vec![success(request, "ok")]).await;
+        let small = ProcessLimits {
+            memory_mb: 4,
+            ..support::tier::limits()
+        };
+        let bound = max_connections(&small);
+        let tier = Tier::start_within(&[("i-1", &replica)], small).await;
+        let mut old = Vec::new();
+        for _ in 0..bound {
+            old.push(idle(&tier).await);
+        }
+        // The listener accepts all of them before the task of any evicted connection runs.
+        let burst: Vec<std::net::TcpStream> = (0..8)
+            .map(|_| std::net::TcpStream::connect(tier.front).unwrap())
+            .collect();
+        for evicted in &mut old[..burst.len()] {
+            assert!(evicted.is_closed().await);
+        }
+        while tier.connections.open_connections() > bound {
+            tokio::task::yield_now().await;
+        }
+        old[burst.len()].send(REQUEST).await;
+        assert_eq!(old[burst.len()].answer().await.status(), 200);
+    });
+}
+
 #[test]
 fn connections_are_limited_by_memory_and_descriptors() {
     let bound = |memory_mb, max_fds| {
