Chain, control: the log tells suspicions, proposals and how a stop ended

Between a loss and the new view the log was empty; it now has 'voter suspected' and 'view proposal started' with the reason. A stop at its time limit no longer logs 'left the chain'. A message names the change's base, and a failed runtime is not called a signal.

--- a/crates/tier/chain/src/election.rs
+++ b/crates/tier/chain/src/election.rs
@@ -29,7 +29,7 @@
 
 /// Why a view is to be proposed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProposalReason {
+pub enum ProposalReason {
     /// The system starts for the first time.
     Bootstrap,
     /// The epoch is sealed and no view has been decided since.
--- a/crates/tier/chain/src/lib.rs
+++ b/crates/tier/chain/src/lib.rs
@@ -68,6 +68,7 @@
 pub use ballot::{Accepted, Ballot, Promise};
 pub use blob::Blob;
 pub use durable::{Durable, IdleEpoch, Record, RecordError};
+pub use election::ProposalReason;
 pub use failure_domain::FailureDomain;
 #[doc(hidden)]
 pub use member::TimedStep;
--- a/crates/tier/chain/src/member/io.rs
+++ b/crates/tier/chain/src/member/io.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::durable::Record;
+use crate::election::ProposalReason;
 use crate::message::Envelope;
 use crate::requests::{Reply, Request, RequestId};
 use crate::state::ControlState;
@@ -61,4 +62,11 @@
     Committed(Arc<ControlState>),
     /// Another view is installed.
     ViewInstalled(View),
+    /// This member has begun to propose a view to follow that of `epoch`. For the log; nothing depends on it.
+    ProposalStarted {
+        /// Epoch of the installed view.
+        epoch: u64,
+        /// Why another view is to follow.
+        reason: ProposalReason,
+    },
 }
--- a/crates/tier/chain/src/member/proposals.rs
+++ b/crates/tier/chain/src/member/proposals.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::Member;
+use super::{Member, Output};
 use crate::agreement::{Phase, Proposer, Report};
 use crate::election::{
     MAX_PROPOSAL_DELAY, PHASE_TIMEOUT, ProposalReason, REPORT_TIMEOUT, SEALED_EPOCH_DELAY,
@@ -41,6 +41,8 @@
         self.election.schedule(at);
         if now >= at {
             self.election.cancel();
+            let epoch = self.durable.view.epoch;
+            self.outputs.push(Output::ProposalStarted { epoch, reason });
             self.start_proposal(now);
         }
     }
--- a/crates/tier/chain/src/member/status.rs
+++ b/crates/tier/chain/src/member/status.rs
@@ -23,11 +23,26 @@
     pub in_quorum: bool,
     /// Internal addresses of the voters.
     pub voters: Vec<SocketAddrV4>,
+    /// Internal addresses of the voters that the failure detector suspects.
+    pub suspected_voters: Vec<SocketAddrV4>,
     /// Internal addresses of the core machines that are known, this one included, in ascending order.
     pub core_machines: Vec<SocketAddrV4>,
 }
 
 impl Member {
+    /// Addresses of the voters that this member suspects. None in the first start, in which they are not known yet.
+    fn suspected_voters(&self, now: Duration) -> Vec<SocketAddrV4> {
+        let view = &self.durable.view;
+        if view.epoch == 0 {
+            return Vec::new();
+        }
+        view.voters
+            .iter()
+            .filter(|&&voter| voter != self.id && !self.peers.is_alive(now, voter))
+            .map(|voter| voter.address)
+            .collect()
+    }
+
     /// What this member knows of the core at `now`.
     pub fn status(&self, now: Duration) -> Status {
         let view = &self.durable.view;
@@ -42,6 +57,7 @@
             in_chain: view.chain.contains(&self.id),
             in_quorum: self.is_in_quorum(now),
             voters: view.voters.iter().map(|voter| voter.address).collect(),
+            suspected_voters: self.suspected_voters(now),
             core_machines: core_machines.into_iter().collect(),
         }
     }
--- a/crates/tier/chain/src/state.rs
+++ b/crates/tier/chain/src/state.rs
@@ -113,7 +113,9 @@
         current: u64,
     },
     /// The new generation is not above the one that the change builds on.
-    #[snafu(display("the generation must exceed the current one, {current}"))]
+    #[snafu(display(
+        "the generation must exceed the one that the change builds on; the current one is {current}"
+    ))]
     StaleGeneration {
         /// Generation in force.
         current: u64,
--- a/crates/tier/chain/tests/failover.rs
+++ b/crates/tier/chain/tests/failover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use simulation::world::World;
+use woadreach_chain::ProposalReason;
 
 /// Longest time from the loss of a member to the next acknowledgement.
 const LONGEST_GAP: Duration = Duration::from_millis(1200);
@@ -81,3 +82,34 @@
     // It is noticed after a second without a sync.
     assert!(gap <= LONGEST_GAP + Duration::from_secs(1), "{gap:?}");
 }
+
+#[test]
+fn those_that_stay_suspect_a_killed_member_and_propose_a_view_without_it() {
+    let (mut world, chain) = calm_world(1);
+    let (killed, witness) = (chain[2], chain[0]);
+    let lost = world.nodes[killed].address;
+    let epoch = |world: &World| {
+        let member = world.nodes[witness].member.as_ref().expect("it runs");
+        member.status(world.now).epoch
+    };
+    let before = epoch(&world);
+    world.proposals.clear();
+    world.kill(killed);
+    let mut suspected = Vec::new();
+    while epoch(&world) == before {
+        let next = world.now + Duration::from_millis(5);
+        world.run_until(next);
+        let member = world.nodes[witness].member.as_ref().expect("it runs");
+        let status = member.status(world.now);
+        if status.epoch == before {
+            suspected = status.suspected_voters;
+        }
+        assert!(world.now < Duration::from_secs(20), "no view follows");
+    }
+    assert_eq!(suspected, [lost]);
+    let proposal = world.proposals[0];
+    assert_eq!(
+        (proposal.epoch, proposal.reason),
+        (before, ProposalReason::ChainBroken)
+    );
+}
--- a/crates/tier/chain/tests/member_model/core.rs
+++ b/crates/tier/chain/tests/member_model/core.rs
@@ -254,6 +254,7 @@
                 let head = is_head.then(|| machine.member.durable().state.clone());
                 self.oracle.record_view(&view, head.as_ref());
             }
+            Output::ProposalStarted { .. } => {}
         }
     }
 
--- a/crates/tier/chain/tests/simulation/world.rs
+++ b/crates/tier/chain/tests/simulation/world.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use woadreach_chain::{Body, ControlState, Envelope, Input, Output};
+use woadreach_chain::{Body, ControlState, Envelope, Input, Output, ProposalReason};
 use woadreach_sim_support::{EventQueue, PartitionedLinks};
 
 use super::capacity::Capacity;
@@ -22,8 +22,19 @@
     IdentitySurvivesWipe,
 }
 
+/// A member has begun to propose a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Proposal {
+    /// Epoch of the view that was installed at the member.
+    pub epoch: u64,
+    /// Why another view is to follow.
+    pub reason: ProposalReason,
+}
+
 /// The whole simulated core.
 pub(crate) struct World {
+    /// Proposals of views, in the order in which they began.
+    pub proposals: Vec<Proposal>,
     pub now: Duration,
     pub nodes: Vec<Node>,
     pub random: oorandom::Rand64,
@@ -62,6 +73,7 @@
         bug: Option<InjectedBug>,
     ) -> World {
         let mut world = World {
+            proposals: Vec::new(),
             now: Duration::from_secs(1),
             nodes: (0..nodes).map(Node::new).collect(),
             random: oorandom::Rand64::new(u128::from(seed)),
@@ -296,6 +308,10 @@
                 self.trace(|| format!("node {node} installed {view:?}"));
                 self.history.view_installed(&view);
             }
+            Output::ProposalStarted { epoch, reason } => {
+                self.trace(|| format!("node {node} proposes after epoch {epoch}: {reason:?}"));
+                self.proposals.push(Proposal { epoch, reason });
+            }
         }
     }
 
--- a/crates/tier/chain/tests/state.rs
+++ b/crates/tier/chain/tests/state.rs
@@ -215,3 +215,11 @@
         Some(10_000)
     );
 }
+
+#[test]
+fn a_stale_generation_is_explained_by_the_base_of_the_change() {
+    assert_eq!(
+        Rejection::StaleGeneration { current: 4 }.to_string(),
+        "the generation must exceed the one that the change builds on; the current one is 4"
+    );
+}
--- a/crates/tier/control/src/core_role/departure.rs
+++ b/crates/tier/control/src/core_role/departure.rs
@@ -13,6 +13,18 @@
 /// Limit on the time for the departure when no member stays that could take over.
 const LAST_MEMBER_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Logs whether the member has left, or why it is stopped before that.
+fn log_end(departure: ExitReadiness) {
+    if departure == ExitReadiness::Free {
+        tracing::info!("left the chain");
+    } else {
+        tracing::warn!(
+            ?departure,
+            "stopped at the deadline before leaving the chain"
+        );
+    }
+}
+
 /// Asks to be removed from the chain, and waits until no data depends on this machine's disk, which may never
 /// come back, or until the grace period is over but for [`STOP_MARGIN`].
 pub(super) async fn leave(driver: &MemberDriver, grace_period: Duration) {
@@ -28,7 +40,7 @@
             _ => max_wait,
         };
         if started.elapsed() >= timeout {
-            tracing::info!(?departure, "left the chain");
+            log_end(departure);
             return;
         }
         tokio::time::sleep(DEPARTURE_POLL_INTERVAL).await;
--- a/crates/tier/control/src/error.rs
+++ b/crates/tier/control/src/error.rs
@@ -71,6 +71,12 @@
         /// The operating system's failure.
         source: io::Error,
     },
+    /// The asynchronous runtime can't be started.
+    #[snafu(display("runtime: {source}"))]
+    Runtime {
+        /// The operating system's failure.
+        source: io::Error,
+    },
     /// The storage role failed.
     #[snafu(display("storage: {source}"))]
     Storage {
--- a/crates/tier/control/src/main.rs
+++ b/crates/tier/control/src/main.rs
@@ -28,7 +28,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|source| RoleError::Signal { source })?;
+        .map_err(|source| RoleError::Runtime { source })?;
     match arguments.role {
         Role::Core => runtime.block_on(core_role::run(settings)),
         Role::Storage => runtime
--- a/crates/tier/control/src/member_driver/mod.rs
+++ b/crates/tier/control/src/member_driver/mod.rs
@@ -225,6 +225,9 @@
                     let (epoch, chain, voters) = (view.epoch, view.chain, view.voters);
                     tracing::info!(epoch, ?chain, ?voters, "view installed");
                 }
+                Output::ProposalStarted { epoch, reason } => {
+                    tracing::info!(epoch, ?reason, "view proposal started");
+                }
             }
         }
         is_changed
@@ -243,6 +246,7 @@
     /// quorum.
     async fn run_timer(self: Arc<Self>) {
         let mut was_in_quorum = false;
+        let mut suspected = Vec::new();
         loop {
             let wake = {
                 let mut state = self.state.lock();
@@ -256,7 +260,9 @@
             }
             self.check_disk();
             self.handle(Input::Tick);
-            let in_quorum = self.status().in_quorum;
+            let status = self.status();
+            log_suspicions(&mut suspected, status.suspected_voters);
+            let in_quorum = status.in_quorum;
             if in_quorum != was_in_quorum {
                 was_in_quorum = in_quorum;
                 tracing::info!(in_quorum, "quorum contact changed");
@@ -282,6 +288,21 @@
     }
 }
 
+/// Logs the voters that are suspected since the last call, and those that are no longer.
+fn log_suspicions(suspected: &mut Vec<SocketAddrV4>, now_suspected: Vec<SocketAddrV4>) {
+    for voter in &now_suspected {
+        if !suspected.contains(voter) {
+            tracing::info!(%voter, "voter suspected");
+        }
+    }
+    for voter in suspected.iter() {
+        if !now_suspected.contains(voter) {
+            tracing::info!(%voter, "voter no longer suspected");
+        }
+    }
+    *suspected = now_suspected;
+}
+
 fn log_committed(committed: &ControlState) {
     tracing::info!(
         generation = committed.generation(),
--- a/crates/tier/control/tests/order_route.rs
+++ b/crates/tier/control/tests/order_route.rs
@@ -27,6 +27,7 @@
         in_chain: true,
         in_quorum,
         voters: vec![address(1), address(2), address(3)],
+        suspected_voters: Vec::new(),
         core_machines: vec![address(1), address(2), address(3)],
     }
 }
