Control, storage: one size of a megabyte, recovery logged, announcements told apart

limits.disk_mb was 2^20 bytes at core and 10^6 at storage machines: 10^6, which is safe for both readings. Storage machines log what they found on disk. An announcement of a storage machine on a core machine's host was taken for a forwarded one and never reached a head that is no seed.

--- a/crates/tier/control/src/core_role/recovery.rs
+++ b/crates/tier/control/src/core_role/recovery.rs
@@ -28,7 +28,7 @@
         role: "core",
         expected: "a folder on the machine's disk",
     })?;
-    let opened = open_journal(&path, settings.limits.disk_mb)?;
+    let opened = open_journal(&path, settings.limits.disk_bytes())?;
     let journal = opened.journal;
     if let Some(snapshot) = &opened.found.snapshot {
         let recovered =
@@ -61,8 +61,8 @@
 }
 
 /// Opens the journal. A corrupted one is emptied, so that the machine starts as a new member.
-fn open_journal(path: &Path, disk_mb: u64) -> Result<OpenedJournal, RoleError> {
-    let max_bytes = (disk_mb << 20) / 100 * MAX_DISK_PERCENT;
+fn open_journal(path: &Path, disk_bytes: u64) -> Result<OpenedJournal, RoleError> {
+    let max_bytes = disk_bytes / 100 * MAX_DISK_PERCENT;
     let options = JournalOptions {
         max_bytes,
         max_queued_bytes: MAX_QUEUED_BYTES,
--- a/crates/tier/control/src/storage_planner.rs
+++ b/crates/tier/control/src/storage_planner.rs
@@ -1,7 +1,7 @@
 //! Changes of the storage view: planned by the head of the chain from what the storage machines announce, and
 //! committed like a configuration from the request to the member on.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use woadreach_rpc::{Client, Router, ServiceId};
-use woadreach_storage::announce::{Announcements, handler};
-use woadreach_storage::message::MessageError;
+use woadreach_storage::announce::{Announcement, Announcements, handler};
+use woadreach_storage::message::{MessageError, decode};
 use woadreach_storage::view::plan;
 
 use crate::member_driver::MemberDriver;
@@ -24,6 +24,20 @@
 /// Limit on the time for a change to be committed; the next plan starts from whatever became of it.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Whether `peer`, which has sent the announcement of the storage machine at `announcing`, is a core machine that has
+/// forwarded it. A storage machine that runs on a core machine's host has the same address as that.
+#[must_use]
+pub fn is_forwarded(
+    peer: SocketAddr,
+    announcing: SocketAddr,
+    core_machines: &[SocketAddrV4],
+) -> bool {
+    let is_core = core_machines
+        .iter()
+        .any(|machine| SocketAddr::V4(*machine).ip() == peer.ip());
+    is_core && announcing.ip() != peer.ip()
+}
+
 /// Plans the storage view while this machine is the head.
 pub struct StoragePlanner {
     driver: Arc<MemberDriver>,
@@ -77,11 +91,11 @@
         let Some(head) = status.head.map(|head| SocketAddr::V4(head.address)) else {
             return;
         };
-        let is_from_core = status
-            .core_machines
-            .iter()
-            .any(|member| SocketAddr::V4(*member).ip() == peer.ip());
-        if !status.is_head && !is_from_core && !self.seeds.contains(&head) {
+        let Ok(announcement) = decode::<Announcement>(body) else {
+            return;
+        };
+        let is_forwarded = is_forwarded(peer, announcement.member.address, &status.core_machines);
+        if !status.is_head && !is_forwarded && !self.seeds.contains(&head) {
             self.rpc.notify(head, ServiceId::ANNOUNCE, body.to_vec());
         }
     }
--- a/crates/tier/control/tests/signals.rs
+++ b/crates/tier/control/tests/signals.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
+use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
 use tempfile::TempDir;
@@ -44,9 +45,14 @@
 fn start(folder: &TempDir, role: &str) -> Child {
     let path = folder.path().join("settings.yaml");
     std::fs::write(&path, settings(folder, role)).unwrap();
+    start_with(&path, role)
+}
+
+/// Starts a role with the settings file at `path`.
+fn start_with(path: &Path, role: &str) -> Child {
     Command::new(env!("CARGO_BIN_EXE_woadreach-control"))
         .arg(role)
-        .env("WOADREACH_NODE_FILE", &path)
+        .env("WOADREACH_NODE_FILE", path)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap()
@@ -87,6 +93,38 @@
     );
 }
 
+/// Starts a role on a folder, and returns its log up to the event `ready`.
+fn log_of_start(folder: &TempDir, role: &str, ready: &str) -> Vec<String> {
+    let path = folder.path().join("settings.yaml");
+    let mut process = start_with(&path, role);
+    let lines = BufReader::new(process.stderr.take().unwrap()).lines();
+    let mut log = Vec::new();
+    for line in lines.map(|line| line.unwrap()) {
+        let is_ready = line.contains(ready);
+        log.push(line);
+        if is_ready {
+            break;
+        }
+    }
+    process.kill().unwrap();
+    process.wait().unwrap();
+    log
+}
+
+#[test]
+fn a_storage_machine_logs_its_new_disk_and_its_recovery() {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("settings.yaml");
+    std::fs::write(&path, settings(&folder, "storage")).unwrap();
+    let ready = "storage machine started";
+    let first = log_of_start(&folder, "storage", ready).join("\n");
+    assert!(first.contains("empty disk initialized"), "{first}");
+    assert!(!first.contains("state recovered"), "{first}");
+    let second = log_of_start(&folder, "storage", ready).join("\n");
+    assert!(second.contains("state recovered"), "{second}");
+    assert!(!second.contains("empty disk initialized"), "{second}");
+}
+
 #[test]
 fn a_core_machine_survives_sighup_and_stops_on_sigterm() {
     assert_eq!(
--- a/crates/tier/settings/src/settings.rs
+++ b/crates/tier/settings/src/settings.rs
@@ -82,10 +82,17 @@
     pub max_fds: u64,
     /// Bandwidth of the machine's link, in Mbit/s; 0 if the file has none.
     pub link_mbps: f64,
-    /// Space on the disk in MB; 0 without a disk.
+    /// Space on the disk in MB, of 10^6 bytes; 0 without a disk. See [`ProcessLimits::disk_bytes`].
     pub disk_mb: u64,
 }
 
+impl ProcessLimits {
+    /// Space on the disk in bytes. A megabyte of the file may also be 2^20 bytes; the smaller reading is safe for both.
+    pub fn disk_bytes(&self) -> u64 {
+        self.disk_mb.saturating_mul(1_000_000)
+    }
+}
+
 /// Number of losses at once that every guarantee survives.
 #[derive(Clone, Copy, Debug)]
 pub struct FaultTolerance {
--- a/crates/tier/settings/tests/settings.rs
+++ b/crates/tier/settings/tests/settings.rs
@@ -45,6 +45,16 @@
   catch_up_s: 4.1
 "#;
 
+#[test]
+fn a_disk_has_at_least_a_million_bytes_for_each_megabyte() {
+    let text = EDGE.replace("disk_mb: 0", "disk_mb: 300");
+    let limits = NodeSettings::parse(&text).unwrap().limits;
+    assert_eq!(limits.disk_bytes(), 300_000_000);
+    let text = EDGE.replace("disk_mb: 0", "disk_mb: 18446744073709551615");
+    let limits = NodeSettings::parse(&text).unwrap().limits;
+    assert_eq!(limits.disk_bytes(), u64::MAX);
+}
+
 #[test]
 fn a_complete_file_is_read_and_unknown_fields_are_ignored() {
     let settings = NodeSettings::parse(EDGE).unwrap();
--- a/crates/tier/storage/src/server/recovery.rs
+++ b/crates/tier/storage/src/server/recovery.rs
@@ -37,6 +37,8 @@
                 &found.records,
             );
             if let Some(node) = recovered {
+                let (disk, epoch) = (node.disk(), node.view().epoch);
+                tracing::info!(disk, storage_epoch = epoch, "state recovered");
                 return Ok((journal, node));
             }
             // A new disk whose identity was not synced yet has neither.
@@ -64,5 +66,6 @@
     let disk = random_number(&options.node);
     let (node, record) = StorageNode::create(options.node.clone(), disk, options.tolerated_losses);
     let _synced = journal.append(record).await?;
+    tracing::info!(disk, "empty disk initialized");
     Ok((journal, node))
 }
