Zone failover, lease, router: a member's zone by the membership, reports with turns

A report of another zone than the membership's could make the count of unheard members negative, and so eject a zone without a majority. Beyond 32 idle warming replicas of a bucket the later ones were never reported. Log texts: 'member down', 'zone Z ejected by own calls'.

--- a/crates/router/lease/src/quota/share.rs
+++ b/crates/router/lease/src/quota/share.rs
@@ -6,8 +6,8 @@
 use crate::replica_key::ReplicaKey;
 use std::collections::BTreeMap;
 
-/// Limit on the replicas of one report, which are taken in the order of their keys. Further ones are in the next, unless
-/// idle replicas fill it, which are in every report.
+/// Limit on the replicas of one report. They are taken in the order of their keys, from the one after the last that the
+/// report before had: each has its turn, also where idle replicas, of which every report may tell, are more than this.
 const MAX_DEMANDS_PER_REPORT: usize = 32;
 
 /// A member's share of one replica.
@@ -32,6 +32,8 @@
     member_count: usize,
     replicas: BTreeMap<ReplicaKey, ReplicaShare>,
     last_report_s: f64,
+    /// The last replica of the latest report on each bucket.
+    last_reported: BTreeMap<u8, ReplicaKey>,
 }
 
 impl QuotaShare {
@@ -42,6 +44,7 @@
             member_count: member_count.max(1),
             replicas: BTreeMap::new(),
             last_report_s: f64::NEG_INFINITY,
+            last_reported: BTreeMap::new(),
         }
     }
 
@@ -94,10 +97,10 @@
         let window_s = self.config.window_s;
         let released_until_s = now_s + (self.config.release_duration_s + window_s);
         let mut report = Vec::new();
-        for (replica, share) in &mut self.replicas {
-            if replica.bucket(bucket_count) != bucket {
+        for replica in self.report_order(bucket, bucket_count) {
+            let Some(share) = self.replicas.get_mut(&replica) else {
                 continue;
-            }
+            };
             // Only a member that has sent nothing for a window releases its share: otherwise another could use the
             // share within the same window.
             let is_idle = now_s - share.last_active_s > window_s.max(self.config.idle_timeout_s);
@@ -106,7 +109,7 @@
             }
             if is_idle || share.unreported_parts > 0 {
                 report.push(ReplicaDemand {
-                    replica: *replica,
+                    replica,
                     parts: share.unreported_parts.min(255) as u8,
                 });
                 share.unreported_parts = 0;
@@ -115,9 +118,25 @@
                 break;
             }
         }
+        if let Some(last) = report.last() {
+            self.last_reported.insert(bucket, last.replica);
+        }
         report
     }
 
+    /// The replicas of a bucket, from the one after the last that was reported.
+    fn report_order(&self, bucket: u8, bucket_count: u8) -> Vec<ReplicaKey> {
+        let in_bucket = |replica: &ReplicaKey| replica.bucket(bucket_count) == bucket;
+        let all = self.replicas.keys().copied().filter(in_bucket);
+        let Some(last) = self.last_reported.get(&bucket) else {
+            return all.collect();
+        };
+        let (reported, mut order): (Vec<ReplicaKey>, Vec<ReplicaKey>) =
+            all.partition(|replica| replica <= last);
+        order.extend(reported);
+        order
+    }
+
     /// Records a grant that is valid until `until_s` by this member's clock, counted from when it reported its demand.
     pub fn record_grant(&mut self, now_s: f64, grant: QuotaGrant, until_s: f64) {
         if until_s <= now_s {
--- a/crates/router/woadreachd/src/peers.rs
+++ b/crates/router/woadreachd/src/peers.rs
@@ -248,7 +248,8 @@
             MembershipEvent::Down(member) if self.peer.view().is_partitioned => {
                 debug!(member = member.0, "member unheard");
             }
-            MembershipEvent::Down(member) => debug!(member = member.0, "member failed"),
+            // It has failed, or has left: the protocol tells others the same of both.
+            MembershipEvent::Down(member) => debug!(member = member.0, "member down"),
             MembershipEvent::Rejoined => {
                 warn!("rejoined after peers had declared this member failed")
             }
--- a/crates/router/zone-failover/src/evidence.rs
+++ b/crates/router/zone-failover/src/evidence.rs
@@ -45,8 +45,11 @@
             ..Evidence::default()
         };
         let mut totals = vec![PartCounts::default(); zone_count];
-        for report in reports.filter(|report| reporters.contains(report.member)) {
-            let is_outside = usize::from(report.zone) != zone;
+        for report in reports {
+            let Some(reporter_zone) = reporters.zone_of(report.member) else {
+                continue;
+            };
+            let is_outside = reporter_zone != zone;
             evidence.heard += usize::from(is_outside);
             let parts = report.parts(zone);
             let sees_sound_zone = serving.iter().any(|other| {
--- a/crates/router/zone-failover/src/reporters.rs
+++ b/crates/router/zone-failover/src/reporters.rs
@@ -37,6 +37,12 @@
         self.zones.contains_key(&member)
     }
 
+    /// The zone of a member by the membership; `None` if its reports don't decide. What a report says of its member's
+    /// zone may be of another time.
+    pub(crate) fn zone_of(&self, member: MemberId) -> Option<usize> {
+        self.zones.get(&member).map(|zone| usize::from(*zone))
+    }
+
     /// How many of them are outside a zone.
     pub(crate) fn count_outside(&self, zone: usize) -> usize {
         let zones = self.zones.values();
--- a/crates/router/zone-failover/tests/zones.rs
+++ b/crates/router/zone-failover/tests/zones.rs
@@ -224,6 +224,45 @@
     assert_eq!((zones.verdicts()[1].epoch, zones.rejected()), (3, 1));
 }
 
+/// Six members in three zones, by their numbers modulo 3. Members 1 and 4 of zone 1 report zone 0 as theirs, as after a
+/// move that the membership has not heard of, and have sent no parts to zone 1. Two of the four members outside are
+/// against it, one is not, and one, which decides here, has made no report: no majority.
+#[test]
+fn a_member_counts_in_the_zone_of_the_membership_and_not_in_that_of_its_report() {
+    let view = woadreach_membership::View {
+        live: (0..6).map(|n| (MemberId(n), (n % 3) as u8)).collect(),
+        roster_size: 6,
+        is_partitioned: false,
+        version: 1,
+    };
+    let sound = PartCounts { seen: 8, failed: 0 };
+    let report = |member: u16, zone: u8, seen: u32, failed: u32| {
+        let parts = [sound, PartCounts { seen, failed }, sound];
+        Report::new(MemberId(member), zone, 1, 1.0, &parts)
+    };
+    let gossip = GossipPayload {
+        verdicts: vec![],
+        reports: vec![
+            report(0, 0, 8, 8),
+            report(1, 0, 0, 0),
+            report(2, 2, 8, 8),
+            report(3, 0, 1, 0),
+            report(4, 0, 0, 0),
+        ],
+    };
+    let mut zones = Zones::new(
+        MemberId(5),
+        2,
+        vec![0; 3],
+        6,
+        ZoneFailoverConfig::default(),
+        0.0,
+    );
+    zones.receive(10.0, &gossip.seal()).expect("it is valid");
+    let changes = zones.decide(10.0, &view);
+    assert!(changes.is_empty(), "{changes:?}");
+}
+
 #[rstest]
 #[case::sound((8, 0), 1.0)]
 #[case::within_headroom((10, 2), 1.0)]
--- a/crates/routing/src/api/plan.rs
+++ b/crates/routing/src/api/plan.rs
@@ -62,7 +62,9 @@
             Note::Replica { replica, change } => {
                 write!(f, "replica {} {}", replica.0, change.as_str())
             }
-            Note::Zone { zone, change } => write!(f, "zone {} {}", zone.0, change.as_str()),
+            Note::Zone { zone, change } => {
+                write!(f, "zone {} {} by own calls", zone.0, change.as_str())
+            }
             Note::OverloadBegan => f.write_str("overload began"),
             Note::OverloadEnded => f.write_str("overload ended"),
         }
