--- a/crates/tier/chain/tests/simulation/event.rs
+++ b/crates/tier/chain/tests/simulation/event.rs
@@ -54,3 +54,17 @@
     Fault,
     EndFault,
 }
+
+impl Event {
+    /// The machine whose process has to run for the event.
+    pub(super) fn process(&self) -> Option<usize> {
+        match self {
+            Event::Wake { node, .. }
+            | Event::Deliver { to: node, .. }
+            | Event::Synced { node, .. }
+            | Event::CheckStop { node, .. }
+            | Event::Call { node, .. } => Some(*node),
+            _ => None,
+        }
+    }
+}
--- a/crates/tier/chain/tests/simulation/partitions.rs
+++ b/crates/tier/chain/tests/simulation/partitions.rs
@@ -66,6 +66,39 @@
     finish(world)
 }
 
+/// Cuts the machines into two halves, drawn by lot, for two to ten seconds, and checks the run. Operators reach both
+/// halves meanwhile, and machines of either may restart.
+pub(crate) fn play_halves(run: PartitionRun) -> Finding {
+    let mut world = World::new(run.seed, run.nodes, 0, run.fault_tolerance, run.bug);
+    world.are_faults_over = true;
+    let calm = Duration::from_secs(5) + world.random_duration(Duration::from_secs(1));
+    run_watched(&mut world, calm);
+    let first = world.pick(run.nodes);
+    let half: Vec<usize> = (0..run.nodes / 2)
+        .map(|offset| (first + offset) % run.nodes)
+        .collect();
+    let others: Vec<usize> = (0..run.nodes).filter(|node| !half.contains(node)).collect();
+    world.trace(|| format!("{half:?} cut off from {others:?}"));
+    for &one in &half {
+        for &other in &others {
+            world.partitioned_links.insert_both_ways(one, other);
+        }
+    }
+    let end = world.now + Duration::from_secs(2) + world.random_duration(Duration::from_secs(8));
+    while world.now < end {
+        let side = if world.chance(0.5) { &half } else { &others };
+        if world.chance(0.3) {
+            disturb_one(&mut world, side);
+        }
+        let length = world.random_duration(MAX_INTERVAL).min(end - world.now);
+        run_watched(&mut world, length);
+    }
+    world.trace(|| "the partition ends".to_owned());
+    world.partitioned_links.clear();
+    run_watched(&mut world, Duration::from_secs(4));
+    finish(world)
+}
+
 fn partition_link(world: &mut World, one: usize, two: usize, is_one_way: bool) {
     if is_one_way {
         world.partitioned_links.insert((one, two));
--- a/crates/tier/chain/tests/simulation/world.rs
+++ b/crates/tier/chain/tests/simulation/world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use woadreach_chain::{Body, ControlState, Envelope, Input, Output, ProposalReason};
-use woadreach_sim_support::{EventQueue, PartitionedLinks};
+use woadreach_sim_support::{CpuQuota, EventQueue, PartitionedLinks};
 
 use super::capacity::Capacity;
 use super::disk::SimulatedDisk;
@@ -47,6 +47,8 @@
     pub fault_tolerance: usize,
     /// Number of zones of which one may be lost; 0 if zones don't matter.
     pub zones: usize,
+    /// When processes are stalled by their share of a core; `None` if they always run.
+    pub quota: Option<CpuQuota>,
     /// What links and disks can carry; without it, bytes cost nothing.
     pub capacity: Option<Capacity>,
     /// What every disk holds when it is first used.
@@ -84,6 +86,7 @@
             bug,
             fault_tolerance,
             zones,
+            quota: None,
             capacity: None,
             first_state: ControlState::default(),
             fault_kinds: &[],
@@ -141,11 +144,24 @@
     pub(crate) fn run_until(&mut self, end: Duration) {
         while let Some(due) = self.queue.pop_due(&end) {
             self.now = due.at;
-            self.handle(due.event);
+            match due
+                .event
+                .process()
+                .and_then(|node| self.stalled_until(node))
+            {
+                Some(until) => self.queue.schedule(until, due.event),
+                None => self.handle(due.event),
+            }
         }
         self.now = end;
     }
 
+    /// When the process runs again, if its share of a core is spent.
+    pub(crate) fn stalled_until(&self, node: usize) -> Option<Duration> {
+        let quota = self.quota.as_ref()?;
+        quota.stalled_until(node as u64, self.now)
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Wake { node, incarnation } => {
--- a/crates/tier/discovery/tests/common/world/event.rs
+++ b/crates/tier/discovery/tests/common/world/event.rs
@@ -129,6 +129,20 @@
 }
 
 impl Event {
+    /// The core machine or observer at which the event takes place.
+    pub(super) fn node(&self) -> Option<Node> {
+        match self {
+            Self::EdgeWake { edge, .. }
+            | Self::EdgeTimeout { edge, .. }
+            | Self::Refused { edge, .. }
+            | Self::Deliver {
+                to: Node::Edge(edge),
+                ..
+            } => Some(Node::Edge(*edge)),
+            event => event.core().map(Node::Core),
+        }
+    }
+
     /// The core machine at which the event takes place.
     pub(super) fn core(&self) -> Option<usize> {
         match self {
--- a/crates/tier/discovery/tests/common/world/mod.rs
+++ b/crates/tier/discovery/tests/common/world/mod.rs
@@ -16,13 +16,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use woadreach_sim_support::{EventQueue, PartitionedLinks};
+use woadreach_sim_support::{CpuQuota, EventQueue, PartitionedLinks};
 
 use self::core_node::CoreNode;
 pub(crate) use self::core_node::{PowerState, core_address};
 use self::event::Event;
 pub(crate) use self::event::Node;
-use self::observer::EdgeNode;
+pub(crate) use self::observer::EdgeNode;
 use self::replica::Replica;
 
 pub(crate) const LINK_DELAY: Duration = Duration::from_millis(1);
@@ -42,6 +42,8 @@
     /// Core machines that no replica reaches.
     pub(crate) unreachable_from_replicas: BTreeSet<usize>,
     pub(crate) core_bytes: u64,
+    /// When processes of the tier are stalled by their share of a core; `None` if they always run.
+    pub(crate) quota: Option<CpuQuota>,
     queue: EventQueue<Duration, Event>,
     /// Number of the latest call of a replica or observer.
     last_call: u64,
@@ -58,6 +60,7 @@
             partitions: PartitionedLinks::default(),
             unreachable_from_replicas: BTreeSet::new(),
             core_bytes: 0,
+            quota: None,
             queue: EventQueue::new(),
             last_call: 0,
             random: oorandom::Rand32::new(seed),
@@ -91,7 +94,10 @@
     pub(crate) fn run_checked(&mut self, until: Duration, mut check: impl FnMut(&World)) {
         while let Some(due) = self.queue.pop_due(&until) {
             self.now = due.at;
-            self.handle(due.event);
+            match self.stalled_until(&due.event) {
+                Some(until) => self.queue.schedule(until, due.event),
+                None => self.handle(due.event),
+            }
             check(self);
         }
         self.now = until;
@@ -105,6 +111,16 @@
         self.run(self.now + duration);
     }
 
+    /// When the process runs again in which the event takes place, if its share of a core is spent.
+    fn stalled_until(&self, event: &Event) -> Option<Duration> {
+        let quota = self.quota.as_ref()?;
+        let process = match event.node()? {
+            Node::Core(core) => core,
+            Node::Edge(edge) => self.cores.len() + edge,
+        };
+        quota.stalled_until(process as u64, self.now)
+    }
+
     fn random_core(&mut self) -> usize {
         self.random.rand_range(0..self.cores.len() as u32) as usize
     }
