--- a/crates/tier/scheduler/src/decisions.rs
+++ b/crates/tier/scheduler/src/decisions.rs
@@ -8,6 +8,7 @@
 use crate::call::CallId;
 use crate::call_state::{CallEvent, CallState};
 use crate::calls_in_flight::{Attempt, AttemptState};
+use crate::decision_counts::Decision;
 use crate::keys::{AttemptKey, ReplicaKey};
 use crate::outcome::Outcome;
 use crate::placement::{Choice, Placement, prefill_tokens};
@@ -145,11 +146,13 @@
         self.end(now, id, false);
     }
 
-    /// Ends a call that cannot be sent again: rejects it if it has not run, otherwise reports why it failed.
-    fn give_up(&mut self, now: f64, id: CallId, actions: &mut Vec<Action>) {
+    /// Ends a call that cannot be sent again, for this reason: rejects it if it has not run, otherwise reports why it
+    /// failed.
+    fn give_up(&mut self, now: f64, id: CallId, reason: Decision, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
+        self.counts.count(reason);
         if call.has_not_run() {
             let retry_after = self.retry_after_for(now, id);
             return self.refuse(now, id, retry_after, actions);
@@ -185,7 +188,7 @@
             return;
         };
         if !call.may_send() || has_come(now, call.request.give_up_at) {
-            return self.give_up(now, id, actions);
+            return self.give_up(now, id, Decision::OutOfTimeOrAttempts, actions);
         }
         match self.choose(now, id) {
             Choice::NoReplica => self.handle_missing_replica(now, id, actions),
@@ -195,6 +198,7 @@
                 if let Some(replica) = self.fleet.get_mut(replica) {
                     replica.health.probe_sent(now);
                 }
+                self.counts.count(Decision::Probed);
                 self.send(now, id, replica, actions);
             }
             Choice::Send(replica) => self.send_if_worthwhile(now, id, replica, actions),
@@ -248,8 +252,11 @@
             .services
             .get(&call.service)
             .is_none_or(|service| service.retry_tokens.can_retry());
-        if self.is_hopeless(now, id, replica) || (repeats && !affordable) {
-            return self.give_up(now, id, actions);
+        if self.is_hopeless(now, id, replica) {
+            return self.give_up(now, id, Decision::SkippedAsHopeless, actions);
+        }
+        if repeats && !affordable {
+            return self.give_up(now, id, Decision::RetryBudgetSpent, actions);
         }
         if returns && !has_come(now, not_before) {
             return self.postpone(now, id, Some(not_before), actions);
@@ -272,6 +279,11 @@
             return;
         };
         let is_retry = call.has_reached_replica();
+        self.counts.count(match call.state() {
+            CallState::Running => Decision::Hedged,
+            _ if call.attempts.is_empty() => Decision::Sent,
+            _ => Decision::SentAgain,
+        });
         let index = call.attempts.len() as u32;
         call.attempts.push(Attempt {
             replica,
@@ -318,7 +330,7 @@
         if call.attempts.is_empty() && self.fleet.usable(&call.service).next().is_none() {
             self.postpone(now, id, None, actions);
         } else {
-            self.give_up(now, id, actions);
+            self.give_up(now, id, Decision::NoReplicaLeft, actions);
         }
     }
 
@@ -340,12 +352,13 @@
     fn postpone(&mut self, now: f64, id: CallId, until: Option<f64>, actions: &mut Vec<Action>) {
         let limit = self.max_queued_until(now, id);
         if has_come(now, limit) {
-            return self.give_up(now, id, actions);
+            return self.give_up(now, id, Decision::WaitedTooLong, actions);
         }
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.apply(CallEvent::Postponed);
+        self.counts.count(Decision::Postponed);
         self.postponed.insert(id);
         let until = until.map_or(limit, |until| until.min(limit));
         self.timers.set(&mut call.timer, id, Some(until));
@@ -356,7 +369,7 @@
     fn enqueue(&mut self, now: f64, id: CallId, replica: ReplicaKey, actions: &mut Vec<Action>) {
         let limit = self.max_queued_until(now, id);
         if self.is_hopeless(now, id, replica) {
-            return self.give_up(now, id, actions);
+            return self.give_up(now, id, Decision::SkippedAsHopeless, actions);
         }
         if has_come(now, limit) {
             return self.send_if_worthwhile(now, id, replica, actions);
@@ -371,6 +384,7 @@
             return;
         };
         call.apply(CallEvent::Enqueued { replica, deadline });
+        self.counts.count(Decision::Queued);
         self.timers.set(&mut call.timer, id, Some(limit));
     }
 }
--- a/crates/tier/scheduler/src/fleet.rs
+++ b/crates/tier/scheduler/src/fleet.rs
@@ -70,6 +70,14 @@
             .filter(|(_, replica)| replica.is_usable())
     }
 
+    /// Number of replicas that are ejected for at least one route.
+    pub(crate) fn ejected(&self) -> usize {
+        let replicas = self.replicas.values();
+        replicas
+            .filter(|replica| replica.health.is_ejected())
+            .count()
+    }
+
     fn insert(&mut self, now: f64, spec: &ReplicaSpec) {
         self.last_key += 1;
         let key = ReplicaKey::new(self.last_key);
--- a/crates/tier/scheduler/src/lib.rs
+++ b/crates/tier/scheduler/src/lib.rs
@@ -20,12 +20,14 @@
 //! | `placement` | choice of a replica |
 //! | `step` | the queuing deadline of a program's step |
 //! | `observations`, `replica`, `routes`, `programs`, `service` | what is learned, and from what |
+//! | `decision_counts` | how often each decision was made, for operators |
 //! | `calls_in_flight`, `fleet`, `prefix_cache`, `keys`, `retry_tokens`, `timers` | state |
 
 mod action;
 mod call;
 mod call_state;
 mod calls_in_flight;
+mod decision_counts;
 mod decisions;
 mod fleet;
 mod hedging;
@@ -47,6 +49,7 @@
 
 pub use action::{Action, FailReason};
 pub use call::{Call, CallId, CallKind, PrefixPart, WeightedService};
+pub use decision_counts::{Decision, DecisionCounts, SchedulerLoad};
 pub use outcome::{Outcome, ServerLoad};
 pub use scheduler::Scheduler;
 pub use service::connections_per_process;
--- a/crates/tier/scheduler/src/observations.rs
+++ b/crates/tier/scheduler/src/observations.rs
@@ -4,9 +4,10 @@
 
 use crate::call::CallId;
 use crate::calls_in_flight::AttemptState;
+use crate::decision_counts::{Decision, DecisionCounts};
 use crate::keys::AttemptKey;
 use crate::outcome::{Outcome, ServerLoad};
-use crate::replica::{AttemptAtReplica, Failure, FailureKind, ResponseStart};
+use crate::replica::{AttemptAtReplica, Failure, FailureKind, Replica, ResponseStart};
 use crate::scheduler::Scheduler;
 
 /// A replica is ejected when half of its last eight outcomes, at least two, are failures (docs/design.md,
@@ -16,6 +17,14 @@
     min_failures: 2,
 };
 
+/// Ejects a replica at once.
+fn eject(now: f64, replica: &mut Replica, counts: &mut DecisionCounts) {
+    if !replica.health.is_ejected() {
+        counts.count(Decision::Ejected);
+    }
+    replica.health.eject(now, None);
+}
+
 impl Scheduler {
     /// Records the latency of an attempt whose first event or response head has arrived, and the replica's
     /// activity. For a stream it counts towards the replica's health; other responses count at their end, by
@@ -87,7 +96,9 @@
             Outcome::NotExecuted { .. } | Outcome::TimedOut => {
                 replica.hold.begin(replica.in_flight.len())
             }
-            Outcome::Unreachable | Outcome::Broken { .. } => replica.health.eject(now, None),
+            Outcome::Unreachable | Outcome::Broken { .. } => {
+                eject(now, replica, &mut self.counts);
+            }
             Outcome::Misdirected | Outcome::NeverSent => return,
         }
         if outcome != Outcome::Answered {
@@ -114,7 +125,7 @@
         if let Some(sent) = replica.in_flight.get_mut(&attempt) {
             sent.lost = true;
         }
-        replica.health.eject(now, None);
+        eject(now, replica, &mut self.counts);
         self.observe_health(now, sent, Some(FailureKind::MayHaveRun));
     }
 
@@ -149,7 +160,11 @@
             class: sent.route,
             failed,
         };
+        let was_ejected = replica.health.is_ejected();
         replica.health.observe(EJECTION, observation);
+        if !was_ejected && replica.health.is_ejected() {
+            self.counts.count(Decision::Ejected);
+        }
     }
 
     /// The attempt, if it is in flight and its replica has not departed.
--- a/crates/tier/scheduler/src/scheduler.rs
+++ b/crates/tier/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::action::Action;
 use crate::call::{Call, CallId, WeightedService};
 use crate::calls_in_flight::{AttemptState, CallInFlight};
+use crate::decision_counts::{Decision, DecisionCounts, SchedulerLoad};
 use crate::fleet::Fleet;
 use crate::keys::{AttemptKey, ReplicaKey};
 use crate::outcome::{Outcome, ServerLoad};
@@ -33,6 +34,7 @@
     pub(crate) timers: Timers,
     /// Calls that have to be decided anew on the next wake, after replicas or services have changed.
     pub(crate) displaced: BTreeSet<CallId>,
+    pub(crate) counts: DecisionCounts,
 }
 
 impl Scheduler {
@@ -51,6 +53,7 @@
             postponed: BTreeSet::new(),
             timers: Timers::default(),
             displaced: BTreeSet::new(),
+            counts: DecisionCounts::default(),
         }
     }
 
@@ -110,7 +113,10 @@
             .insert(id, CallInFlight::new(call, route, service));
         let mut actions = Vec::new();
         match self.rejection_on_arrival(now, id) {
-            Some(retry_after) => self.refuse(now, id, retry_after, &mut actions),
+            Some(retry_after) => {
+                self.counts.count(Decision::ShedOnArrival);
+                self.refuse(now, id, retry_after, &mut actions);
+            }
             None => self.decide(now, id, &mut actions),
         }
         actions
@@ -217,6 +223,22 @@
         }
     }
 
+    /// How often each decision was made since the scheduler was created.
+    pub fn decision_counts(&self) -> DecisionCounts {
+        self.counts
+    }
+
+    /// What the scheduler holds now.
+    pub fn load(&self) -> SchedulerLoad {
+        let is_queued = |call: &&CallInFlight| call.queued_at().is_some();
+        SchedulerLoad {
+            calls: self.calls.len(),
+            queued: self.calls.values().filter(is_queued).count(),
+            postponed: self.postponed.len(),
+            ejected_replicas: self.fleet.ejected(),
+        }
+    }
+
     /// Draws one of the call's services by weight.
     fn choose_service(&mut self, call: &Call) -> Arc<str> {
         let total: u64 = call
