--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -40,6 +40,14 @@
         path.display()
     ))]
     NoProgram { path: PathBuf },
+    /// The file of `woadreach status` can't be used.
+    #[snafu(display("{source}"))]
+    StatusFile {
+        source: crate::status::machines::MachineListError,
+    },
+    /// The asynchronous runtime can't be started.
+    #[snafu(display("runtime: {source}"))]
+    Runtime { source: io::Error },
     /// A result can't be printed as JSON.
     #[snafu(display("{source}"))]
     Json { source: serde_json::Error },
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod error;
 mod faults;
 mod output;
+mod status;
 
 use clap::{Parser, Subcommand};
 use error::CommandError;
@@ -36,6 +37,8 @@
         #[command(subcommand)]
         action: cluster::Action,
     },
+    /// The state of a tier's machines, from their metrics pages
+    Status(status::StatusArguments),
 }
 
 /// What a command has found.
@@ -51,6 +54,7 @@
     let result = match Command::parse().topic {
         Topic::Faults { action } => faults::execute(action),
         Topic::Cluster { action } => cluster::execute(action),
+        Topic::Status(arguments) => status::execute(arguments),
     };
     exit_code(result)
 }
--- a/crates/tier/control/src/core_role/mod.rs
+++ b/crates/tier/control/src/core_role/mod.rs
@@ -1,6 +1,7 @@
 //! The `core` role: starts the services of a core machine, and stops them on SIGTERM.
 
 mod departure;
+mod metrics;
 mod recovery;
 mod signals;
 
@@ -58,6 +59,8 @@
     let rpc = Client::new(ClientOptions::default());
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
     let services = start_services(&settings, &driver, rpc, internal_listener);
+    let page = metrics::page_source(Arc::clone(&driver), Arc::clone(&services.discovery));
+    woadreach_metrics::bind_and_serve(settings.metrics_address(), page).await;
     let (stop, stopped) = watch::channel(false);
     let server = http_server::serve(
         control_listener,
--- a/crates/tier/control/src/lib.rs
+++ b/crates/tier/control/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod order;
 mod random;
 mod storage_announcer;
+mod storage_metrics;
 pub mod storage_planner;
 pub mod storage_role;
 
--- a/crates/tier/control/src/member_driver/mod.rs
+++ b/crates/tier/control/src/member_driver/mod.rs
@@ -61,6 +61,8 @@
     journal_health: JournalHealth,
     /// What the member was last notified of.
     is_disk_healthy: bool,
+    /// Records that were synced since the process started.
+    synced_records: u64,
     /// Requests that the member has not answered.
     replies: HashMap<RequestId, oneshot::Sender<Reply>>,
     /// Number of the next request; rises by one with each.
@@ -69,6 +71,19 @@
     timer_deadline: Instant,
 }
 
+/// The state of a journal at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct JournalReport {
+    /// Length of the log since the last snapshot.
+    pub log_bytes: u64,
+    /// For how long the disk has not finished an operation; zero if none is pending.
+    pub stalled_for: Duration,
+    /// Whether the disk takes records and syncs in time.
+    pub is_healthy: bool,
+    /// Records that were synced since the process started.
+    pub synced_records: u64,
+}
+
 /// Cancels a request when its caller stops waiting for the reply.
 struct RequestGuard<'a> {
     driver: &'a MemberDriver,
@@ -109,6 +124,7 @@
                 last_number: recovered.number,
                 journal_health: JournalHealth::new(),
                 is_disk_healthy: true,
+                synced_records: 0,
                 replies: HashMap::new(),
                 next_request: 0,
                 timer_deadline: started,
@@ -197,6 +213,17 @@
         self.published().storage_view.clone()
     }
 
+    /// The state of the journal.
+    pub fn journal_report(&self) -> JournalReport {
+        let state = self.state.lock();
+        JournalReport {
+            log_bytes: self.journal.log_bytes(),
+            stalled_for: self.journal.stalled_for(),
+            is_healthy: state.is_disk_healthy,
+            synced_records: state.synced_records,
+        }
+    }
+
     /// A counter that rises with each change of the committed state, of the view, and of whether this machine
     /// is in quorum.
     pub fn changes(&self) -> watch::Receiver<u64> {
--- a/crates/tier/control/src/member_driver/persistence.rs
+++ b/crates/tier/control/src/member_driver/persistence.rs
@@ -100,7 +100,11 @@
 
     /// Notifies the member that all records up to `number` are synced, of which `_receipt` is the proof.
     fn report_synced(&self, number: u64, _receipt: Synced) {
-        let recovered_number = self.state.lock().recovered_number;
+        let recovered_number = {
+            let mut state = self.state.lock();
+            state.synced_records += 1;
+            state.recovered_number
+        };
         self.handle(Input::Synced(number - recovered_number));
     }
 
--- a/crates/tier/control/src/storage_role.rs
+++ b/crates/tier/control/src/storage_role.rs
@@ -19,6 +19,7 @@
 use crate::DEPARTURE_POLL_INTERVAL;
 use crate::random::random_number;
 use crate::storage_announcer::StorageAnnouncer;
+use crate::storage_metrics;
 
 /// Part of the grace period that is reserved for stopping after the departure.
 const STOP_MARGIN: Duration = Duration::from_millis(2_000);
@@ -83,6 +84,8 @@
     let router = sampler.handlers(server.handlers(Router::new()));
     let control = ControlWatch::spawn_with_sampler(&settings, rpc.clone(), Arc::clone(&sampler));
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let page = storage_metrics::page_source(server.clone());
+    woadreach_metrics::bind_and_serve(settings.metrics_address(), page).await;
     let hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     tracing::info!(node = settings.node, %address, "storage machine started");
     let service = async {
--- a/crates/tier/discovery/src/core_discovery.rs
+++ b/crates/tier/discovery/src/core_discovery.rs
@@ -63,6 +63,17 @@
     Failed,
 }
 
+/// What a core machine knows of the replicas, at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct RegistryReport {
+    /// Replicas that are registered.
+    pub replicas: usize,
+    /// Whether the machine may not know all of them.
+    pub is_warming: bool,
+    /// Counters since the start.
+    pub counters: RegistryCounters,
+}
+
 /// Discovery on a core machine.
 pub struct CoreDiscovery {
     /// Incarnation of this process, not 0.
@@ -145,6 +156,16 @@
         self.state.lock().registry().counters()
     }
 
+    /// What this machine knows of the replicas.
+    pub fn report(&self) -> RegistryReport {
+        let state = self.state.lock();
+        RegistryReport {
+            replicas: state.registry().present(),
+            is_warming: state.is_warming(self.now()),
+            counters: state.registry().counters(),
+        }
+    }
+
     /// Counts a heartbeat that could not be decoded.
     pub fn count_unreadable(&self) {
         self.state.lock().count_unreadable();
--- a/crates/tier/discovery/src/lib.rs
+++ b/crates/tier/discovery/src/lib.rs
@@ -40,7 +40,7 @@
 
 pub use committed::{CommittedState, CommittedValue, ViewSummary};
 pub use control_watch::ControlWatch;
-pub use core_discovery::{AcknowledgeError, CoreDiscovery};
+pub use core_discovery::{AcknowledgeError, CoreDiscovery, RegistryReport};
 pub use registry::{HeartbeatError, HeartbeatOutcome, Registry};
 pub use replica::{Heartbeat, ModelRecord, ReplicaRecord, ReplicaState};
 pub use sampler::Sampler;
--- a/crates/tier/proxy/src/dispatcher.rs
+++ b/crates/tier/proxy/src/dispatcher.rs
@@ -9,7 +9,8 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use woadreach_scheduler::{
-    Action, Call, CallId, FailReason, Outcome, ReplicaSpec, Scheduler, ServerLoad, ServiceSpec,
+    Action, Call, CallId, DecisionCounts, FailReason, Outcome, ReplicaSpec, Scheduler,
+    SchedulerLoad, ServerLoad, ServiceSpec,
 };
 
 /// What a request's task is to do.
@@ -49,6 +50,15 @@
     pub commands: UnboundedReceiver<Command>,
 }
 
+/// What the scheduler has decided and what it holds, at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct SchedulerReport {
+    /// How often each decision was made since the process started.
+    pub counts: DecisionCounts,
+    /// What it holds.
+    pub load: SchedulerLoad,
+}
+
 struct Inner {
     scheduler: Scheduler,
     /// Senders of the requests that are registered.
@@ -136,6 +146,15 @@
         });
     }
 
+    /// What the scheduler has decided and what it holds.
+    pub fn scheduler_report(&self) -> SchedulerReport {
+        let inner = self.inner.lock();
+        SchedulerReport {
+            counts: inner.scheduler.decision_counts(),
+            load: inner.scheduler.load(),
+        }
+    }
+
     /// Replaces the names of the configured routes.
     pub fn update_routes(&self, configured: &BTreeSet<&str>) {
         self.apply(|scheduler, _now| {
--- a/crates/tier/proxy/src/lib.rs
+++ b/crates/tier/proxy/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`replica`] | sends one attempt over a pooled connection and classifies the response |
 //!
 //! Beside them, [`routing_state`] is the configuration and the replicas that the control plane has sent,
-//! [`lifecycle`] and [`shutdown`] are readiness and the graceful shutdown.
+//! [`lifecycle`] and [`shutdown`] are readiness and the graceful shutdown, [`metrics`] is the page for operators.
 
 pub mod client;
 pub mod clock;
@@ -20,6 +20,7 @@
 pub mod counters;
 pub mod dispatcher;
 pub mod lifecycle;
+pub mod metrics;
 pub mod mutations;
 pub mod proxy;
 pub mod readiness;
--- a/crates/tier/proxy/src/run.rs
+++ b/crates/tier/proxy/src/run.rs
@@ -1,6 +1,7 @@
 //! Wires the data plane: binds its addresses, spawns its services, and stops them in order.
 
 use crate::client::listener::ClientListener;
+use crate::metrics;
 use crate::proxy::Proxy;
 use crate::readiness;
 use crate::shutdown::shut_down;
@@ -83,6 +84,8 @@
     tokio::spawn(sampler.clone().run());
     let snapshots = ControlWatch::spawn_with_sampler(&settings, rpc, sampler.clone());
     let listener = ClientListener::new(proxy.clone(), &settings.limits);
+    let page = metrics::page_source(proxy.clone(), listener.clone(), snapshots.clone());
+    woadreach_metrics::bind_and_serve(settings.metrics_address(), page).await;
 
     spawn_services(&proxy, &listener, client_listener, snapshots);
     tokio::spawn(axum::serve(ready_listener, readiness::router(proxy.clone())).into_future());
--- a/crates/tier/settings/src/settings.rs
+++ b/crates/tier/settings/src/settings.rs
@@ -63,7 +63,8 @@
 /// Ports of a process, both ends included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PortRange {
-    /// First port; above 0. Calls from other processes of the tier arrive here.
+    /// First port; above 0. Calls from other processes of the tier arrive here, and readers of the metrics page at the
+    /// next.
     pub first: u16,
     /// Last port; not below `first`.
     pub last: u16,
@@ -222,6 +223,12 @@
         SocketAddr::from((self.ip, self.port_range.first))
     }
 
+    /// Address of the metrics page: the port after that for the tier's own traffic. `None` if the range has only one.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        let PortRange { first, last } = self.port_range;
+        (last > first).then(|| SocketAddr::from((self.ip, first + 1)))
+    }
+
     /// Addresses at which the processes of the tier reach the seeds. Ports are the same on all machines.
     pub fn seed_internal_addresses(&self) -> Vec<SocketAddr> {
         self.seeds
--- a/crates/tier/settings/tests/settings.rs
+++ b/crates/tier/settings/tests/settings.rs
@@ -55,6 +55,19 @@
     assert_eq!(limits.disk_bytes(), u64::MAX);
 }
 
+#[test]
+fn metrics_are_served_at_the_second_port_of_the_range() {
+    let settings = NodeSettings::parse(EDGE).unwrap();
+    assert_eq!(
+        settings.metrics_address(),
+        Some("127.0.0.9:7381".parse().unwrap())
+    );
+    let text = EDGE.replace("  - 7395", "  - 7380");
+    assert_eq!(NodeSettings::parse(&text).unwrap().metrics_address(), None);
+    let text = EDGE.replace("  - 7380\n  - 7395", "  - 65535\n  - 65535");
+    assert_eq!(NodeSettings::parse(&text).unwrap().metrics_address(), None);
+}
+
 #[test]
 fn a_complete_file_is_read_and_unknown_fields_are_ignored() {
     let settings = NodeSettings::parse(EDGE).unwrap();
--- a/crates/tier/storage/src/server/mod.rs
+++ b/crates/tier/storage/src/server/mod.rs
@@ -83,6 +83,33 @@
     disk_refuses: AtomicBool,
 }
 
+/// The state of a storage machine at one moment.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerReport {
+    /// Epoch of the view that it knows; 0 before the first.
+    pub epoch: u64,
+    /// Joint epoch for which everything has been pulled; 0 before the first.
+    pub pulled_epoch: u64,
+    /// Whether its disk is one of the view's current machines.
+    pub is_current: bool,
+    /// Whether it is shutting down.
+    pub is_shutting_down: bool,
+    /// Current machines of the view.
+    pub current_machines: usize,
+    /// Machines that are to take over; 0 without a joint epoch.
+    pub next_machines: usize,
+    /// Programs of which it stores records.
+    pub programs: usize,
+    /// Bytes of these records.
+    pub record_bytes: usize,
+    /// Length of the journal's log since the last snapshot.
+    pub log_bytes: u64,
+    /// For how long the disk has not finished an operation; zero if none is pending.
+    pub stalled_for: Duration,
+    /// Whether the disk has taken the last record.
+    pub is_disk_healthy: bool,
+}
+
 /// Why a pull is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PullDue {
@@ -178,6 +205,26 @@
         }
     }
 
+    /// The state of this machine for operators.
+    #[must_use]
+    pub fn report(&self) -> ServerReport {
+        let node = self.shared.node.lock();
+        let view = node.view();
+        ServerReport {
+            epoch: view.epoch,
+            pulled_epoch: node.pulled_epoch(),
+            is_current: view.is_current(node.disk()),
+            is_shutting_down: self.shared.shutting_down.load(Ordering::Relaxed),
+            current_machines: view.current.len(),
+            next_machines: view.next.as_ref().map_or(0, Vec::len),
+            programs: node.store().len(),
+            record_bytes: node.store().bytes(),
+            log_bytes: self.shared.journal.log_bytes(),
+            stalled_for: self.shared.journal.stalled_for(),
+            is_disk_healthy: !self.shared.disk_refuses.load(Ordering::Relaxed),
+        }
+    }
+
     /// Requests a pull from the others, since this machine may have missed records.
     pub fn request_pull(&self) {
         self.shared.pull_due.send_modify(|due| due.missed += 1);
