--- a/crates/tier/proxy/src/command_line.rs
+++ b/crates/tier/proxy/src/command_line.rs
@@ -1,6 +1,8 @@
 //! The command line of `woadreach-proxy`.
 
-use clap::{Arg, Command};
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use woadreach_scheduler::Mechanism;
 use woadreach_settings::SETTINGS_VARIABLE;
 
 /// Format of the log.
@@ -19,10 +21,28 @@
     pub log_format: LogFormat,
     /// Filter of the log, as `tracing_subscriber::EnvFilter` has it.
     pub log_filter: String,
+    /// Mechanisms of the scheduler that a measurement switches off; none in a release build.
+    pub without: Vec<Mechanism>,
 }
 
 /// The command line's definition.
 pub fn command() -> Command {
+    let command = release_command();
+    if !cfg!(feature = "ablation") {
+        return command;
+    }
+    let names = Mechanism::ALL.map(Mechanism::as_str);
+    command.arg(
+        Arg::new("without")
+            .long("without")
+            .value_parser(PossibleValuesParser::new(names))
+            .action(ArgAction::Append)
+            .help("Mechanism that a measurement switches off; may be given several times"),
+    )
+}
+
+/// The command line of a build without the feature `ablation`.
+fn release_command() -> Command {
     Command::new("woadreach-proxy")
         .version(env!("CARGO_PKG_VERSION"))
         .about(
@@ -59,6 +79,7 @@
     T: Into<std::ffi::OsString> + Clone,
 {
     let matches = command().try_get_matches_from(arguments)?;
+    let without = without(&matches);
     let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
     let log_format = if text("log-format") == "json" {
         LogFormat::Json
@@ -68,5 +89,13 @@
     Ok(Arguments {
         log_format,
         log_filter: text("log-filter"),
+        without,
     })
 }
+
+/// The mechanisms that are switched off.
+fn without(matches: &ArgMatches) -> Vec<Mechanism> {
+    let names = matches.try_get_many::<String>("without");
+    let names = names.ok().flatten().into_iter().flatten();
+    names.filter_map(|name| Mechanism::named(name)).collect()
+}
--- a/crates/tier/proxy/src/main.rs
+++ b/crates/tier/proxy/src/main.rs
@@ -18,6 +18,11 @@
         Err(error) => error.exit(),
     };
     start_logs(&arguments);
+    #[cfg(feature = "ablation")]
+    for mechanism in &arguments.without {
+        woadreach_scheduler::switch_off(*mechanism);
+        tracing::warn!(mechanism = mechanism.as_str(), "mechanism switched off");
+    }
     let settings = match NodeSettings::load_from_environment() {
         Ok(settings) => settings,
         Err(error) => return fail(&error, INVALID_SETTINGS),
--- a/crates/tier/proxy/tests/program.rs
+++ b/crates/tier/proxy/tests/program.rs
@@ -51,6 +51,17 @@
     assert!(String::from_utf8_lossy(&version.stdout).starts_with("woadreach-proxy "));
 }
 
+/// A release build has no switches for measurements.
+#[cfg(not(feature = "ablation"))]
+#[test]
+fn no_mechanism_can_be_switched_off() {
+    let output = program()
+        .args(["--without", "hedging"])
+        .output()
+        .expect("the program starts");
+    assert_eq!(output.status.code(), Some(2));
+}
+
 #[test]
 fn unknown_arguments_are_refused() {
     let output = program()
--- a/crates/tier/scheduler/src/decisions.rs
+++ b/crates/tier/scheduler/src/decisions.rs
@@ -10,6 +10,7 @@
 use crate::calls_in_flight::{Attempt, AttemptState};
 use crate::decision_counts::Decision;
 use crate::keys::{AttemptKey, ReplicaKey};
+use crate::mechanisms::{Mechanism, is_on};
 use crate::outcome::Outcome;
 use crate::placement::{Choice, Placement, prefill_tokens};
 use crate::scheduler::Scheduler;
@@ -77,7 +78,7 @@
             let Some(at) = self.fleet.get(replica) else {
                 break;
             };
-            if at.hold.holds(at.in_flight.len()) {
+            if at.holds() {
                 break;
             }
             self.decide(now, first, actions);
@@ -232,7 +233,8 @@
             let k = self.programs.step_size(&call.request);
             let tail = self.routes.tail(now, call.route, Some(replica), k);
             let remaining = call.request.give_up_at - now;
-            has_come(now, call.request.give_up_at) || PartBudget::hopeless(remaining, tail)
+            let is_skipped = is_on(Mechanism::Skip) && PartBudget::hopeless(remaining, tail);
+            has_come(now, call.request.give_up_at) || is_skipped
         })
     }
 
--- a/crates/tier/scheduler/src/hedging.rs
+++ b/crates/tier/scheduler/src/hedging.rs
@@ -5,6 +5,7 @@
 use crate::call_state::CallEvent;
 use crate::calls_in_flight::{Attempt, AttemptState};
 use crate::keys::{AttemptKey, ReplicaKey};
+use crate::mechanisms::{Mechanism, is_on};
 use crate::placement::Placement;
 use crate::replica::AttemptAtReplica;
 use crate::scheduler::Scheduler;
@@ -81,7 +82,7 @@
     fn hedge_target(&mut self, now: f64, id: CallId) -> Option<ReplicaKey> {
         let call = self.calls.get(&id)?;
         let service = self.services.get(&call.service)?;
-        if !service.retry_tokens.can_retry() {
+        if !is_on(Mechanism::Hedging) || !service.retry_tokens.can_retry() {
             return None;
         }
         let placement = Placement::new(now, &self.fleet, &self.routes, &self.zone, Some(service));
--- a/crates/tier/scheduler/src/lib.rs
+++ b/crates/tier/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `step` | the queuing deadline of a program's step |
 //! | `observations`, `replica`, `routes`, `programs`, `service` | what is learned, and from what |
 //! | `decision_counts` | how often each decision was made, for operators |
+//! | `mechanisms` | what a measurement can switch off, in a build with the feature `ablation` |
 //! | `calls_in_flight`, `fleet`, `prefix_cache`, `keys`, `retry_tokens`, `timers` | state |
 
 mod action;
@@ -32,6 +33,7 @@
 mod fleet;
 mod hedging;
 mod keys;
+mod mechanisms;
 mod observations;
 mod outcome;
 mod placement;
@@ -50,6 +52,9 @@
 pub use action::{Action, FailReason};
 pub use call::{Call, CallId, CallKind, PrefixPart, WeightedService};
 pub use decision_counts::{Decision, DecisionCounts, SchedulerLoad};
+pub use mechanisms::Mechanism;
+#[cfg(feature = "ablation")]
+pub use mechanisms::{switch_all_on, switch_off};
 pub use outcome::{Outcome, ServerLoad};
 pub use scheduler::Scheduler;
 pub use service::connections_per_process;
--- a/crates/tier/scheduler/src/observations.rs
+++ b/crates/tier/scheduler/src/observations.rs
@@ -44,7 +44,7 @@
         let Some(replica) = self.fleet.get_mut(sent.replica) else {
             return;
         };
-        let ejected = replica.health.is_ejected_for(sent.route);
+        let ejected = replica.is_ejected_for(sent.route);
         let latency = now - sent.sent_at;
         let Some(route) = self.routes.get_mut(sent.route) else {
             return;
--- a/crates/tier/scheduler/src/placement.rs
+++ b/crates/tier/scheduler/src/placement.rs
@@ -22,6 +22,7 @@
 use crate::calls_in_flight::CallInFlight;
 use crate::fleet::Fleet;
 use crate::keys::{ReplicaKey, RouteKey};
+use crate::mechanisms::{Mechanism, is_on};
 use crate::replica::Replica;
 use crate::routes::LatenciesByRoute;
 use crate::service::Service;
@@ -102,10 +103,8 @@
             return Choice::SendProbe(probe);
         }
         self.prefer_healthy(call, &mut candidates);
-        let is_queueing = |key: &ReplicaKey| {
-            is_behind(*key)
-                || self.with(*key, |replica| replica.hold.holds(replica.in_flight.len()))
-        };
+        let is_queueing =
+            |key: &ReplicaKey| is_behind(*key) || self.with(*key, |replica| replica.holds());
         candidates.prefer(|key| !is_queueing(key));
         match self.cheapest(call, &mut candidates, random) {
             Some(key) if is_queueing(&key) => Choice::Enqueue(key),
@@ -117,6 +116,9 @@
     /// The home of the call's program or object. That of a program is in this process's zone, where most of
     /// its calls arrive, unless too few replicas are there.
     pub(crate) fn home(&self, call: &CallInFlight) -> Option<ReplicaKey> {
+        if !is_on(Mechanism::Homes) {
+            return None;
+        }
         let is_engine = self.mean_prefill > 0;
         let key = if is_engine {
             call.request.program.or(call.request.session)
@@ -125,7 +127,7 @@
         };
         let key = key?.to_le_bytes();
         let is_healthy = |(_, replica): &(ReplicaKey, &Replica)| {
-            !replica.health.is_ejected_for(call.route) && !self.is_unresponsive(replica)
+            !replica.is_ejected_for(call.route) && !self.is_unresponsive(replica)
         };
         let healthy: Vec<(ReplicaKey, &Replica)> = self
             .fleet
@@ -173,9 +175,9 @@
         candidates.require(|key| {
             self.with(*key, |replica| {
                 replica.in_flight.len() < self.connections
-                    && !replica.health.is_ejected_for(call.route)
+                    && !replica.is_ejected_for(call.route)
                     && !replica.is_saturated(self.now)
-                    && !replica.hold.holds(replica.in_flight.len())
+                    && !replica.holds()
                     && !self.is_unresponsive(replica)
             })
         });
@@ -244,7 +246,9 @@
         let least = candidates.least(|key| self.cost(*key, call))?;
         candidates.prefer(|key| self.cost(*key, call) == least);
         candidates.prefer(|key| call.home == Some(*key));
-        candidates.prefer(|key| self.with(*key, |replica| self.is_near(replica)));
+        if is_on(Mechanism::NearAmongEquals) {
+            candidates.prefer(|key| self.with(*key, |replica| self.is_near(replica)));
+        }
         candidates.choose(|_| 0, random)
     }
 
@@ -263,19 +267,20 @@
     }
 
     fn is_ejected(&self, key: ReplicaKey, route: RouteKey) -> bool {
-        self.with(key, |replica| replica.health.is_ejected_for(route))
+        self.with(key, |replica| replica.is_ejected_for(route))
     }
 
     fn is_majority_ejected(&self, call: &CallInFlight) -> bool {
         let usable = || self.fleet.usable(&call.service);
         let ejected = usable()
-            .filter(|(_, replica)| replica.health.is_ejected_for(call.route))
+            .filter(|(_, replica)| replica.is_ejected_for(call.route))
             .count();
         ejected * 2 > usable().count()
     }
 
     fn is_unresponsive(&self, replica: &Replica) -> bool {
-        replica.is_unresponsive(self.now, |route| self.routes.late_after(route))
+        is_on(Mechanism::UnresponsiveAvoidance)
+            && replica.is_unresponsive(self.now, |route| self.routes.late_after(route))
     }
 
     fn with(&self, key: ReplicaKey, test: impl Fn(&Replica) -> bool) -> bool {
@@ -292,19 +297,17 @@
     } else {
         0.0
     };
-    tokens.saturating_sub(
-        replica
-            .cache
-            .cached_tokens(&call.request.prefix)
-            .max(sent_by_others as u32),
-    )
+    let sent_by_this_process = if is_on(Mechanism::OwnPromptKnowledge) {
+        replica.cache.cached_tokens(&call.request.prefix)
+    } else {
+        0
+    };
+    tokens.saturating_sub(sent_by_this_process.max(sent_by_others as u32))
 }
 
 /// Whether all usable replicas of a service are full, by their reported load or by a queue at this process.
 pub(crate) fn is_overloaded(now: f64, fleet: &Fleet, service: &Arc<str>) -> bool {
     let mut usable = fleet.usable(service).peekable();
-    let full = |replica: &Replica| {
-        replica.is_saturated(now) || replica.hold.holds(replica.in_flight.len())
-    };
+    let full = |replica: &Replica| replica.is_saturated(now) || replica.holds();
     usable.peek().is_some() && usable.all(|(_, replica)| full(replica))
 }
--- a/crates/tier/scheduler/src/programs.rs
+++ b/crates/tier/scheduler/src/programs.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use crate::call::{Call, CallId};
+use crate::mechanisms::{Mechanism, is_on};
 
 /// Seconds without a call in flight after which a program has ended.
 const IDLE_TIMEOUT: f64 = 3.0;
@@ -125,6 +126,9 @@
     /// Latency target of the current step in seconds, if its unloaded latency is `unloaded` seconds. That of
     /// the route if the end of the program is unknown.
     pub(crate) fn latency_target(&self, call: &Call, unloaded: f64) -> f64 {
+        if !is_on(Mechanism::ProgramPace) {
+            return call.target_latency;
+        }
         let known = call.program.and_then(|id| self.programs.get(&id));
         let Some((program, finish_at)) = known.zip(call.finish_at) else {
             return call.target_latency;
--- a/crates/tier/scheduler/src/replica.rs
+++ b/crates/tier/scheduler/src/replica.rs
@@ -6,6 +6,7 @@
 use woadreach_routing::decide::outlier_detector::OutlierDetector;
 
 use crate::keys::{AttemptKey, ReplicaKey, RouteKey};
+use crate::mechanisms::{Mechanism, is_on};
 use crate::outcome::ServerLoad;
 use crate::prefix_cache::PrefixCache;
 use crate::spec::ReplicaSpec;
@@ -170,6 +171,16 @@
         self.hold.answered();
     }
 
+    /// Whether it is ejected for calls of this route.
+    pub(crate) fn is_ejected_for(&self, route: RouteKey) -> bool {
+        is_on(Mechanism::OutlierEjection) && self.health.is_ejected_for(route)
+    }
+
+    /// Whether further calls of this process are to be queued before they are sent there.
+    pub(crate) fn holds(&self) -> bool {
+        is_on(Mechanism::Hold) && self.hold.holds(self.in_flight.len())
+    }
+
     /// Whether it has recently reported that all slots are taken.
     pub(crate) fn is_saturated(&self, now: f64) -> bool {
         let fresh = self.load.filter(|reported| now - reported.at <= LOAD_TTL);
@@ -187,7 +198,8 @@
     /// Whether its last outcome was a recent failure. This decides where traffic is sparse, since two
     /// failures take long to observe there.
     pub(crate) fn has_failed_recently(&self, now: f64) -> bool {
-        self.health.failed_last(now)
+        is_on(Mechanism::RecentFailureAvoidance)
+            && self.health.failed_last(now)
             && self
                 .last_failure
                 .is_some_and(|last| now < last.at + FAILURE_AVOIDANCE_WINDOW)
--- a/crates/tier/scheduler/src/retry_tokens.rs
+++ b/crates/tier/scheduler/src/retry_tokens.rs
@@ -1,6 +1,8 @@
 //! Tokens for retries: retries and hedges are a bounded share of first attempts, so that they cannot amplify an
 //! overload.
 
+use crate::mechanisms::{Mechanism, is_on};
+
 /// Tokens that first attempts earn, and retries and hedges spend.
 #[derive(Debug)]
 pub(crate) struct RetryTokens {
@@ -26,7 +28,7 @@
 
     /// Whether the tokens allow a retry or hedge.
     pub(crate) fn can_retry(&self) -> bool {
-        self.tokens >= 1.0
+        !is_on(Mechanism::RetryBudget) || self.tokens >= 1.0
     }
 
     /// Records a retry or hedge.
--- a/crates/tier/scheduler/src/shedding.rs
+++ b/crates/tier/scheduler/src/shedding.rs
@@ -1,6 +1,7 @@
 //! Load shedding: which calls are rejected on arrival, and when their clients should retry.
 
 use crate::call::CallId;
+use crate::mechanisms::{Mechanism, is_on};
 use crate::placement::is_overloaded;
 use crate::scheduler::Scheduler;
 
@@ -21,7 +22,7 @@
     /// would give up before the response.
     pub(crate) fn rejection_on_arrival(&self, now: f64, id: CallId) -> Option<f64> {
         let call = self.calls.get(&id)?;
-        if !is_overloaded(now, &self.fleet, &call.service) {
+        if !is_on(Mechanism::SheddingOnArrival) || !is_overloaded(now, &self.fleet, &call.service) {
             return None;
         }
         let route = self.routes.get(call.route)?;
--- a/crates/tier/scheduler/src/step.rs
+++ b/crates/tier/scheduler/src/step.rs
@@ -5,6 +5,7 @@
 use crate::call::CallId;
 use crate::calls_in_flight::{AttemptState, CallInFlight};
 use crate::keys::{ReplicaKey, RouteKey};
+use crate::mechanisms::{Mechanism, is_on};
 use crate::programs::Programs;
 use crate::routes::LatenciesByRoute;
 
@@ -39,6 +40,9 @@
     /// Calls of different routes have separate histograms: the k' calls of one route get p^(k'/k) of the
     /// whole.
     pub(crate) fn of(&self, call: &CallInFlight, replica: ReplicaKey) -> f64 {
+        if !is_on(Mechanism::DeadlineOrder) {
+            return call.request.arrived;
+        }
         let mut replicas: BTreeMap<RouteKey, Vec<Option<ReplicaKey>>> = BTreeMap::new();
         let ids = self.programs.step_calls(&call.request);
         let size = ids.len();
