--- a/crates/cli/src/status/judgement.rs
+++ b/crates/cli/src/status/judgement.rs
@@ -1,4 +1,4 @@
-//! What in the figures of a machine, or beside those of the others, needs an operator's attention.
+//! What in the page of a machine, or beside those of the others, needs an operator's attention.
 
 use std::fmt;
 
@@ -25,7 +25,7 @@
 }
 
 impl Role {
-    /// The role of a machine with these page.
+    /// The role of a machine with this page; `None` for a page without figures of a role.
     pub(crate) fn of(page: &ParsedPage) -> Option<Role> {
         let has = |name| page.get(name).is_some();
         if has("core_epoch") {
--- a/crates/cli/src/status/mod.rs
+++ b/crates/cli/src/status/mod.rs
@@ -7,7 +7,6 @@
 //! - `table.rs`: the printed table.
 
 mod fetch;
-
 mod judgement;
 pub(crate) mod machines;
 mod parsed_page;
--- a/crates/tier/discovery/src/control_watch.rs
+++ b/crates/tier/discovery/src/control_watch.rs
@@ -17,7 +17,8 @@
 use crate::messages::{ConfigurationResponse, PollResponse, Request, decode_answer, encode};
 use crate::sampler::Sampler;
 use crate::snapshot::ControlSnapshot;
-use crate::watcher::{WatchAction, WatchChange, Watcher};
+use crate::watch_change::WatchChange;
+use crate::watcher::{WatchAction, Watcher};
 
 /// How often a process that is disconnected from the core reloads the seeds from its settings.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/tier/discovery/src/lib.rs
+++ b/crates/tier/discovery/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod selection;
 pub mod snapshot;
 pub mod status;
+pub mod watch_change;
 pub mod watcher;
 
 pub use committed::{CommittedState, CommittedValue, ViewSummary};
--- a/crates/tier/discovery/src/watcher.rs
+++ b/crates/tier/discovery/src/watcher.rs
@@ -17,6 +17,7 @@
 use crate::polled_machine::{PollState, PolledMachine, backoff_after};
 use crate::replica_table::ReplicaTable;
 use crate::selection::{MachineHealth, rank, select};
+use crate::watch_change::WatchChange;
 
 /// Time after which an unhealthy machine that is no longer polled may be polled again.
 pub const UNHEALTHY_RETRY_INTERVAL: Duration = Duration::from_millis(4000);
@@ -54,33 +55,6 @@
     },
 }
 
-/// Which parts of the [`ControlSnapshot`](crate::ControlSnapshot) have changed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WatchChange {
-    /// The registered replicas.
-    pub replicas: bool,
-    /// The storage view.
-    pub storage_view: bool,
-    /// The addresses of the core machines. Not a machine's [`Standing`](crate::messages::Standing).
-    pub core_machines: bool,
-    /// The configuration.
-    pub configuration: bool,
-    /// Whether the process [has reached a current state](Watcher::has_reached_current_state). Where a fetched
-    /// configuration completes that state only `configuration` is set.
-    pub has_current_state: bool,
-}
-
-impl WatchChange {
-    /// Whether anything has changed.
-    pub fn any(self) -> bool {
-        self.replicas
-            || self.storage_view
-            || self.core_machines
-            || self.configuration
-            || self.has_current_state
-    }
-}
-
 /// Whether a configuration is being fetched. `attempts` counts those that have failed since one succeeded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FetchState {
