--- a/review/tier.py
+++ b/review/tier.py
@@ -36,10 +36,13 @@
     def now(self):
         return time.monotonic() - self.start
 
+    def note(self, text):
+        """Writes a line that isn't printed."""
+        self.file.write(f"{self.now():9.3f} s  {text}\n")
+
     def __call__(self, text):
-        line = f"{self.now():9.3f} s  {text}"
-        self.file.write(line + "\n")
-        print(line, flush=True)
+        self.note(text)
+        print(f"{self.now():9.3f} s  {text}", flush=True)
 
 
 def is_free(ip, port):
