--- a/review/2/run.py
+++ b/review/2/run.py
@@ -5,7 +5,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from tier import Record, StreamReplica, Tier, event_data, new_id, put_config, request
+from tier import StreamReplica, Tier, event_data, main, new_id, put_config, request
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -114,4 +114,4 @@
         tier.stop(os.environ.get("KEEP_LOGS"))
 
 
-sys.exit(asyncio.run(play(Record(os.path.join(HERE, "record.txt")))))
+main(play, HERE)
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -9,7 +9,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
-from tier import BLOCK, Record, StreamReplica, Tier, event_data, new_id, put_config, request
+from tier import StreamReplica, Tier, event_data, main, new_id, put_config, request
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST, PATH = "chat.example", "/diagnosis/1"
@@ -170,4 +170,4 @@
 if sys.argv[1:2] == ["replicas"]:
     asyncio.run(serve_replicas())
 else:
-    sys.exit(asyncio.run(play(Record(os.path.join(HERE, "record.txt")))))
+    main(play, HERE)
--- a/review/tier.py
+++ b/review/tier.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -385,3 +386,18 @@
 def event_data(stream):
     """The data of each event of a stream."""
     return [line[6:] for line in stream.split(b"\n") if line.startswith(b"data: ")]
+
+
+def main(play, here):
+    """Plays a case and exits with its code. SIGTERM ends the play, and with it every process that it started."""
+
+    async def guarded():
+        record = Record(os.path.join(here, "record.txt"))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            return await play(record)
+        except asyncio.CancelledError:
+            record("could not run: ended by a signal")
+            return 2
+
+    sys.exit(asyncio.run(guarded()))
