Proxy: log how commands, aborted attempts and started streams of a request follow each other

Cause: the logs of an edge could not tell whether a stream that joins two runs came from an attempt that the scheduler had given up, from a stale position, or from two attempts at a time. Change: debug records of each queued command, and of attempts sent, aborted and streaming with the position and the streaming attempt.

--- a/crates/tier/proxy/src/dispatcher.rs
+++ b/crates/tier/proxy/src/dispatcher.rs
@@ -201,6 +201,7 @@
         let actions = decide(&mut inner.scheduler, now);
         for action in actions {
             let (id, command) = command(action);
+            tracing::debug!(call = id.0, ?command, "command queued");
             if let Some(command_sender) = inner.command_senders.get(&id) {
                 let _ = command_sender.send(command);
             }
--- a/crates/tier/proxy/src/request/task.rs
+++ b/crates/tier/proxy/src/request/task.rs
@@ -288,7 +288,14 @@
             self.report_outcome(number, Outcome::NeverSent, None);
             return;
         }
-        tracing::debug!(request = %self.request.metadata.request_id, attempt = number, %replica, "attempt sent");
+        tracing::debug!(
+            request = %self.request.metadata.request_id,
+            call = self.id.0,
+            attempt = number,
+            %replica,
+            position = ?self.position,
+            "attempt sent"
+        );
         let max_conns = routing_state.max_conns(&record.heartbeat.service);
         let params = AttemptParams {
             attempt: number,
@@ -311,7 +318,15 @@
 
     /// Aborts an attempt, which resets its connection. It counts as one that may have run.
     fn abort(&mut self, attempt: u32) {
-        if let Some(running) = self.remove_running(attempt) {
+        let running = self.remove_running(attempt);
+        tracing::debug!(
+            request = %self.request.metadata.request_id,
+            attempt,
+            was_running = running.is_some(),
+            streaming_attempt = self.stream.as_ref().map(|active| active.attempt),
+            "attempt aborted"
+        );
+        if let Some(running) = running {
             running.handle.abort();
             self.transition(|progress| progress.attempt_ended(Execution::MayHaveRun));
         }
@@ -344,6 +359,13 @@
                 Some(self.forward(response, RequestEnd::Answered))
             }
             AttemptResult::Streaming(open) => {
+                tracing::debug!(
+                    request = %self.request.metadata.request_id,
+                    attempt,
+                    position = ?self.position,
+                    streaming_attempt = self.stream.as_ref().map(|active| active.attempt),
+                    "stream started"
+                );
                 self.transition(RequestProgress::stream_started);
                 self.proxy
                     .dispatcher
