Proxy: discard a stream whose attempt the scheduler has given up before it started

Cause: the scheduler gives up an attempt whose response has not started, and queues Abort and Send; the request's task learns from the attempt that its stream has started. Where both were there at once, the task took the stream first in one case of five, at random: it forwarded the stream, the scheduler ignored the report of an attempt that it had aborted, Abort found no attempt without a response and did nothing, and the second run was sent after the position of that moment, which the first stream then moved. Its stream took the first one's place.

Change: which of the two came first is settled once, under the dispatcher's lock. Scheduler::response_started returns whether the attempt is still in flight; if it is not, the task drops the stream, and if it is, the scheduler never gives the attempt up. Abort ends an attempt whether its response has started or not. The state table knows attempts by number and refuses to send one, or to start a stream, beside a stream that is being forwarded. Discarded streams are counted as decision discarded_response.

Why it works: there is one account of what is in flight, and the position from which an attempt resumes cannot move while that attempt is in flight, whatever order the events come in.

The scheduler's random sequences draw responses of aborted attempts, and the walk over the state table has attempts by number.

--- a/crates/tier/proxy/src/dispatcher.rs
+++ b/crates/tier/proxy/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use woadreach_scheduler::{
     Action, Call, CallId, DecisionCounts, FailReason, Outcome, ReplicaSpec, Scheduler,
-    SchedulerLoad, ServerLoad, ServiceSpec,
+    SchedulerLoad, ServerLoad, ServiceSpec, StartedResponse,
 };
 
 /// What a request's task is to do.
@@ -124,13 +124,18 @@
         self.apply(|scheduler, now| scheduler.attempt_ended(now, id, attempt, outcome, load));
     }
 
-    /// Reports that the response to an attempt has started: its head has arrived, that of a stream or of another
-    /// response.
-    pub fn response_started(&self, id: CallId, attempt: u32, load: Option<ServerLoad>) {
-        self.apply(|scheduler, now| {
-            scheduler.response_started(now, id, attempt, load);
-            Vec::new()
-        });
+    /// Reports that the stream of an attempt has started: its head has arrived. Returns whether to forward it, as the
+    /// scheduler may have given the attempt up before.
+    #[must_use]
+    pub fn response_started(
+        &self,
+        id: CallId,
+        attempt: u32,
+        load: Option<ServerLoad>,
+    ) -> StartedResponse {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        inner.scheduler.response_started(now, id, attempt, load)
     }
 
     /// Reports that a request has ended, answered or not: no attempt is wanted for it any more.
--- a/crates/tier/proxy/src/mutations.rs
+++ b/crates/tier/proxy/src/mutations.rs
@@ -14,6 +14,8 @@
     AcceptTruncatedBody,
     /// The check that a replica's error response does not falsely state that the request has not run.
     ForwardAnyFailure,
+    /// The rules that the stream of an aborted attempt is not forwarded, and that nothing is sent beside a stream.
+    ForwardAbortedStream,
 }
 
 #[cfg(feature = "mutations")]
--- a/crates/tier/proxy/src/request/state.rs
+++ b/crates/tier/proxy/src/request/state.rs
@@ -9,9 +9,14 @@
 //! | `Streaming` | [`RequestProgress::committing`] | `Committing` |
 //! | any but `Ended` | [`RequestProgress::end`] | `Ended` |
 //!
+//! The table also tracks which attempt's stream is being forwarded. While there is one, no other attempt is sent and no
+//! other stream starts: the position from which an attempt resumes must not move while the attempt is in flight.
+//! Otherwise a client would get events of two runs of which the second was not asked to go on after the first.
+//!
 //! The table also tracks whether the request may have run. An end that states that it has not run becomes one
 //! that does not state it, when it may have: otherwise a client would repeat what must not run twice.
 
+use crate::mutations::{Mutation, is_mutated};
 use snafu::Snafu;
 
 /// State of a request.
@@ -73,16 +78,18 @@
     HasNotRun,
 }
 
-/// State of one request, and whether it may have run.
-#[derive(Clone, Copy, Debug)]
+/// State of one request, its attempts in flight, and whether it may have run.
+#[derive(Clone, Debug)]
 pub struct RequestProgress {
     state: RequestState,
     /// Whether it may run more than once.
     idempotent: bool,
     /// Whether an attempt that has ended, or one with a stream, may have run. Must stay `true` once set.
     ended_attempt_may_have_run: bool,
-    /// Attempts that were sent and have not ended.
-    attempts_in_flight: u32,
+    /// Numbers of the attempts that were sent and have not ended.
+    in_flight: Vec<u32>,
+    /// The attempt in flight whose stream is being forwarded.
+    streaming: Option<u32>,
 }
 
 impl RequestProgress {
@@ -92,7 +99,8 @@
             state: RequestState::Preparing,
             idempotent,
             ended_attempt_may_have_run: false,
-            attempts_in_flight: 0,
+            in_flight: Vec::new(),
+            streaming: None,
         }
     }
 
@@ -103,7 +111,17 @@
 
     /// Whether a replica may have run it, or may still run it.
     pub fn may_have_run(&self) -> bool {
-        self.ended_attempt_may_have_run || self.attempts_in_flight > 0
+        self.ended_attempt_may_have_run || !self.in_flight.is_empty()
+    }
+
+    /// The attempt in flight whose stream is being forwarded.
+    pub fn streaming(&self) -> Option<u32> {
+        self.streaming
+    }
+
+    /// Whether this attempt was sent and has not ended.
+    pub fn is_in_flight(&self, attempt: u32) -> bool {
+        self.in_flight.contains(&attempt)
     }
 
     /// The request is prepared and may be sent.
@@ -118,12 +136,13 @@
         }
     }
 
-    /// An attempt is sent.
+    /// The attempt of this number is sent.
     ///
     /// # Errors
     ///
-    /// [`InvalidTransition`] if the table does not name it, or the request may have run and is not idempotent.
-    pub fn sent(&mut self) -> Result<(), InvalidTransition> {
+    /// [`InvalidTransition`] if the table does not name it, the attempt is in flight already, a stream is being
+    /// forwarded, or the request may have run and is not idempotent.
+    pub fn sent(&mut self, attempt: u32) -> Result<(), InvalidTransition> {
         let next = match self.state {
             RequestState::Waiting | RequestState::InFlight => RequestState::InFlight,
             RequestState::Streaming => RequestState::Streaming,
@@ -132,36 +151,48 @@
         if self.may_have_run() && !self.idempotent {
             return self.invalid("sent again");
         }
-        self.attempts_in_flight += 1;
+        if self.is_forwarding_stream() || self.is_in_flight(attempt) {
+            return self.invalid("sent beside a stream or twice");
+        }
+        self.in_flight.push(attempt);
         self.enter(next)
     }
 
-    /// An attempt has ended.
+    /// This attempt has ended.
     ///
     /// # Errors
     ///
-    /// [`InvalidTransition`] if no attempt is in flight.
-    pub fn attempt_ended(&mut self, execution: Execution) -> Result<(), InvalidTransition> {
+    /// [`InvalidTransition`] if it is not in flight.
+    pub fn attempt_ended(
+        &mut self,
+        attempt: u32,
+        execution: Execution,
+    ) -> Result<(), InvalidTransition> {
         let next = match self.state {
-            _ if self.attempts_in_flight == 0 => return self.invalid("attempt_ended"),
-            RequestState::InFlight if self.attempts_in_flight == 1 => RequestState::Waiting,
+            _ if !self.is_in_flight(attempt) => return self.invalid("attempt_ended"),
+            RequestState::InFlight if self.in_flight.len() == 1 => RequestState::Waiting,
             RequestState::InFlight | RequestState::Streaming => self.state,
             _ => return self.invalid("attempt_ended"),
         };
-        self.attempts_in_flight -= 1;
+        self.in_flight.retain(|in_flight| *in_flight != attempt);
+        self.streaming = self.streaming.filter(|streaming| *streaming != attempt);
         self.ended_attempt_may_have_run |= execution == Execution::MayHaveRun;
         self.enter(next)
     }
 
-    /// A replica has started a stream.
+    /// The replica of this attempt has started a stream, which is forwarded from now on.
     ///
     /// # Errors
     ///
-    /// [`InvalidTransition`] if no attempt is in flight.
-    pub fn stream_started(&mut self) -> Result<(), InvalidTransition> {
+    /// [`InvalidTransition`] if the attempt is not in flight, or a stream is being forwarded.
+    pub fn stream_started(&mut self, attempt: u32) -> Result<(), InvalidTransition> {
         match self.state {
+            _ if self.is_forwarding_stream() || !self.is_in_flight(attempt) => {
+                self.invalid("stream_started")
+            }
             RequestState::InFlight | RequestState::Streaming => {
                 self.ended_attempt_may_have_run = true;
+                self.streaming = Some(attempt);
                 self.enter(RequestState::Streaming)
             }
             _ => self.invalid("stream_started"),
@@ -203,6 +234,10 @@
         Ok(end)
     }
 
+    fn is_forwarding_stream(&self) -> bool {
+        self.streaming.is_some() && !is_mutated(Mutation::ForwardAbortedStream)
+    }
+
     fn enter(&mut self, state: RequestState) -> Result<(), InvalidTransition> {
         self.state = state;
         Ok(())
--- a/crates/tier/proxy/src/request/task.rs
+++ b/crates/tier/proxy/src/request/task.rs
@@ -14,6 +14,7 @@
 use crate::client::response_body::ResponseBody;
 use crate::client::response_sender::ResponseSender;
 use crate::dispatcher::{Command, RegisteredCall};
+use crate::mutations::{Mutation, is_mutated};
 use crate::proxy::Proxy;
 use crate::replica::attempt::{
     AttemptParams, AttemptReport, AttemptResult, OpenStream, OutgoingRequest, ReplicaResponse,
@@ -268,10 +269,7 @@
             }
             Command::Refuse { retry_after } => Some(self.refuse(retry_after)),
             Command::Fail { reason } => Some(self.fail(reason)),
-            Command::Abort { attempt } => {
-                self.abort(attempt);
-                None
-            }
+            Command::Abort { attempt } => self.abort(attempt),
         }
     }
 
@@ -283,7 +281,7 @@
             self.report_outcome(number, Outcome::NeverSent, None);
             return;
         };
-        if let Err(error) = self.progress.sent() {
+        if let Err(error) = self.progress.sent(number) {
             tracing::error!(%error, request = %self.request.metadata.request_id, "attempt refused");
             self.report_outcome(number, Outcome::NeverSent, None);
             return;
@@ -316,20 +314,28 @@
         });
     }
 
-    /// Aborts an attempt, which resets its connection. It counts as one that may have run.
-    fn abort(&mut self, attempt: u32) {
+    /// Aborts an attempt, whether its response has started or not, which resets its connection. It counts as one that
+    /// may have run. Ends the request if no other attempt could go on where a stream was aborted.
+    fn abort(&mut self, attempt: u32) -> Option<RequestEnd> {
         let running = self.remove_running(attempt);
         tracing::debug!(
             request = %self.request.metadata.request_id,
             attempt,
             was_running = running.is_some(),
-            streaming_attempt = self.stream.as_ref().map(|active| active.attempt),
+            streaming_attempt = self.progress.streaming(),
             "attempt aborted"
         );
         if let Some(running) = running {
             running.handle.abort();
-            self.transition(|progress| progress.attempt_ended(Execution::MayHaveRun));
+            self.end_attempt(attempt, Execution::MayHaveRun);
+            return None;
+        }
+        if is_mutated(Mutation::ForwardAbortedStream) {
+            return None;
         }
+        self.stream.take_if(|active| active.attempt == attempt)?;
+        self.end_stream_attempt(attempt);
+        self.fail_unless_resumable()
     }
 
     fn remove_running(&mut self, attempt: u32) -> Option<RunningAttempt> {
@@ -351,31 +357,12 @@
         self.remove_running(attempt)?;
         match result {
             AttemptResult::Answered(response) => {
-                self.transition(|progress| progress.attempt_ended(Execution::MayHaveRun));
-                self.proxy
-                    .dispatcher
-                    .response_started(self.id, attempt, load);
+                self.end_attempt(attempt, Execution::MayHaveRun);
                 self.report_outcome(attempt, Outcome::Answered, load);
                 Some(self.forward(response, RequestEnd::Answered))
             }
             AttemptResult::Streaming(open) => {
-                tracing::debug!(
-                    request = %self.request.metadata.request_id,
-                    attempt,
-                    position = ?self.position,
-                    streaming_attempt = self.stream.as_ref().map(|active| active.attempt),
-                    "stream started"
-                );
-                self.transition(RequestProgress::stream_started);
-                self.proxy
-                    .dispatcher
-                    .response_started(self.id, attempt, load);
-                self.stream_head.get_or_insert_with(|| open.head.clone());
-                self.stream = Some(ActiveStream {
-                    attempt,
-                    open,
-                    reader: EventReader::default(),
-                });
+                self.start_stream(attempt, open, load);
                 None
             }
             AttemptResult::Failed { outcome, response } => {
@@ -384,7 +371,7 @@
                 } else {
                     Execution::MayHaveRun
                 };
-                self.transition(|progress| progress.attempt_ended(execution));
+                self.end_attempt(attempt, execution);
                 self.last_failure = response.or(self.last_failure.take());
                 self.report_outcome(attempt, outcome, load);
                 None
@@ -397,13 +384,20 @@
         dispatcher.attempt_ended(self.id, attempt, outcome, load);
     }
 
-    /// Changes the state. A transition that the table does not name is a fault of this program, and is logged.
+    fn end_attempt(&mut self, attempt: u32, execution: Execution) {
+        self.transition(|progress| progress.attempt_ended(attempt, execution));
+    }
+
+    /// Changes the state and returns whether the table allows it. A transition that the table does not name is a fault
+    /// of this program, and is logged.
     fn transition(
         &mut self,
         change: impl FnOnce(&mut RequestProgress) -> Result<(), InvalidTransition>,
-    ) {
-        if let Err(error) = change(&mut self.progress) {
+    ) -> bool {
+        let changed = change(&mut self.progress);
+        if let Err(error) = &changed {
             tracing::error!(%error, request = %self.request.metadata.request_id, "state transition refused");
         }
+        changed.is_ok()
     }
 }
--- a/crates/tier/proxy/tests/connection_mutations.rs
+++ b/crates/tier/proxy/tests/connection_mutations.rs
@@ -1,6 +1,7 @@
 //! Each defence of the connections, switched off, is found missing within a bounded number of seeds.
 
 mod faulty_tier;
+mod stalled_tasks;
 mod support;
 
 use woadreach_proxy::mutations::{Mutation, set_mutation};
@@ -45,3 +46,11 @@
 fn a_failure_that_promises_too_much_is_found() {
     first_broken(Mutation::ForwardAnyFailure, "REFUSED");
 }
+
+#[test]
+fn a_stream_of_an_aborted_attempt_that_is_forwarded_is_found() {
+    set_mutation(Some(Mutation::ForwardAbortedStream));
+    let found = (0..SEEDS).find(|seed| !stalled_tasks::play(*seed).violations.is_empty());
+    println!("ForwardAbortedStream: ORDER at seed {found:?}");
+    assert!(found.is_some(), "it was not found");
+}
--- a/crates/tier/proxy/tests/request_state.rs
+++ b/crates/tier/proxy/tests/request_state.rs
@@ -1,15 +1,18 @@
 //! Walks the states of a request beside an oracle that remembers what may have run.
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeSet;
 use woadreach_proxy::request::state::{Execution, RequestEnd, RequestProgress, RequestState};
 
 #[derive(Clone, Copy, Debug)]
 enum Change {
     Admitted,
+    /// The next attempt is sent.
     Sent,
-    EndedNotRun,
-    EndedMaybeRun,
-    StreamStarted,
+    /// An attempt ends, selected modulo the number of sends and one more, which was never sent.
+    Ended(u8, Execution),
+    /// The stream of an attempt starts, selected in the same way.
+    StreamStarted(u8),
     Committing,
     End(RequestEnd),
 }
@@ -32,9 +35,9 @@
             Change::Admitted,
             Change::Sent,
             Change::Sent,
-            Change::EndedNotRun,
-            Change::EndedMaybeRun,
-            Change::StreamStarted,
+            Change::Ended(u8::arbitrary(generator), Execution::HasNotRun),
+            Change::Ended(u8::arbitrary(generator), Execution::MayHaveRun),
+            Change::StreamStarted(u8::arbitrary(generator)),
             Change::Committing,
         ];
         match u8::arbitrary(generator) % 12 {
@@ -50,10 +53,17 @@
     sends: u32,
     known_not_run: u32,
     streamed: bool,
+    in_flight: BTreeSet<u32>,
+    /// The attempt whose stream is forwarded.
+    streaming: Option<u32>,
     ended: Option<RequestEnd>,
 }
 
 impl Oracle {
+    fn attempt(&self, selector: u8) -> u32 {
+        u32::from(selector) % (self.sends + 1)
+    }
+
     fn may_have_run(&self) -> bool {
         self.streamed || self.sends > self.known_not_run
     }
@@ -74,10 +84,11 @@
         let ran_before = oracle.may_have_run();
         let taken = match change {
             Change::Admitted => progress.admitted(),
-            Change::Sent => progress.sent(),
-            Change::EndedNotRun => progress.attempt_ended(Execution::HasNotRun),
-            Change::EndedMaybeRun => progress.attempt_ended(Execution::MayHaveRun),
-            Change::StreamStarted => progress.stream_started(),
+            Change::Sent => progress.sent(oracle.sends),
+            Change::Ended(selector, execution) => {
+                progress.attempt_ended(oracle.attempt(selector), execution)
+            }
+            Change::StreamStarted(selector) => progress.stream_started(oracle.attempt(selector)),
             Change::Committing => progress.committing(),
             Change::End(wanted) => progress.end(wanted).map(|end| oracle.ended = Some(end)),
         };
@@ -95,10 +106,26 @@
                     idempotent || !ran_before,
                     "what may not be repeated is sent once"
                 );
+                assert_eq!(
+                    oracle.streaming, None,
+                    "nothing is sent while a stream is forwarded"
+                );
+                oracle.in_flight.insert(oracle.sends);
                 oracle.sends += 1;
             }
-            Change::EndedNotRun => oracle.known_not_run += 1,
-            Change::StreamStarted => oracle.streamed = true,
+            Change::Ended(selector, execution) => {
+                let attempt = oracle.attempt(selector);
+                assert!(oracle.in_flight.remove(&attempt), "an attempt ends once");
+                oracle.streaming = oracle.streaming.filter(|streaming| *streaming != attempt);
+                oracle.known_not_run += u32::from(execution == Execution::HasNotRun);
+            }
+            Change::StreamStarted(selector) => {
+                let attempt = oracle.attempt(selector);
+                assert!(oracle.in_flight.contains(&attempt), "an ended attempt");
+                assert_eq!(oracle.streaming, None, "one stream is forwarded at a time");
+                oracle.streaming = Some(attempt);
+                oracle.streamed = true;
+            }
             _ => {}
         }
         assert_eq!(progress.may_have_run(), oracle.may_have_run());
@@ -132,8 +159,8 @@
 fn an_unsafe_request_that_is_out_is_never_refused() {
     let mut progress = RequestProgress::new(false);
     progress.admitted().expect("first change");
-    progress.sent().expect("a first send");
-    assert!(progress.sent().is_err());
+    progress.sent(0).expect("a first send");
+    assert!(progress.sent(1).is_err());
     assert_eq!(
         progress.end(RequestEnd::Refused),
         Ok(RequestEnd::MayHaveRun)
@@ -144,13 +171,32 @@
 fn an_unsafe_request_goes_elsewhere_after_a_promise_only() {
     let mut progress = RequestProgress::new(false);
     progress.admitted().expect("first change");
-    progress.sent().expect("a first send");
+    progress.sent(0).expect("a first send");
     progress
-        .attempt_ended(Execution::HasNotRun)
+        .attempt_ended(0, Execution::HasNotRun)
         .expect("it was out");
-    progress.sent().expect("a second send after a promise");
+    progress.sent(1).expect("a second send after a promise");
     progress
-        .attempt_ended(Execution::MayHaveRun)
+        .attempt_ended(1, Execution::MayHaveRun)
         .expect("it was out");
-    assert!(progress.sent().is_err());
+    assert!(progress.sent(1).is_err());
+}
+
+/// Guards against a client getting events of two runs: the position at which the second attempt was sent would move
+/// with the first one's stream.
+#[test]
+fn no_attempt_is_sent_and_no_stream_starts_beside_a_stream() {
+    let mut progress = RequestProgress::new(true);
+    progress.admitted().expect("first change");
+    progress.sent(0).expect("a first send");
+    progress.stream_started(0).expect("it is in flight");
+    assert!(progress.sent(1).is_err());
+    progress
+        .attempt_ended(0, Execution::MayHaveRun)
+        .expect("it was in flight");
+    progress
+        .sent(1)
+        .expect("the first attempt's stream has ended");
+    assert!(progress.stream_started(0).is_err(), "it has ended");
+    progress.stream_started(1).expect("it is in flight");
 }
--- a/crates/tier/proxy/tests/support/mod.rs
+++ b/crates/tier/proxy/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod replica;
 pub(crate) mod settings;
 pub(crate) mod storage;
+pub(crate) mod stream_task;
 pub(crate) mod tier;
 
 use std::future::Future;
--- a/crates/tier/proxy/tests/support/replica.rs
+++ b/crates/tier/proxy/tests/support/replica.rs
@@ -39,6 +39,8 @@
     Reset,
     /// Wait for a notification.
     Await(Arc<Notify>),
+    /// Wait for this long.
+    Delay(Duration),
     /// Write nothing until the caller closes the connection.
     Hang,
 }
@@ -159,6 +161,7 @@
                         return;
                     }
                     Step::Await(notify) => notify.notified().await,
+                    Step::Delay(time) => tokio::time::sleep(time).await,
                     Step::Hang => {
                         let mut byte = [0];
                         let _ = stream.read(&mut byte).await;
--- a/crates/tier/scheduler/src/decision_counts.rs
+++ b/crates/tier/scheduler/src/decision_counts.rs
@@ -16,6 +16,8 @@
     Queued,
     /// A call was postponed: no replica could receive it, or its backoff had not elapsed.
     Postponed,
+    /// A response started after its attempt had been aborted, and was discarded.
+    DiscardedResponse,
     /// A replica was ejected.
     Ejected,
     /// A call was rejected on arrival: all replicas were full and the call would have been late.
@@ -35,13 +37,14 @@
 
 impl Decision {
     /// All decisions, in the order of their declaration.
-    pub const ALL: [Decision; 13] = [
+    pub const ALL: [Decision; 14] = [
         Decision::Sent,
         Decision::SentAgain,
         Decision::Hedged,
         Decision::Probed,
         Decision::Queued,
         Decision::Postponed,
+        Decision::DiscardedResponse,
         Decision::Ejected,
         Decision::ShedOnArrival,
         Decision::SkippedAsHopeless,
@@ -60,6 +63,7 @@
             Decision::Probed => "probed",
             Decision::Queued => "queued",
             Decision::Postponed => "postponed",
+            Decision::DiscardedResponse => "discarded_response",
             Decision::Ejected => "ejected",
             Decision::ShedOnArrival => "shed_on_arrival",
             Decision::SkippedAsHopeless => "skipped_as_hopeless",
--- a/crates/tier/scheduler/src/lib.rs
+++ b/crates/tier/scheduler/src/lib.rs
@@ -55,7 +55,7 @@
 pub use mechanisms::Mechanism;
 #[cfg(feature = "ablation")]
 pub use mechanisms::{switch_all_on, switch_off};
-pub use outcome::{Outcome, ServerLoad};
+pub use outcome::{Outcome, ServerLoad, StartedResponse};
 pub use scheduler::Scheduler;
 pub use service::connections_per_process;
 pub use spec::{EngineSpec, ReplicaSpec, ServiceSpec};
--- a/crates/tier/scheduler/src/outcome.rs
+++ b/crates/tier/scheduler/src/outcome.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// What the driver does with a response that has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[must_use]
+pub enum StartedResponse {
+    /// Its attempt is in flight; forward it.
+    Forward,
+    /// Its attempt was aborted or has ended. Another attempt may have been sent in its place.
+    Discard,
+}
+
 /// Load of a replica, as reported with a response (`Server-Load`).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServerLoad {
--- a/crates/tier/scheduler/src/scheduler.rs
+++ b/crates/tier/scheduler/src/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::decision_counts::{Decision, DecisionCounts, SchedulerLoad};
 use crate::fleet::Fleet;
 use crate::keys::{AttemptKey, ReplicaKey};
-use crate::outcome::{Outcome, ServerLoad};
+use crate::outcome::{Outcome, ServerLoad, StartedResponse};
 use crate::programs::Programs;
 use crate::routes::LatenciesByRoute;
 use crate::service::Service;
@@ -164,21 +164,26 @@
     }
 
     /// Records that the response to an attempt has started: the first event of a stream, or the head of any other
-    /// response, was received.
+    /// response, was received. Returns whether the driver may forward it. Once it may, the scheduler does not abort the
+    /// attempt of a stream before the call ends.
     pub fn response_started(
         &mut self,
         now: f64,
         id: CallId,
         attempt: u32,
         load: Option<ServerLoad>,
-    ) {
+    ) -> StartedResponse {
         let Some(call) = self.calls.get_mut(&id) else {
-            return;
+            return StartedResponse::Discard;
         };
         let Some(sent) = call.attempts.get_mut(attempt as usize) else {
-            return;
+            return StartedResponse::Discard;
         };
-        if sent.state == AttemptState::InFlight && !sent.response_started {
+        if sent.state != AttemptState::InFlight {
+            self.counts.count(Decision::DiscardedResponse);
+            return StartedResponse::Discard;
+        }
+        if !sent.response_started {
             sent.response_started = true;
             self.timers.set(&mut call.timer, id, None);
             let attempt = AttemptKey {
@@ -187,6 +192,7 @@
             };
             self.observe_response_start(now, attempt, load);
         }
+        StartedResponse::Forward
     }
 
     /// Records that the driver has ended a call: its client has disconnected, its deadline has passed, or its response
--- a/crates/tier/scheduler/tests/common/mod.rs
+++ b/crates/tier/scheduler/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use base_call::base_call;
 use woadreach_scheduler::{
     Action, Call, CallId, CallKind, EngineSpec, FailReason, Outcome, ReplicaSpec, Scheduler,
-    ServerLoad, ServiceSpec, WeightedService,
+    ServerLoad, ServiceSpec, StartedResponse, WeightedService,
 };
 
 pub(crate) const SERVICE: &str = "service";
@@ -83,6 +83,8 @@
     /// Replica and outcome of each attempt. The outcome is `None` for attempts in flight and aborted attempts.
     pub attempts: Vec<(Arc<str>, Option<Outcome>)>,
     pub aborted: BTreeSet<u32>,
+    /// Attempts whose responses the driver forwards.
+    pub forwarded: BTreeSet<u32>,
     pub end: Option<End>,
 }
 
@@ -179,6 +181,7 @@
             call: call.clone(),
             attempts: Vec::new(),
             aborted: BTreeSet::new(),
+            forwarded: BTreeSet::new(),
             end: None,
         };
         assert!(
@@ -202,9 +205,22 @@
         all
     }
 
+    /// Reports a response that has started. The driver may forward it exactly if its attempt is in flight.
     pub(crate) fn response_started(&mut self, id: u64, attempt: u32, load: Option<ServerLoad>) {
-        self.scheduler
+        let tracked = self
+            .calls
+            .get_mut(&CallId(id))
+            .expect("a call that arrived");
+        let expected = if tracked.is_in_flight(attempt as usize) {
+            tracked.forwarded.insert(attempt);
+            StartedResponse::Forward
+        } else {
+            StartedResponse::Discard
+        };
+        let started = self
+            .scheduler
             .response_started(self.now, CallId(id), attempt, load);
+        assert_eq!(started, expected, "attempt {attempt} of call {id}");
         self.check_progress();
     }
 
@@ -263,6 +279,17 @@
         self.calls.iter().flat_map(each).collect()
     }
 
+    /// Aborted attempts of unfinished calls, as pairs of call and index of the attempt.
+    pub(crate) fn aborted_attempts(&self) -> Vec<(u64, u32)> {
+        let unfinished = self
+            .calls
+            .iter()
+            .filter(|(_, tracked)| tracked.end.is_none());
+        unfinished
+            .flat_map(|(id, tracked)| tracked.aborted.iter().map(|attempt| (id.0, *attempt)))
+            .collect()
+    }
+
     pub(crate) fn end(&self, id: u64) -> Option<End> {
         self.calls[&CallId(id)].end
     }
@@ -350,6 +377,12 @@
             }
             Action::Abort { call, attempt } => {
                 let tracked = self.calls.get_mut(call).expect("a call that arrived");
+                let is_forwarded =
+                    tracked.call.kind.is_streaming() && tracked.forwarded.contains(attempt);
+                assert!(
+                    !is_forwarded || tracked.end.is_some(),
+                    "{call:?} has attempt {attempt} aborted while its stream is forwarded"
+                );
                 let is_new = tracked.aborted.insert(*attempt);
                 assert!(
                     is_new && tracked.attempts[*attempt as usize].1.is_none(),
--- a/crates/tier/scheduler/tests/rules.rs
+++ b/crates/tier/scheduler/tests/rules.rs
@@ -1,6 +1,6 @@
 //! Random sequences of inputs, checked against the rules in the driver of `common`: a call that is not idempotent is
-//! never sent again or rejected once it may have run, and each call ends exactly once. The same inputs must give the
-//! same actions.
+//! never sent again or rejected once it may have run, each call ends exactly once, and the response of an aborted
+//! attempt is discarded whenever it starts. The same inputs must give the same actions.
 
 mod common;
 
@@ -28,6 +28,10 @@
         index: u8,
         load: u8,
     },
+    /// The response of an aborted attempt starts before the driver executes the abort.
+    FirstEventOfAborted {
+        index: u8,
+    },
     Outcome {
         index: u8,
         outcome: u8,
@@ -46,7 +50,7 @@
 impl Arbitrary for Input {
     fn arbitrary(g: &mut Gen) -> Self {
         let any = |g: &mut Gen| u8::arbitrary(g);
-        match any(g) % 16 {
+        match any(g) % 17 {
             0..=4 => Input::Arrive {
                 kind: any(g),
                 program: any(g),
@@ -64,6 +68,7 @@
                 load: any(g),
             },
             14 => Input::Cancel { index: any(g) },
+            15 => Input::FirstEventOfAborted { index: any(g) },
             _ => Input::List {
                 present: any(g),
                 ready: any(g),
@@ -199,6 +204,13 @@
                 driver.response_started(id, attempt, load(load_byte));
             }
         }
+        Input::FirstEventOfAborted { index } => {
+            let aborted = driver.aborted_attempts();
+            if !aborted.is_empty() {
+                let (id, attempt) = aborted[usize::from(index) % aborted.len()];
+                driver.response_started(id, attempt, None);
+            }
+        }
         Input::Outcome {
             index,
             outcome: outcome_byte,
