Storage: acknowledge a turn only together with every turn that it goes on from

Cause: a machine drops all turns of a program retention_s and 5 s after the newest was stored, and a turn in progress does not hold that off. The edge kept only the name of the turn before, stored the new turn alone, and the machines acknowledged it although what it goes on from was gone. The same hole without a slow replica: a machine that had missed the turn before acknowledged the new one, too.

Change: a machine acknowledges a turn only if it has its whole chain in the step that stores the turn and renews the retention of the program. One that lacks a part answers so (an empty chain, which edges of earlier versions neither count nor repeat); the edge holds the chain that it has read for the replica, sends it there, and only then counts that machine. The chain of another program's turn is no longer read again at the end.

Why it works: no time is compared. Whichever comes first at a machine, the expiry or the new turn, the turn is acknowledged with its whole chain or not at all, and from then on both expire together.

The record of turns in the world has well-formed content now, and faults after acknowledgements end with the others in runs whose turns end later.

--- a/crates/tier/proxy/src/turns/request_turn.rs
+++ b/crates/tier/proxy/src/turns/request_turn.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use woadreach_storage::{
-    ChainError, ReservationGuard, ReserveError, ReserveRequest, StorageClient, Turn, TurnKey,
+    ChainError, ReservationGuard, ReserveError, ReserveRequest, StorageClient, Turn,
 };
 
 /// Why a request cannot go on because of its turns or its budget.
@@ -30,8 +30,9 @@
     request_id: String,
     /// Whether its route stores turns.
     is_stored: bool,
-    /// The stored turn that it continues; known once it is prepared.
-    previous: Option<TurnKey>,
+    /// The stored chain that it continues, oldest first; known once it is prepared. Held until the turn is stored, since
+    /// the storage machines may drop the chain while the turn is run.
+    chain: Vec<Arc<Turn>>,
     /// Data of the events forwarded so far; empty if the turn is not stored.
     events: Vec<Bytes>,
     /// Tokens reserved of the program's budget. Settled at the tokens delivered when it is dropped.
@@ -47,7 +48,7 @@
             program: request.metadata.program.clone().unwrap_or_default(),
             request_id: request.metadata.request_id.clone(),
             is_stored: request.route.stores_turns,
-            previous: None,
+            chain: Vec::new(),
             events: Vec::new(),
             reservation: None,
         }
@@ -86,9 +87,8 @@
             }
         };
         self.reservation = reserved.map_err(reserve_error)?;
-        let chain = chain?;
-        self.previous = chain.last().map(|turn| turn.key());
-        Ok(replay_body(&chain, &request.body))
+        self.chain = chain?;
+        Ok(replay_body(&self.chain, &request.body))
     }
 
     /// Records events that have been forwarded to the request.
@@ -120,13 +120,13 @@
             program: self.program.clone(),
             session: request.metadata.session.clone().unwrap_or_default(),
             request_id: self.request_id.clone(),
-            previous: self.previous.take(),
+            previous: self.chain.last().map(|turn| turn.key()),
             input: request.body.clone(),
             events: std::mem::take(&mut self.events),
             retention: request.route.retention,
         };
-        let stored = storage.put_turn(turn, self.reservation.as_mut()).await;
-        stored.map_err(|_| TurnError::Unavailable)
+        let stored = storage.put_turn(turn, &self.chain, self.reservation.as_mut());
+        stored.await.map_err(|_| TurnError::Unavailable)
     }
 }
 
--- a/crates/tier/storage/src/client/mod.rs
+++ b/crates/tier/storage/src/client/mod.rs
@@ -170,7 +170,9 @@
         Err(ReserveError::Spent)
     }
 
-    /// Stores a turn and settles its reservation. When this returns, the turn is durable.
+    /// Stores a turn with the whole chain of `ancestors` that it continues, oldest first, and settles its reservation.
+    /// When this returns, a quorum has stored all of them, whatever has expired since the ancestors were read. They are
+    /// sent to the machines that lack any of them, and to all if the last one belongs to another program.
     ///
     /// # Errors
     /// [`Unavailable`]. The caller must then not complete the answer to its client; the reservation is settled when its
@@ -178,10 +180,18 @@
     pub async fn put_turn(
         &self,
         turn: Turn,
+        ancestors: &[Arc<Turn>],
         reservation: Option<&mut ReservationGuard>,
     ) -> Result<(), Unavailable> {
         let program = turn.program.clone();
-        let mut records = self.ancestors_of_other_program(&turn).await?;
+        let is_other = |last: &Arc<Turn>| last.program != program;
+        let (copied, ancestors) = if ancestors.last().is_some_and(is_other) {
+            (ancestors, Vec::new())
+        } else {
+            (&[][..], ancestors.to_vec())
+        };
+        let mut records: Vec<TurnRecord> =
+            copied.iter().map(|turn| turn.to_record(&program)).collect();
         records.push(turn.to_record(&program));
         let settlement = reservation.as_ref().map(|guard| guard.settlement());
         let operation = Operation::PutTurns {
@@ -189,7 +199,8 @@
             turns: records.clone(),
             settlement,
         };
-        self.write(&program, operation, PUT_TIMEOUT).await?;
+        self.write_after(&program, ancestors, operation, PUT_TIMEOUT)
+            .await?;
         if let Some(guard) = reservation {
             guard.set_settled();
         }
@@ -213,30 +224,6 @@
         self.read_chain(TurnKey::new(program, request_id)).await
     }
 
-    /// Ancestors of `turn` from another program, to be stored in its own program's group.
-    async fn ancestors_of_other_program(
-        &self,
-        turn: &Turn,
-    ) -> Result<Vec<TurnRecord>, Unavailable> {
-        let Some(previous) = &turn.previous else {
-            return Ok(Vec::new());
-        };
-        let own = TurnKey::new(&turn.program, &previous.request_id);
-        if !self.shared.cache.lock().chain(&own).is_empty() {
-            return Ok(Vec::new());
-        }
-        let chain = self
-            .read_chain(previous.clone())
-            .await
-            .map_err(|_| Unavailable)?;
-        let others = chain
-            .iter()
-            .filter(|ancestor| ancestor.program != turn.program);
-        Ok(others
-            .map(|ancestor| ancestor.to_record(&turn.program))
-            .collect())
-    }
-
     fn now(&self) -> Duration {
         self.shared.started.elapsed()
     }
--- a/crates/tier/storage/src/message.rs
+++ b/crates/tier/storage/src/message.rs
@@ -49,11 +49,12 @@
         /// Reservation to settle, and its final number of tokens.
         settlement: Settlement,
     },
-    /// Store turns of one program, and settle the newest one's reservation.
+    /// Store turns of one program, and settle the newest one's reservation. Answered with [`Answer::Stored`] if the
+    /// whole chain of the newest turn is stored then, otherwise with [`Answer::missing_ancestors`].
     PutTurns {
         /// Program in whose group they are stored.
         program: String,
-        /// Turns, oldest first: one, or several when a chain is copied from another program.
+        /// Turns, oldest first: one, or its whole chain if that is stored by another program or the machine lacks it.
         turns: Vec<TurnRecord>,
         /// Settlement of the newest turn's reservation; `None` leaves all reservations unchanged.
         settlement: Option<Settlement>,
@@ -131,7 +132,7 @@
     },
     /// The records of the request are synced.
     Stored,
-    /// Turns of the chain, newest first; empty if the newest is not stored.
+    /// Turns of the chain, newest first; empty if the newest is not stored. Also [`Answer::missing_ancestors`].
     Chain {
         /// The turn and its ancestors, up to a limit in bytes or the first that is not stored.
         turns: Vec<TurnRecord>,
@@ -168,6 +169,22 @@
     Malformed,
 }
 
+impl Answer {
+    /// Answer to [`Operation::PutTurns`] if the turns are synced, but not all turns that they continue: the sender has
+    /// to send the whole chain. An empty chain, since clients of earlier versions know no other answer that they
+    /// neither count as stored nor repeat.
+    #[must_use]
+    pub fn missing_ancestors() -> Answer {
+        Answer::Chain { turns: Vec::new() }
+    }
+
+    /// Whether this answer to [`Operation::PutTurns`] is [`Answer::missing_ancestors`].
+    #[must_use]
+    pub fn is_missing_ancestors(&self) -> bool {
+        *self == Answer::missing_ancestors()
+    }
+}
+
 /// An answer with the epoch of the machine's view, so that the sender can send a newer view.
 #[derive(Debug, Clone, PartialEq, Eq, Readable, Writable)]
 pub struct Response {
--- a/crates/tier/storage/src/node.rs
+++ b/crates/tier/storage/src/node.rs
@@ -55,6 +55,8 @@
     Reservations(String),
     /// Confirms that the record is stored.
     Stored,
+    /// Answers that the turns are stored, but not all turns that they continue.
+    MissingAncestors,
     /// Seals this epoch: requests of earlier ones are refused even after a restart.
     Sealed(u64),
     /// Marks the pull for this joint epoch as complete.
@@ -244,12 +246,12 @@
             Operation::Settle {
                 program,
                 settlement,
-            } => self.put(now, program, Vec::new(), Some(settlement)),
+            } => self.settle(now, program, settlement),
             Operation::PutTurns {
                 program,
                 turns,
                 settlement,
-            } => self.put(now, program, turns, settlement),
+            } => self.put_turns(now, program, turns, settlement),
             Operation::ReadChain {
                 program,
                 request_id,
@@ -278,6 +280,7 @@
                 self.response(Answer::Reserved { reservations })
             }
             Pending::Stored => self.response(Answer::Stored),
+            Pending::MissingAncestors => self.response(Answer::missing_ancestors()),
             Pending::Sealed(epoch) => {
                 self.sealed_epoch = self.sealed_epoch.max(epoch);
                 self.response(Answer::Stored)
@@ -344,7 +347,15 @@
         self.persist(now, records, Pending::Reservations(program))
     }
 
-    fn put(
+    fn settle(&mut self, now: Duration, program: String, settlement: Settlement) -> Step {
+        let records = Store::records(program, vec![settled(settlement)], Vec::new());
+        self.persist(now, records, Pending::Stored)
+    }
+
+    /// Stores turns of a program. A turn counts as stored only together with all turns that it continues: these may
+    /// have expired while it was run, or this machine may have missed them. Once they are stored together, they also
+    /// expire together.
+    fn put_turns(
         &mut self,
         now: Duration,
         program: String,
@@ -354,13 +365,18 @@
         if turns.iter().any(|turn| turn.program != program) {
             return self.reply(Answer::Malformed);
         }
-        let settled = settlement.map(|end| Reservation {
-            id: end.reservation,
-            tokens: end.delivered_tokens,
-            settled: true,
-        });
-        let records = Store::records(program, settled.into_iter().collect(), turns);
-        self.persist(now, records, Pending::Stored)
+        let newest = turns.last().map(|turn| turn.request_id.clone());
+        let reservations = settlement.map(settled).into_iter().collect();
+        let records = Store::records(program.clone(), reservations, turns);
+        let record = encode(&Record::Program(records.clone()));
+        self.store.merge(now, records);
+        let is_whole = newest.is_none_or(|newest| self.store.has_whole_chain(&program, &newest));
+        let pending = if is_whole {
+            Pending::Stored
+        } else {
+            Pending::MissingAncestors
+        };
+        Step::Persist { record, pending }
     }
 
     fn persist(&mut self, now: Duration, records: ProgramRecords, pending: Pending) -> Step {
@@ -406,3 +422,12 @@
         }
     }
 }
+
+/// The reservation of a turn that has ended.
+fn settled(settlement: Settlement) -> Reservation {
+    Reservation {
+        id: settlement.reservation,
+        tokens: settlement.delivered_tokens,
+        settled: true,
+    }
+}
--- a/crates/tier/storage/src/store.rs
+++ b/crates/tier/storage/src/store.rs
@@ -174,6 +174,18 @@
         chain
     }
 
+    /// Whether a turn and all its ancestors are stored.
+    #[must_use]
+    pub fn has_whole_chain(&self, program: &str, request_id: &str) -> bool {
+        let Some(found) = self.programs.get(program) else {
+            return false;
+        };
+        let newest = found.turns.get(request_id);
+        let previous = |turn: &TurnRecord| found.turns.get(turn.previous.as_ref()?);
+        let oldest = ancestry(newest, found.turns.len(), previous).last();
+        oldest.is_some_and(|turn| turn.previous.is_none())
+    }
+
     /// Names of the programs that have a turn with this `Request-Id`.
     #[must_use]
     pub fn programs_of(&self, request_id: &str) -> Vec<String> {
--- a/crates/tier/storage/src/write.rs
+++ b/crates/tier/storage/src/write.rs
@@ -1,23 +1,43 @@
 //! One write of a client to the quorums of a program's groups, and the check of a reservation against the
 //! budget. The [`client`](crate::client) sends the requests.
 
+use std::borrow::Cow;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::budget::Budget;
 use crate::message::{Answer, Operation};
 use crate::quorum::{Quorum, QuorumKind};
+use crate::turn::Turn;
 use crate::view::{StorageMember, StorageView};
 
+/// What the client sends after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[must_use]
+pub enum FollowUp {
+    /// Nothing.
+    None,
+    /// The write again, to this machine: it lacks turns that the new one continues, which are now part of its request.
+    Resend,
+}
+
 /// State of a write.
 ///
 /// | state | answer | next |
 /// | --- | --- | --- |
 /// | waiting | of the present epoch, quorum not reached | waiting |
 /// | waiting | of the present epoch, quorum reached | durable |
+/// | waiting | of the present epoch, ancestors missing | waiting; the machine is sent the whole chain |
 /// | waiting | newer view | waiting, from the start under that view |
 /// | durable | any | durable |
 #[derive(Debug)]
 pub struct Write {
     program: String,
     operation: Operation,
+    /// The chain that a new turn continues, oldest first; empty for any other operation.
+    ancestors: Vec<Arc<Turn>>,
+    /// Disks that lack some of `ancestors` under `epoch`, and are sent all of them.
+    lacking_ancestors: BTreeSet<u64>,
     /// Number of machines whose simultaneous failure is tolerated.
     tolerated_losses: usize,
     /// Epoch of the view from which `quorum` was built.
@@ -40,6 +60,8 @@
         Write {
             program,
             operation,
+            ancestors: Vec::new(),
+            lacking_ancestors: BTreeSet::new(),
             tolerated_losses,
             epoch: view.epoch,
             quorum,
@@ -47,6 +69,13 @@
         }
     }
 
+    /// Sets the chain that a new turn continues, oldest first. Machines that lack any of it are sent all of it.
+    #[must_use]
+    pub fn with_ancestors(mut self, ancestors: Vec<Arc<Turn>>) -> Write {
+        self.ancestors = ancestors;
+        self
+    }
+
     /// Restarts under a newer view, since answers under an older one do not count; ignores an older view.
     pub fn restart(&mut self, view: &StorageView) {
         if view.epoch > self.epoch {
@@ -58,6 +87,7 @@
                 QuorumKind::Write,
             );
             self.answers.clear();
+            self.lacking_ancestors.clear();
         }
     }
 
@@ -67,12 +97,32 @@
         self.epoch
     }
 
-    /// The operation that is sent.
+    /// The operation that is sent to a machine which has not answered.
     #[must_use]
     pub fn operation(&self) -> &Operation {
         &self.operation
     }
 
+    /// The operation that is sent to the machine with `disk`: with the whole chain if the machine lacks a part of it.
+    #[must_use]
+    pub fn operation_for(&self, disk: u64) -> Cow<'_, Operation> {
+        match &self.operation {
+            Operation::PutTurns {
+                program,
+                turns,
+                settlement,
+            } if self.lacking_ancestors.contains(&disk) => {
+                let ancestors = self.ancestors.iter().map(|turn| turn.to_record(program));
+                Cow::Owned(Operation::PutTurns {
+                    program: program.clone(),
+                    turns: ancestors.chain(turns.iter().cloned()).collect(),
+                    settlement: *settlement,
+                })
+            }
+            operation => Cow::Borrowed(operation),
+        }
+    }
+
     /// Machines that the write is sent to.
     #[must_use]
     pub fn members(&self) -> &[StorageMember] {
@@ -80,12 +130,27 @@
     }
 
     /// Records the answer of the machine with `disk` to the request that was sent under `epoch`.
-    pub fn record_answer(&mut self, epoch: u64, disk: u64, answer: Answer) {
-        let stored = matches!(answer, Answer::Stored | Answer::Reserved { .. });
-        if epoch == self.epoch && stored && !self.is_durable() {
-            self.quorum.record_answer(disk);
-            self.answers.push(answer);
+    pub fn record_answer(&mut self, epoch: u64, disk: u64, answer: Answer) -> FollowUp {
+        if epoch != self.epoch || self.is_durable() {
+            return FollowUp::None;
+        }
+        match answer {
+            Answer::Stored | Answer::Reserved { .. } => {
+                self.quorum.record_answer(disk);
+                self.answers.push(answer);
+                FollowUp::None
+            }
+            answer if answer.is_missing_ancestors() => self.record_missing_ancestors(disk),
+            _ => FollowUp::None,
+        }
+    }
+
+    /// The whole chain is sent to a machine once; if that machine lacks a turn even then, its answer does not count.
+    fn record_missing_ancestors(&mut self, disk: u64) -> FollowUp {
+        if self.ancestors.is_empty() || !self.lacking_ancestors.insert(disk) {
+            return FollowUp::None;
         }
+        FollowUp::Resend
     }
 
     /// Whether a quorum of each group has synced the write.
--- a/crates/tier/storage/tests/loopback.rs
+++ b/crates/tier/storage/tests/loopback.rs
@@ -150,6 +150,18 @@
     }
 }
 
+/// Stores a turn as an edge does, with the chain that it continues.
+async fn store(client: &StorageClient, turn: Turn) {
+    let ancestors = match &turn.previous {
+        Some(previous) => client.chain(&turn.program, &previous.request_id).await,
+        None => Ok(Vec::new()),
+    };
+    client
+        .put_turn(turn, &ancestors.unwrap(), None)
+        .await
+        .unwrap();
+}
+
 fn request(program: &str, request_id: &str, budget: u64, max_tokens: u64) -> ReserveRequest {
     ReserveRequest {
         program: program.into(),
@@ -163,11 +175,8 @@
 async fn a_chain_is_read_by_another_client() {
     let (_machines, view) = machines(4);
     let writer = client(&view);
-    writer.put_turn(turn("p", "a", None), None).await.unwrap();
-    writer
-        .put_turn(turn("p", "b", Some(("p", "a"))), None)
-        .await
-        .unwrap();
+    store(&writer, turn("p", "a", None)).await;
+    store(&writer, turn("p", "b", Some(("p", "a")))).await;
     let reader = client(&view);
     let chain = reader.chain("p", "b").await.unwrap();
     let inputs: Vec<_> = chain.iter().map(|turn| turn.input.clone()).collect();
@@ -183,20 +192,34 @@
 async fn another_program_may_continue_a_turn() {
     let (_machines, view) = machines(4);
     let writer = client(&view);
-    writer.put_turn(turn("p", "a", None), None).await.unwrap();
+    store(&writer, turn("p", "a", None)).await;
     let other = client(&view);
     let chain = other.chain("q", "a").await.unwrap();
     assert_eq!(chain[0].program, "p");
-    other
-        .put_turn(turn("q", "b", Some(("p", "a"))), None)
-        .await
-        .unwrap();
+    store(&other, turn("q", "b", Some(("p", "a")))).await;
     let reader = client(&view);
     let chain = reader.chain("q", "b").await.unwrap();
     assert_eq!(chain.len(), 2);
     assert_eq!(chain[0].input, "input of a");
 }
 
+/// Guards against a turn that is stored alone while what it goes on from has expired, so that nothing goes on from it.
+#[tokio::test(flavor = "current_thread")]
+async fn a_turn_is_stored_with_its_chain_where_the_chain_is_gone() {
+    let (_machines, view) = machines(4);
+    let ancestors = [
+        Arc::new(turn("p", "a", None)),
+        Arc::new(turn("p", "b", Some(("p", "a")))),
+    ];
+    client(&view)
+        .put_turn(turn("p", "c", Some(("p", "b"))), &ancestors, None)
+        .await
+        .unwrap();
+    let chain = client(&view).chain("p", "c").await.unwrap();
+    let names: Vec<_> = chain.iter().map(|turn| turn.request_id.as_str()).collect();
+    assert_eq!(names, ["a", "b", "c"]);
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_budget_is_spent_once_across_clients() {
     let (_machines, view) = machines(4);
@@ -207,7 +230,7 @@
         ReserveError::Spent
     );
     first.set_delivered_tokens(30);
-    one.put_turn(turn("p", "a", None), Some(&mut first))
+    one.put_turn(turn("p", "a", None), &[], Some(&mut first))
         .await
         .unwrap();
     let _second = two.reserve(&request("p", "c", 100, 60)).await.unwrap();
@@ -276,7 +299,7 @@
     let stopped: Vec<_> = machines.into_iter().map(Machine::stop).collect();
     tokio::time::pause();
     assert_eq!(
-        one.put_turn(turn("p", "a", None), Some(&mut reservation))
+        one.put_turn(turn("p", "a", None), &[], Some(&mut reservation))
             .await,
         Err(Unavailable)
     );
@@ -293,12 +316,9 @@
 async fn turns_stay_readable_while_one_machine_is_down_and_after_it_restarts() {
     let (mut machines, view) = machines(3);
     let writer = client(&view);
-    writer.put_turn(turn("p", "a", None), None).await.unwrap();
+    store(&writer, turn("p", "a", None)).await;
     let stopped = machines.remove(0).stop();
-    writer
-        .put_turn(turn("p", "b", Some(("p", "a"))), None)
-        .await
-        .unwrap();
+    store(&writer, turn("p", "b", Some(("p", "a")))).await;
     let restarted = stopped.restart();
     assert_eq!(restarted.member(), view.current[0]);
     machines.remove(0).stop();
@@ -312,7 +332,7 @@
     let one = client(&view);
     let mut settled = one.reserve(&request("p", "a", 100, 60)).await.unwrap();
     settled.set_delivered_tokens(30);
-    one.put_turn(turn("p", "a", None), Some(&mut settled))
+    one.put_turn(turn("p", "a", None), &[], Some(&mut settled))
         .await
         .unwrap();
     let _unsettled = one.reserve(&request("p", "b", 100, 60)).await.unwrap();
@@ -349,10 +369,7 @@
     let (mut machines, view) = machines(3);
     let writer = client(&view);
     for number in 0..50 {
-        writer
-            .put_turn(turn(&format!("p{number}"), "a", None), None)
-            .await
-            .unwrap();
+        store(&writer, turn(&format!("p{number}"), "a", None)).await;
     }
     let stopped = machines.remove(0).stop();
     let wiped = stopped.restart_wiped();
@@ -367,10 +384,7 @@
     let mut pulled_epoch = wiped.server.announcement_changed();
     wiped.server.learn_view(joint.clone()).await;
     writer.set_view(Arc::new(joint.clone()));
-    writer
-        .put_turn(turn("p0", "b", Some(("p0", "a"))), None)
-        .await
-        .unwrap();
+    store(&writer, turn("p0", "b", Some(("p0", "a")))).await;
     pulled_epoch.wait_for(|epoch| *epoch == 2).await.unwrap();
     let after = StorageView {
         epoch: 3,
--- a/crates/tier/storage/tests/simulation/faults.rs
+++ b/crates/tier/storage/tests/simulation/faults.rs
@@ -138,6 +138,9 @@
 
     /// Injects a fault after one in `acknowledgements_per_fault` acknowledgements on average; never if that is 0.
     pub(crate) fn maybe_fault_after_acknowledgement(&mut self) {
+        if self.is_quiet_slow_run() {
+            return;
+        }
         if self.acknowledgements_per_fault == 0 || !self.chance(self.acknowledgements_per_fault) {
             return;
         }
--- a/crates/tier/storage/tests/simulation/final_fault.rs
+++ b/crates/tier/storage/tests/simulation/final_fault.rs
@@ -27,6 +27,9 @@
 
     /// On a random acknowledgement of a turn or a reservation, schedules the final fault within 4 ms.
     pub(crate) fn maybe_final_fault_after_acknowledgement(&mut self) {
+        if self.is_quiet_slow_run() {
+            return;
+        }
         if self.final_fault == FinalFault::Pending && self.chance(ACKNOWLEDGEMENTS_PER_FAULT) {
             self.final_fault = FinalFault::Injected;
             let delay = self.millis(0, 4);
--- a/crates/tier/storage/tests/simulation/machine.rs
+++ b/crates/tier/storage/tests/simulation/machine.rs
@@ -207,7 +207,14 @@
                 request.fencing_token.epoch.max(process.node.view().epoch);
         }
         let is_reserve = matches!(request.operation, Operation::Reserve { .. });
-        let step = process.node.handle(now, request);
+        process.node.expire(now);
+        let mut step = process.node.handle(now, request);
+        if mutation == Mutation::ChainNotRequired
+            && let Step::Persist { pending, .. } = &mut step
+            && matches!(pending, Pending::MissingAncestors)
+        {
+            *pending = Pending::Stored;
+        }
         if mutation == Mutation::ReservationInMemory
             && is_reserve
             && let Step::Persist { pending, .. } = step
--- a/crates/tier/storage/tests/simulation/mutation.rs
+++ b/crates/tier/storage/tests/simulation/mutation.rs
@@ -19,4 +19,6 @@
     Unfenced,
     /// A process that is asked to stop exits without waiting until its disk is no longer needed by the others.
     ExitsAtOnce,
+    /// A machine acknowledges a turn although it lacks turns that this one continues.
+    ChainNotRequired,
 }
--- a/crates/tier/storage/tests/simulation/oracle.rs
+++ b/crates/tier/storage/tests/simulation/oracle.rs
@@ -1,10 +1,11 @@
 //! Oracle: records acknowledgements and checks later answers against them.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use woadreach_storage::TurnKey;
 use woadreach_storage::turn::TurnRecord;
+use woadreach_storage::{Turn, TurnKey};
 
 use super::violation::{
     BudgetOverspentSnafu, ChainTooLongSnafu, ChangedTurnSnafu, TruncatedChainSnafu, Violation,
@@ -64,11 +65,50 @@
 #[derive(Debug, Default)]
 pub(crate) struct Oracle {
     /// Turns that were acknowledged as durable.
-    pub acknowledged: BTreeMap<TurnKey, TurnRecord>,
+    acknowledged: BTreeMap<TurnKey, TurnRecord>,
+    /// When the retention of each acknowledged turn ends.
+    retained_until: BTreeMap<TurnKey, Duration>,
     attempts: BTreeMap<String, BTreeMap<u64, Attempt>>,
 }
 
 impl Oracle {
+    /// Records a turn that was acknowledged as durable at `now`.
+    pub(crate) fn acknowledge(&mut self, now: Duration, turn: TurnRecord) {
+        let retention = Duration::from_millis(turn.retention_ms);
+        self.retained_until.insert(turn.key(), now + retention);
+        self.acknowledged.insert(turn.key(), turn);
+    }
+
+    /// Whether an acknowledged turn has to be readable with its whole chain at `now`.
+    pub(crate) fn is_retained(&self, now: Duration, key: &TurnKey) -> bool {
+        self.retained_until
+            .get(key)
+            .is_some_and(|until| now < *until)
+    }
+
+    /// Acknowledged turns that have to be readable at `now`.
+    pub(crate) fn retained(&self, now: Duration) -> Vec<TurnKey> {
+        let keys = self.acknowledged.keys();
+        keys.filter(|key| self.is_retained(now, key))
+            .cloned()
+            .collect()
+    }
+
+    /// The chain that ends with this acknowledged turn, oldest first.
+    pub(crate) fn chain(&self, newest: &TurnKey) -> Vec<Arc<Turn>> {
+        let previous = |turn: &&TurnRecord| {
+            let request_id = turn.previous.as_ref()?;
+            self.acknowledged
+                .get(&TurnKey::new(&turn.program, request_id))
+        };
+        let records = std::iter::successors(self.acknowledged.get(newest), previous);
+        let mut chain: Vec<Arc<Turn>> = records
+            .map(|record| Arc::new(record.clone().into_turn().expect("well-formed content")))
+            .collect();
+        chain.reverse();
+        chain
+    }
+
     pub(crate) fn attempt(&mut self, program: &str, id: u64, state: Attempt) {
         self.attempts
             .entry(program.to_owned())
--- a/crates/tier/storage/tests/simulation/proxy.rs
+++ b/crates/tier/storage/tests/simulation/proxy.rs
@@ -7,7 +7,7 @@
 use woadreach_storage::message::{Answer, FencingToken, Operation, Request};
 use woadreach_storage::quorum::{Quorum, QuorumKind};
 use woadreach_storage::turn::TurnRecord;
-use woadreach_storage::write::Write;
+use woadreach_storage::write::{FollowUp, Write};
 use woadreach_storage::{StorageMember, StorageView, TurnKey};
 
 /// Identifier of a job of a proxy.
@@ -217,7 +217,7 @@
                         member.clone(),
                         Request {
                             fencing_token,
-                            operation: write.operation().clone(),
+                            operation: write.operation_for(member.disk).into_owned(),
                         },
                     )
                 };
@@ -256,11 +256,10 @@
                 Some(Answer::Stale { .. }) => write.epoch() < self.view.epoch,
                 Some(Answer::Failed) | None => false,
                 Some(answer) => {
-                    if sent.epoch == write.epoch() {
+                    if sent.epoch == write.epoch() && !answer.is_missing_ancestors() {
                         job.answered.insert(disk);
                     }
-                    write.record_answer(sent.epoch, disk, answer);
-                    false
+                    write.record_answer(sent.epoch, disk, answer) == FollowUp::Resend
                 }
             },
             Work::Read(read) => {
--- a/crates/tier/storage/tests/simulation/world/final_reads.rs
+++ b/crates/tier/storage/tests/simulation/world/final_reads.rs
@@ -1,4 +1,5 @@
-//! Checks at the end of a run, after all faults have healed: every acknowledged turn is readable and replicated.
+//! Checks at the end of a run, after all faults have healed: every acknowledged turn that has not expired is readable and
+//! replicated with its whole chain.
 
 use std::sync::Arc;
 
@@ -18,8 +19,7 @@
             let state = format!("{:?}; {}", self.core.committed, self.describe());
             return self.record_check(EndlessJointEpochSnafu { state }.fail());
         }
-        let keys: Vec<TurnKey> = self.oracle.acknowledged.keys().cloned().collect();
-        for key in keys {
+        for key in self.oracle.retained(self.now) {
             let replicas = self.replica_count(&key);
             if replicas <= self.tolerated_losses {
                 let key = key.clone();
@@ -76,11 +76,10 @@
                 .any(|member| member.disk == process.node.disk())
         });
         let has = |process: &&Process| {
-            !process
+            process
                 .node
                 .store()
-                .chain(&key.program, &key.request_id, usize::MAX)
-                .is_empty()
+                .has_whole_chain(&key.program, &key.request_id)
         };
         counted.filter(has).count()
     }
--- a/crates/tier/storage/tests/simulation/world/jobs.rs
+++ b/crates/tier/storage/tests/simulation/world/jobs.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use woadreach_storage::TurnKey;
 use woadreach_storage::message::{Operation, Response};
 use woadreach_storage::write::Write;
+use woadreach_storage::{Turn, TurnKey};
 
 use super::super::event::{Endpoint, Event};
 use super::super::mutation::Mutation;
@@ -48,6 +48,18 @@
         purpose: Purpose,
         program: &str,
         operation: Operation,
+    ) {
+        self.start_write_after(proxy, purpose, program, Vec::new(), operation);
+    }
+
+    /// Starts a write of a turn that continues `ancestors`, oldest first.
+    pub(super) fn start_write_after(
+        &mut self,
+        proxy: usize,
+        purpose: Purpose,
+        program: &str,
+        ancestors: Vec<Arc<Turn>>,
+        operation: Operation,
     ) {
         let view = Arc::clone(&self.proxies[proxy].view);
         let tolerated_losses = if self.mutation == Mutation::OneReplicaTooFew {
@@ -60,7 +72,8 @@
             Purpose::Put { .. } => PUT_TIMEOUT,
             _ => RETRY_TIMEOUT,
         };
-        let write = Write::new(&view, program.to_owned(), operation, tolerated_losses);
+        let write = Write::new(&view, program.to_owned(), operation, tolerated_losses)
+            .with_ancestors(ancestors);
         self.start_job(proxy, purpose, Work::Write(write), within);
     }
 
--- a/crates/tier/storage/tests/simulation/world/mod.rs
+++ b/crates/tier/storage/tests/simulation/world/mod.rs
@@ -5,6 +5,7 @@
 mod machines;
 mod network;
 mod pulls;
+mod slow_turns;
 mod turns;
 mod views;
 
@@ -17,6 +18,7 @@
 use woadreach_sim_support::EventQueue;
 
 use self::network::Call;
+use self::slow_turns::SlowTurns;
 use self::turns::Program;
 use super::core::Core;
 use super::event::{Endpoint, Event};
@@ -71,6 +73,8 @@
     last_number: u64,
     calls: BTreeMap<u64, Call>,
     programs: Vec<Program>,
+    /// Slow turns, if the run has any.
+    slow_turns: Option<SlowTurns>,
     has_commit_in_flight: bool,
     is_traced: bool,
     pub violation: Option<Violation>,
@@ -114,6 +118,7 @@
             programs: (0..programs)
                 .map(|number| Program::draw(number, &mut random))
                 .collect(),
+            slow_turns: SlowTurns::draw(seed),
             has_commit_in_flight: false,
             is_traced: std::env::var_os("STORAGE_TRACE").is_some(),
             violation: None,
--- a/crates/tier/storage/tests/simulation/world/turns.rs
+++ b/crates/tier/storage/tests/simulation/world/turns.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use oorandom::Rand64;
-use woadreach_storage::TurnKey;
 use woadreach_storage::message::{Operation, Settlement};
 use woadreach_storage::turn::TurnRecord;
+use woadreach_storage::{Turn, TurnKey};
 
 use super::super::event::{Endpoint, Event};
 use super::super::oracle::Attempt;
@@ -17,6 +18,8 @@
 
 /// Upper bound of the tokens that one turn generates.
 const MAX_TOKENS: u64 = 30;
+/// Retention of the turns of a run without slow turns, which outlasts the run.
+const RETENTION: Duration = Duration::from_secs(60);
 /// Time from a proxy's crash until it has restarted and received the view.
 const PROXY_RESTART: Duration = Duration::from_millis(200);
 
@@ -80,7 +83,7 @@
             } => {
                 self.record_settled(program, id, delivered_tokens);
                 self.programs[program].last = Some(turn.key());
-                self.oracle.acknowledged.insert(turn.key(), turn);
+                self.oracle.acknowledge(self.now, turn);
                 self.maybe_fault_after_acknowledgement();
                 self.maybe_final_fault_after_acknowledgement();
             }
@@ -127,7 +130,11 @@
             self.record_check(outcome);
             self.maybe_final_fault_after_acknowledgement();
             let delay = self.millis(5, 400);
-            self.after(delay, Event::TurnEnded { proxy, program, id });
+            let slow = self.start_in_slow_run(program, id);
+            self.after(
+                slow.unwrap_or(delay),
+                Event::TurnEnded { proxy, program, id },
+            );
         } else {
             let outcome = self.oracle.refused(&name, id, (MAX_TOKENS, budget), sent);
             self.record_check(outcome);
@@ -135,6 +142,32 @@
         }
     }
 
+    /// Whether slow turns end after the end of the faults. Their acknowledgements cause no faults, which could not heal
+    /// before the final reads.
+    pub(crate) fn is_quiet_slow_run(&self) -> bool {
+        self.slow_turns.is_some() && self.now > self.end_of_faults
+    }
+
+    /// In a run with slow turns, the turn continues the program's last turn if that is retained now. Returns how long
+    /// the turn takes if it is slow.
+    fn start_in_slow_run(&mut self, program: usize, id: u64) -> Option<Duration> {
+        let slow_turns = self.slow_turns.as_mut()?;
+        let last = self.programs[program].last.as_ref();
+        let retained = last.filter(|last| self.oracle.is_retained(self.now, last));
+        let chain = retained.map(|last| self.oracle.chain(last));
+        slow_turns.start(id, chain.unwrap_or_default())
+    }
+
+    /// The chain that a turn which ends now continues, oldest first, and the turn's retention.
+    fn chain_and_retention(&mut self, program: usize, id: u64) -> (Vec<Arc<Turn>>, Duration) {
+        if let Some(slow_turns) = &mut self.slow_turns {
+            return (slow_turns.end(id), slow_turns.retention());
+        }
+        let last = self.programs[program].last.as_ref();
+        let chain = last.map(|last| self.oracle.chain(last));
+        (chain.unwrap_or_default(), RETENTION)
+    }
+
     pub(super) fn on_turn_ended(&mut self, proxy: usize, program: usize, id: u64) {
         let name = self.programs[program].name.clone();
         let delivered_tokens = self.random.rand_range(0..MAX_TOKENS + 1);
@@ -153,17 +186,17 @@
             1 | 2 => self.settle(proxy, program, id, delivered_tokens),
             _ => {
                 self.programs[program].turns += 1;
-                let turn = TurnRecord {
+                let (chain, retention) = self.chain_and_retention(program, id);
+                let turn = Turn {
                     program: name.clone(),
                     session: "session".to_owned(),
                     request_id: format!("{name}-{}", self.programs[program].turns),
-                    previous: self.programs[program]
-                        .last
-                        .as_ref()
-                        .map(|key| key.request_id.clone()),
-                    retention_ms: 60_000,
-                    content: id.to_le_bytes().to_vec(),
+                    previous: chain.last().map(|last| last.key()),
+                    input: Bytes::copy_from_slice(&id.to_le_bytes()),
+                    events: Vec::new(),
+                    retention,
                 };
+                let turn = turn.to_record(&name);
                 self.record_ended(program, id, delivered_tokens);
                 let settlement = Some(Settlement {
                     reservation: id,
@@ -174,17 +207,13 @@
                     turns: vec![turn.clone()],
                     settlement,
                 };
-                self.start_write(
-                    proxy,
-                    Purpose::Put {
-                        program,
-                        id,
-                        turn,
-                        delivered_tokens,
-                    },
-                    &name,
-                    operation,
-                );
+                let purpose = Purpose::Put {
+                    program,
+                    id,
+                    turn,
+                    delivered_tokens,
+                };
+                self.start_write_after(proxy, purpose, &name, chain, operation);
             }
         }
     }
@@ -238,6 +267,7 @@
                 let checked = self.oracle.read(&key, chain);
                 self.record_check(checked);
             }
+            Err(_) if !self.oracle.is_retained(self.now, &key) => {}
             Err(ReadFailure::NotFound) => {
                 self.record_check(DeniedTurnSnafu { key }.fail());
             }
--- a/crates/tier/storage/tests/upgrade.rs
+++ b/crates/tier/storage/tests/upgrade.rs
@@ -123,6 +123,15 @@
     (server, client)
 }
 
+/// The chain that a turn continues, oldest first.
+async fn ancestors(client: &StorageClient, turn: &Turn) -> Vec<Arc<Turn>> {
+    let Some(previous) = &turn.previous else {
+        return Vec::new();
+    };
+    let chain = client.chain(&turn.program, &previous.request_id).await;
+    chain.expect("the chain is stored")
+}
+
 /// Reserves, settles and stores a turn that delivers `delivered_tokens` tokens.
 async fn run_turn(client: &StorageClient, turn: Turn, delivered_tokens: u64) {
     let max_tokens = delivered_tokens + 10;
@@ -132,8 +141,9 @@
         .await
         .expect("the reservation fits the budget");
     reservation.set_delivered_tokens(delivered_tokens);
+    let ancestors = ancestors(client, &turn).await;
     client
-        .put_turn(turn, Some(&mut reservation))
+        .put_turn(turn, &ancestors, Some(&mut reservation))
         .await
         .expect("the turn is stored");
 }
@@ -173,18 +183,16 @@
         let (server, client) = start(folder, 3).await;
         server.learn_view(joint_view()).await;
         server.learn_view(last_view()).await;
-        client
-            .put_turn(turn("program", "c", Some(("program", "b"))), None)
-            .await
-            .expect("the turn is stored");
-        client
-            .chain("other", "a")
-            .await
-            .expect("the turn of another program");
-        client
-            .put_turn(turn("other", "d", Some(("program", "a"))), None)
-            .await
-            .expect("the turn is stored");
+        for turn in [
+            turn("program", "c", Some(("program", "b"))),
+            turn("other", "d", Some(("program", "a"))),
+        ] {
+            let ancestors = ancestors(&client, &turn).await;
+            client
+                .put_turn(turn, &ancestors, None)
+                .await
+                .expect("the turn is stored");
+        }
         // Leaves the reservation unsettled, as a process that exits during the turn does.
         std::mem::forget(
             client
--- a/crates/tier/storage/tests/view_model/tier.rs
+++ b/crates/tier/storage/tests/view_model/tier.rs
@@ -12,7 +12,7 @@
 use woadreach_storage::pull::Pages;
 use woadreach_storage::turn::TurnRecord;
 use woadreach_storage::view::plan;
-use woadreach_storage::write::Write;
+use woadreach_storage::write::{FollowUp, Write};
 use woadreach_storage::{StorageMember, StorageView};
 
 use super::machine::Machine;
@@ -244,7 +244,8 @@
         let operation = put_operation(request_id);
         let mut write = Write::new(&view, PROGRAM.to_owned(), operation, world.tolerated_losses);
         for disk in answered {
-            write.record_answer(view.epoch, *disk, Answer::Stored);
+            let follow_up = write.record_answer(view.epoch, *disk, Answer::Stored);
+            assert_eq!(follow_up, FollowUp::None);
         }
         Some(write)
     }
