--- a/crates/tier/proxy/src/dispatcher.rs
+++ b/crates/tier/proxy/src/dispatcher.rs
@@ -126,7 +126,6 @@
 
     /// Reports that the stream of an attempt has started: its head has arrived. Returns whether to forward it, as the
     /// scheduler may have given the attempt up before.
-    #[must_use]
     pub fn response_started(
         &self,
         id: CallId,
