Storage: renew the reservation of a turn in progress, so that its budget outlasts it

Where an operator's time-out allows a turn to run for longer, on a route that keeps no turns, the machines forgot its reservation and granted the same tokens to other turns of the program.

Change: the edge writes the open reservation again every 75 s until its guard is dropped, which renews the budget at each machine. A renewal that arrives after the settlement changes nothing, since a settled reservation replaces an open one.

--- a/crates/tier/storage/src/client/mod.rs
+++ b/crates/tier/storage/src/client/mod.rs
@@ -157,6 +157,7 @@
         let written = self.write(program, operation, RESERVE_TIMEOUT).await;
         let write = written.map_err(|_| ReserveError::Unavailable)?;
         if write.is_within_budget(id, request.max_tokens, request.budget) {
+            reservation.start_renewal(request.max_tokens);
             return Ok(reservation);
         }
         let withdrawal = settle_operation(program.clone(), reservation.settlement());
--- a/crates/tier/storage/src/client/reservation.rs
+++ b/crates/tier/storage/src/client/reservation.rs
@@ -1,13 +1,20 @@
 //! A turn's reservation in its program's budget, for the duration of the turn: the client returns it to the edge,
-//! which records the number of tokens delivered.
+//! which records the number of tokens delivered. It is renewed while the turn runs, since the machines drop a budget that
+//! has not been used for some time.
 
 use std::fmt::{Debug, Formatter};
 use std::time::Duration;
 
 use tokio::runtime::Handle;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
 
-use super::{StorageClient, settle_operation};
-use crate::message::Settlement;
+use super::{RESERVE_TIMEOUT, StorageClient, settle_operation};
+use crate::message::{Operation, Settlement};
+use crate::store::BUDGET_RETENTION;
+
+/// Interval of the renewals of a reservation; two may fail.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(BUDGET_RETENTION.as_secs() / 4);
 
 /// Timeout of one attempt to settle a reservation.
 const SETTLE_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(8);
@@ -28,6 +35,8 @@
     delivered_tokens: u64,
     /// Whether a quorum has stored the settlement.
     settled: bool,
+    /// Task that renews the reservation, once it is granted.
+    renewal: Option<AbortHandle>,
 }
 
 impl ReservationGuard {
@@ -38,9 +47,18 @@
             id,
             delivered_tokens: 0,
             settled: false,
+            renewal: None,
         }
     }
 
+    /// Renews the reservation of `max_tokens` until the guard is dropped.
+    pub(super) fn start_renewal(&mut self, max_tokens: u64) {
+        let (client, program) = (self.client.clone(), self.program.clone());
+        let reservation = self.id;
+        let renewal = async move { client.renew(&program, reservation, max_tokens).await };
+        self.renewal = Some(tokio::spawn(renewal).abort_handle());
+    }
+
     /// Sets the number of tokens delivered to the client so far.
     pub fn set_delivered_tokens(&mut self, delivered_tokens: u64) {
         self.delivered_tokens = delivered_tokens;
@@ -78,6 +96,9 @@
 
 impl Drop for ReservationGuard {
     fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+        }
         if self.settled {
             return;
         }
@@ -90,6 +111,26 @@
 }
 
 impl StorageClient {
+    /// Writes an open reservation again and again, which renews the retention of the program's budget. The reservation
+    /// stays the same: a settlement replaces it, whichever arrives first.
+    async fn renew(&self, program: &str, reservation: u64, max_tokens: u64) {
+        loop {
+            sleep(RENEWAL_INTERVAL).await;
+            let operation = Operation::Reserve {
+                program: program.to_owned(),
+                reservation,
+                max_tokens,
+            };
+            if self
+                .write(program, operation, RESERVE_TIMEOUT)
+                .await
+                .is_err()
+            {
+                tracing::debug!(program, "reservation not renewed");
+            }
+        }
+    }
+
     /// Retries the settlement until a quorum has stored it or the attempts are exhausted.
     async fn settle(&self, program: &str, settlement: Settlement) {
         for _ in 0..MAX_SETTLE_ATTEMPTS {
--- a/crates/tier/storage/src/store.rs
+++ b/crates/tier/storage/src/store.rs
@@ -17,8 +17,8 @@
 
 /// Added to the retention to allow for the network latency to the client and back.
 const RETENTION_MARGIN: Duration = Duration::from_secs(5);
-/// Retention of a program's budget after its last use.
-const BUDGET_RETENTION: Duration = Duration::from_secs(300);
+/// Retention of a program's budget after its last use; edges renew the reservations of turns in progress.
+pub(crate) const BUDGET_RETENTION: Duration = Duration::from_secs(300);
 
 /// Records of one program.
 #[derive(Clone, Debug, Default)]
