--- a/crates/tier/proxy/tests/late_streams.rs
+++ b/crates/tier/proxy/tests/late_streams.rs
@@ -83,7 +83,7 @@
 /// Lets the task of a request stand still from when its first attempt has reached a replica until the scheduler has
 /// given that attempt up, so that the task finds the started stream and the scheduler's commands at once. Returns the
 /// number of responses that were discarded; `None` if the attempt was given up before it had reached a replica.
-async fn play_stream_given_up_as_it_starts() -> Option<u64> {
+async fn play_stream_aborted_as_it_starts() -> Option<u64> {
     let (one, two) = replicas(&Arc::default()).await;
     let tier = start_tier(&[("i-1", &one), ("i-2", &two)]).await;
     let (sender, response) = oneshot::channel();
@@ -109,11 +109,11 @@
 }
 
 #[test]
-fn a_stream_that_starts_as_it_is_given_up_is_not_joined_with_the_next() {
+fn a_stream_that_starts_as_it_is_aborted_is_not_joined_with_the_next() {
     on_one_thread(async {
         let mut discarded = Vec::new();
         for _ in 0..ROUNDS {
-            let requests = (0..REQUESTS_AT_ONCE).map(|_| play_stream_given_up_as_it_starts());
+            let requests = (0..REQUESTS_AT_ONCE).map(|_| play_stream_aborted_as_it_starts());
             let played = requests.collect::<JoinSet<Option<u64>>>().join_all().await;
             discarded.extend(played.into_iter().flatten());
         }
@@ -126,7 +126,7 @@
 
 /// Guards against the opposite: a stream that has started in time must not be given up when it pauses.
 #[test]
-fn a_stream_that_has_started_is_not_given_up_when_it_pauses() {
+fn a_stream_that_has_started_is_not_aborted_when_it_pauses() {
     on_one_thread(async {
         let resume = Arc::new(Notify::new());
         let (one, two) = replicas(&resume).await;
--- a/crates/tier/proxy/tests/stalled_tasks/mod.rs
+++ b/crates/tier/proxy/tests/stalled_tasks/mod.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Plays one seed.
+/// Plays the run of one seed, and returns what broke or how often each order was met.
 pub(crate) fn play(seed: u64) -> Outcome {
     on_one_thread(wait_for("the end of a run", run(seed)))
 }
@@ -214,8 +214,8 @@
             return;
         }
         let events = received_events(&seen.body);
-        let is_whole = events.len() == EVENTS;
-        if !are_in_order(&events) || are_joined(&events) || (seen.complete && !is_whole) {
+        let is_complete = events.len() == EVENTS;
+        if !are_in_order(&events) || are_joined(&events) || (seen.complete && !is_complete) {
             let complete = seen.complete;
             self.violations
                 .push(format!("ORDER: {events:?}, complete {complete}"));
--- a/crates/tier/scheduler/src/outcome.rs
+++ b/crates/tier/scheduler/src/outcome.rs
@@ -46,9 +46,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
 pub enum StartedResponse {
-    /// Its attempt is in flight; forward it.
+    /// Forward the response: the attempt is in flight.
     Forward,
-    /// Its attempt was aborted or has ended. Another attempt may have been sent in its place.
+    /// Drop the response: the attempt was aborted or has ended, and another may have been sent in its place.
     Discard,
 }
 
--- a/crates/tier/storage/src/client/delivery.rs
+++ b/crates/tier/storage/src/client/delivery.rs
@@ -109,7 +109,7 @@
     by_disk: HashMap<u64, MissedWrites>,
 }
 
-/// Outcome of one attempt.
+/// Whether a machine has to be sent a write again.
 enum AttemptOutcome {
     /// The machine has stored the write, or refused it in a way that no retry changes.
     Completed,
--- a/crates/tier/storage/src/node.rs
+++ b/crates/tier/storage/src/node.rs
@@ -370,8 +370,9 @@
         let records = Store::records(program.clone(), reservations, turns);
         let record = encode(&Record::Program(records.clone()));
         self.store.merge(now, records);
-        let is_whole = newest.is_none_or(|newest| self.store.has_whole_chain(&program, &newest));
-        let pending = if is_whole {
+        let is_complete =
+            newest.is_none_or(|newest| self.store.has_complete_chain(&program, &newest));
+        let pending = if is_complete {
             Pending::Stored
         } else {
             Pending::MissingAncestors
--- a/crates/tier/storage/src/store.rs
+++ b/crates/tier/storage/src/store.rs
@@ -176,7 +176,7 @@
 
     /// Whether a turn and all its ancestors are stored.
     #[must_use]
-    pub fn has_whole_chain(&self, program: &str, request_id: &str) -> bool {
+    pub fn has_complete_chain(&self, program: &str, request_id: &str) -> bool {
         let Some(found) = self.programs.get(program) else {
             return false;
         };
--- a/crates/tier/storage/tests/chain_retention.rs
+++ b/crates/tier/storage/tests/chain_retention.rs
@@ -150,7 +150,7 @@
     machines
 }
 
-fn has_whole_chain(node: &StorageNode) -> bool {
+fn has_complete_chain(node: &StorageNode) -> bool {
     let chain = node.store().chain(PROGRAM, "second", usize::MAX);
     chain.len() == 2
 }
@@ -166,10 +166,13 @@
                     for machine in &mut machines {
                         machine.expire(END_OF_SECOND_TURN + RETENTION);
                     }
-                    let whole = machines.iter().filter(|node| has_whole_chain(node)).count();
+                    let complete = machines
+                        .iter()
+                        .filter(|node| has_complete_chain(node))
+                        .count();
                     assert!(
-                        whole > TOLERATED_LOSSES,
-                        "{whole} machines have the chain: {first_turns:?}, received in {order:?}"
+                        complete > TOLERATED_LOSSES,
+                        "{complete} machines have the chain: {first_turns:?}, received in {order:?}"
                     );
                 }
             }
@@ -197,7 +200,7 @@
 
 /// The whole chain is sent once: a machine whose records contradict each other must not be sent it without end.
 #[test]
-fn a_machine_is_sent_the_whole_chain_once_in_each_epoch() {
+fn a_machine_is_sent_the_complete_chain_once_in_each_epoch() {
     let second = turn("second", Some("first"));
     let ancestors = vec![Arc::new(turn("first", None))];
     let mut write = Write::new(&view(), PROGRAM.to_owned(), put(&second), TOLERATED_LOSSES)
--- a/crates/tier/storage/tests/loopback.rs
+++ b/crates/tier/storage/tests/loopback.rs
@@ -205,7 +205,7 @@
 
 /// Guards against a turn that is stored alone while what it goes on from has expired, so that nothing goes on from it.
 #[tokio::test(flavor = "current_thread")]
-async fn a_turn_is_stored_with_its_chain_where_the_chain_is_gone() {
+async fn a_turn_is_stored_with_its_chain_where_the_chain_has_expired() {
     let (_machines, view) = machines(4);
     let ancestors = [
         Arc::new(turn("p", "a", None)),
--- a/crates/tier/storage/tests/simulation/world/final_reads.rs
+++ b/crates/tier/storage/tests/simulation/world/final_reads.rs
@@ -79,7 +79,7 @@
             process
                 .node
                 .store()
-                .has_whole_chain(&key.program, &key.request_id)
+                .has_complete_chain(&key.program, &key.request_id)
         };
         counted.filter(has).count()
     }
