--- a/crates/testing/sim-support/src/partitioned_links.rs
+++ b/crates/testing/sim-support/src/partitioned_links.rs
@@ -19,6 +19,11 @@
         self.links.extend([(one, other), (other, one)]);
     }
 
+    /// Joins the two nodes in one direction. Does nothing if the link is not partitioned.
+    pub fn remove(&mut self, link: &(Node, Node)) {
+        self.links.remove(link);
+    }
+
     /// Whether the link from the first node to the second is partitioned.
     pub fn contains(&self, link: &(Node, Node)) -> bool {
         self.links.contains(link)
--- a/crates/tier/control/src/core_role/metrics.rs
+++ b/crates/tier/control/src/core_role/metrics.rs
@@ -109,6 +109,16 @@
         "Whether this machine may not know all replicas",
         report.is_warming,
     );
+    page.gauge(
+        "woadreach_departures_unsynced",
+        "Departures of replicas that are not on this machine's disk yet",
+        report.unsynced_departures as f64,
+    );
+    page.gauge(
+        "woadreach_departure_log_bytes",
+        "Length of the log of departures since its last snapshot",
+        report.departure_log_bytes as f64,
+    );
     let counters = report.counters;
     page.counters(
         "woadreach_heartbeats",
--- a/crates/tier/control/src/core_role/mod.rs
+++ b/crates/tier/control/src/core_role/mod.rs
@@ -14,7 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use woadreach_chain::{FailureDomain, MemberOptions, Tolerance};
-use woadreach_discovery::{CoreDiscovery, NodeRole, Sampler};
+use woadreach_discovery::{CoreDiscovery, DepartureJournal, NodeRole, Sampler};
 use woadreach_rpc::{Client, ClientOptions, Router, ServiceId};
 use woadreach_settings::NodeSettings;
 
@@ -27,7 +27,7 @@
 use crate::{http_server, instances, operator};
 
 use departure::leave;
-use recovery::recover_or_initialize;
+use recovery::{recover_departures, recover_or_initialize};
 use signals::run_until_sigterm;
 
 /// Time limit for answering requests in flight when the process stops.
@@ -57,9 +57,10 @@
 
     let options = member_options(&settings)?;
     let (journal, recovered) = recover_or_initialize(&settings, &options).await?;
+    let departures = recover_departures(&settings)?;
     let rpc = Client::new(ClientOptions::default());
     let driver = MemberDriver::start(options, recovered, journal, rpc.clone());
-    let services = start_services(&settings, &driver, rpc, internal_listener);
+    let services = start_services(&settings, &driver, departures, rpc, internal_listener);
     let page = metrics::page_source(Arc::clone(&driver), Arc::clone(&services.discovery));
     woadreach_metrics::bind_and_serve(settings.metrics_address(), page).await;
     let (stop, stopped) = watch::channel(false);
@@ -93,6 +94,7 @@
 fn start_services(
     settings: &NodeSettings,
     driver: &Arc<MemberDriver>,
+    departures: DepartureJournal,
     rpc: Client,
     listener: TcpListener,
 ) -> Services {
@@ -107,7 +109,8 @@
         tolerated_losses,
     ));
     let committed = Arc::new(MemberCommittedState::new(Arc::clone(driver)));
-    let discovery = CoreDiscovery::new(settings, random_number() | 1, rpc.clone(), committed);
+    let incarnation = random_number() | 1;
+    let discovery = CoreDiscovery::new(settings, incarnation, rpc.clone(), committed, departures);
     let seeds = settings.seed_internal_addresses();
     let planner = StoragePlanner::new(Arc::clone(driver), rpc, seeds, tolerated_losses);
     let sampler = Sampler::new(settings, NodeRole::Core, random_number());
--- a/crates/tier/control/src/error.rs
+++ b/crates/tier/control/src/error.rs
@@ -6,6 +6,7 @@
 
 use snafu::Snafu;
 use woadreach_chain::RecordError;
+use woadreach_discovery::departure_record::DepartureRecordError;
 use woadreach_journal::JournalError;
 use woadreach_settings::SettingsError;
 
@@ -65,6 +66,14 @@
         /// Error from decoding the record or snapshot.
         source: RecordError,
     },
+    /// The journal of departures contains a record or snapshot that cannot be decoded.
+    #[snafu(display("journal of departures in {}: {source}", path.display()))]
+    UnreadableDepartures {
+        /// Folder of the journal.
+        path: PathBuf,
+        /// Error from decoding the record or snapshot.
+        source: DepartureRecordError,
+    },
     /// Installing a signal handler failed.
     #[snafu(display("cannot install a signal handler: {source}"))]
     Signal {
--- a/crates/tier/discovery/src/core_discovery.rs
+++ b/crates/tier/discovery/src/core_discovery.rs
@@ -1,6 +1,7 @@
-//! Driver of [`CoreState`] on a core machine: handles heartbeats, long-polls and requests of other core machines, and
-//! exchanges batches and registries with those machines.
+//! Driver of [`CoreState`] on a core machine: handles heartbeats, long-polls and requests of other core machines,
+//! exchanges batches and registries with those machines, and writes departures to disk.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,10 +18,11 @@
 use crate::committed::CommittedState;
 use crate::core_state::{CoreIdentity, CoreState};
 use crate::departure::{DepartureDecision, DepartureNotification, MAJORITY_TIMEOUT};
+use crate::departure_journal::{DepartureJournal, DepartureWriter};
 use crate::exchange::{CHANGE_DELAY, Urgency};
 use crate::messages::{
-    BatchResponse, ConfigurationResponse, MessageError, PollRequest, RegistryResponse, Request,
-    VersionedBytes, decode, decode_answer, encode,
+    Batch, BatchResponse, ConfigurationResponse, MessageError, PollRequest, RegistryResponse,
+    Request, VersionedBytes, decode, decode_answer, encode,
 };
 use crate::poll_response::has_updates;
 use crate::registry::{HeartbeatError, HeartbeatOutcome, RegistryCounters};
@@ -52,6 +54,17 @@
     OutOfQuorum,
 }
 
+/// Why a request of an observer or of another core machine has no answer.
+#[derive(Debug, Snafu)]
+enum RequestError {
+    /// The request cannot be decoded.
+    #[snafu(transparent)]
+    Undecodable { source: MessageError },
+    /// The departures are applied and published, but not on disk yet.
+    #[snafu(display("departures not on disk within {MAJORITY_TIMEOUT:?}"))]
+    NotOnDisk,
+}
+
 /// Result of pulling a peer's registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RegistryPull {
@@ -70,6 +83,10 @@
     pub replicas: usize,
     /// Whether the machine may not know all of them.
     pub is_warming: bool,
+    /// Number of departures that are not on this machine's disk yet.
+    pub unsynced_departures: usize,
+    /// Bytes of the log of departures since its last snapshot.
+    pub departure_log_bytes: u64,
     /// Counters since the start of the process.
     pub counters: RegistryCounters,
 }
@@ -83,6 +100,7 @@
     rpc: Client,
     committed: Arc<dyn CommittedState>,
     state: Mutex<CoreState>,
+    departures: DepartureWriter,
     /// Registry revision that was last published to the pending polls.
     revision: watch::Sender<u64>,
     /// Wakes the exchange task, which sends a batch after [`CHANGE_DELAY`].
@@ -92,13 +110,14 @@
 }
 
 impl CoreDiscovery {
-    /// Creates the discovery of the process that `settings` describe. `incarnation` must differ between starts of
-    /// the process and must not be 0. The caller spawns [`run`](Self::run) and serves [`handlers`](Self::handlers).
+    /// Creates the discovery of the process that `settings` describe, with the `departures` on its disk. `incarnation`
+    /// must differ between starts of the process and must not be 0. The caller spawns [`run`](Self::run) and serves [`handlers`](Self::handlers).
     pub fn new(
         settings: &NodeSettings,
         incarnation: u64,
         rpc: Client,
         committed: Arc<dyn CommittedState>,
+        departures: DepartureJournal,
     ) -> Arc<Self> {
         let identity = CoreIdentity {
             incarnation,
@@ -107,12 +126,16 @@
             heartbeat_interval: settings.heartbeat,
             reuse_after: settings.bounds.reuse_after,
         };
+        let (departures, recovered) = DepartureWriter::new(departures);
+        let mut state = CoreState::new(Duration::ZERO, identity);
+        state.restore_departures(Duration::ZERO, recovered);
         Arc::new(Self {
             incarnation,
             started: Instant::now(),
             rpc,
             committed,
-            state: Mutex::new(CoreState::new(Duration::ZERO, identity)),
+            state: Mutex::new(state),
+            departures,
             revision: watch::channel(0).0,
             flush: Notify::new(),
             pull: Notify::new(),
@@ -127,13 +150,18 @@
         })
     }
 
-    /// Exchanges batches and registries with the other core machines until the future is dropped.
+    /// Exchanges batches and registries with the other core machines, and writes departures to disk, until the future is
+    /// dropped.
     pub async fn run(self: Arc<Self>) {
-        tokio::join!(self.exchange_batches(), Arc::clone(&self).pull_registries());
+        tokio::join!(
+            self.exchange_batches(),
+            Arc::clone(&self).pull_registries(),
+            self.departures.run(&self.state),
+        );
     }
 
-    /// Applies a replica's heartbeat. For a draining replica, first notifies the other core machines and returns
-    /// once enough of them have answered.
+    /// Applies a replica's heartbeat. For a draining replica, returns once the departure is on the disks of enough core
+    /// machines.
     ///
     /// # Errors
     /// If the heartbeat is rejected, or may not reach the other core machines.
@@ -142,7 +170,7 @@
         self.notify_and_acknowledge(id, outcome).await
     }
 
-    /// Applies a replica's deregistration, and notifies the other core machines before it returns.
+    /// Applies a replica's deregistration. Returns once it is on the disks of enough core machines.
     ///
     /// # Errors
     /// If the id is invalid, or the deregistration may not reach the other core machines.
@@ -162,6 +190,8 @@
         RegistryReport {
             replicas: state.registry().registered_count(),
             is_warming: state.is_warming(self.now()),
+            unsynced_departures: state.registry().departure_log().unsynced_count(),
+            departure_log_bytes: self.departures.log_bytes(),
             counters: state.registry().counters(),
         }
     }
@@ -206,10 +236,20 @@
             .may_acknowledge(self.now(), outcome, &view)
     }
 
-    /// Wakes the pending polls if the registry has changed, and the pull task if a peer's registry is
-    /// incomplete.
+    /// Wakes the pending polls if the registry has changed, the task that writes departures if any is queued, and the
+    /// pull task if a peer's registry is incomplete.
     fn publish(&self) {
-        let revision = self.state.lock().registry().version().revision;
+        let (revision, has_queued_departures) = {
+            let state = self.state.lock();
+            let registry = state.registry();
+            (
+                registry.version().revision,
+                registry.departure_log().has_queued(),
+            )
+        };
+        if has_queued_departures {
+            self.departures.wake();
+        }
         self.wake_pull_task();
         self.revision.send_if_modified(|published| {
             let modified = *published != revision;
@@ -224,7 +264,7 @@
         }
     }
 
-    /// Notifies the peers that the replica `id` departs. Returns whether the departure may be acknowledged.
+    /// Brings the departure of the replica `id` to the core machines. Returns whether it may be acknowledged.
     async fn notify_peers(&self, id: &str) -> bool {
         let now = self.now();
         let view = self.committed.view();
@@ -238,7 +278,10 @@
         };
         let body = encode(&Request::Urgent(batch));
         match notification {
-            Some(notification) => self.await_peers(notification, peers, body).await,
+            Some(notification) => {
+                self.await_confirmations(id, notification, peers, body)
+                    .await
+            }
             None => {
                 peers
                     .into_iter()
@@ -248,9 +291,11 @@
         }
     }
 
-    /// Notifies `peers` and waits until the departure is decided. Returns whether it may be acknowledged.
-    async fn await_peers(
+    /// Notifies `peers`, waits for this machine's own disk, and returns once the departure of the replica `id` is
+    /// decided: whether it may be acknowledged.
+    async fn await_confirmations(
         &self,
+        id: &str,
         mut notification: DepartureNotification,
         peers: Vec<SocketAddr>,
         body: Vec<u8>,
@@ -260,6 +305,9 @@
         for peer in peers {
             calls.spawn(notify_peer(self.rpc.clone(), peer, body.clone(), deadline));
         }
+        let own_address = self.state.lock().address();
+        let is_on_disk = self.wait_until_on_disk(&[id.to_owned()], deadline);
+        calls.spawn(async move { is_on_disk.await.then_some(own_address) });
         let is_acknowledged = loop {
             let until = match notification.decision(self.now()) {
                 DepartureDecision::Acknowledged => break true,
@@ -267,7 +315,7 @@
                 DepartureDecision::Wait { until } => self.started + until,
             };
             match timeout_at(until, calls.join_next()).await {
-                Ok(Some(Ok(Some(peer)))) => notification.record_answer(peer),
+                Ok(Some(Ok(Some(machine)))) => notification.record_confirmation(machine),
                 Ok(Some(_)) | Err(_) => {}
                 Ok(None) => sleep_until(until).await,
             }
@@ -277,6 +325,19 @@
         is_acknowledged
     }
 
+    /// Waits until the departures of `ids` are on this machine's disk, until `deadline` at most. Returns whether they
+    /// are.
+    fn wait_until_on_disk(
+        &self,
+        ids: &[String],
+        deadline: Instant,
+    ) -> impl Future<Output = bool> + Send + use<> {
+        let number = self.state.lock().unsynced_departure(ids);
+        self.departures.wake();
+        self.departures
+            .wait_until_synced(number.unwrap_or(0), deadline)
+    }
+
     async fn exchange_batches(&self) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -363,7 +424,7 @@
         }
     }
 
-    async fn handle(self: Arc<Self>, body: Bytes) -> Result<Vec<u8>, MessageError> {
+    async fn handle(self: Arc<Self>, body: Bytes) -> Result<Vec<u8>, RequestError> {
         Ok(match decode::<Request>(&body)? {
             Request::Poll(request) => self.poll(request).await,
             Request::Configuration => {
@@ -372,23 +433,42 @@
                     configuration: configuration.map(VersionedBytes::from),
                 })
             }
-            Request::Batch(batch) | Request::Urgent(batch) => {
-                let urgency = self.state.lock().receive(self.now(), batch);
-                match urgency {
-                    Urgency::Unchanged => self.wake_pull_task(),
-                    Urgency::Soon => self.flush.notify_one(),
-                    Urgency::Now => self.publish(),
-                }
-                encode(&BatchResponse {
-                    incarnation: self.incarnation,
-                })
-            }
+            Request::Batch(batch) => self.receive_batch(batch),
+            Request::Urgent(batch) => self.receive_urgent_batch(batch).await?,
             Request::Registry(known) => {
                 encode(&self.state.lock().registry_since(self.now(), known))
             }
         })
     }
 
+    fn receive_batch(&self, batch: Batch) -> Vec<u8> {
+        let urgency = self.state.lock().receive(self.now(), batch);
+        match urgency {
+            Urgency::Unchanged => self.wake_pull_task(),
+            Urgency::Soon => self.flush.notify_one(),
+            Urgency::Now => self.publish(),
+        }
+        encode(&BatchResponse {
+            incarnation: self.incarnation,
+        })
+    }
+
+    /// Applies a batch of departures. Answers once they are on disk.
+    async fn receive_urgent_batch(&self, batch: Batch) -> Result<Vec<u8>, RequestError> {
+        let deadline = Instant::now() + MAJORITY_TIMEOUT;
+        let ids: Vec<String> = batch
+            .statuses
+            .iter()
+            .map(|entry| entry.id.clone())
+            .collect();
+        let response = self.receive_batch(batch);
+        if self.wait_until_on_disk(&ids, deadline).await {
+            Ok(response)
+        } else {
+            NotOnDiskSnafu.fail()
+        }
+    }
+
     async fn poll(&self, request: PollRequest) -> Vec<u8> {
         let wait = Duration::from_millis(u64::from(request.wait_ms)).min(MAX_POLL_WAIT);
         let deadline = Instant::now() + wait;
--- a/crates/tier/discovery/src/core_state.rs
+++ b/crates/tier/discovery/src/core_state.rs
@@ -12,7 +12,9 @@
 use crate::failure_detector::{FailureDetector, TickOutcome};
 use crate::messages::{Batch, PollRequest, PollResponse, RegistryResponse};
 use crate::poll_response::{MAX_STATUSES, respond};
-use crate::registry::{HeartbeatError, HeartbeatOutcome, Registry, RegistryVersion};
+use crate::registry::{
+    HeartbeatError, HeartbeatOutcome, Registry, RegistryDepartures, RegistryVersion,
+};
 use crate::replica::Heartbeat;
 use crate::status::IdentifiedStatus;
 
@@ -97,6 +99,39 @@
         &self.registry
     }
 
+    /// Internal address of this machine.
+    pub fn address(&self) -> SocketAddr {
+        self.identity.address
+    }
+
+    /// Merges the departures that this machine's disk had at the start of the process. Must be called before any other
+    /// change.
+    pub fn restore_departures(&mut self, now: Duration, departures: Vec<IdentifiedStatus>) {
+        self.registry.restore_departures(now, departures);
+    }
+
+    /// Takes the departures that have to be written to disk next; `None` if there are none.
+    pub fn next_departures(&mut self) -> Option<RegistryDepartures> {
+        self.registry.next_departures()
+    }
+
+    /// All departures, for a snapshot on disk.
+    pub fn departure_snapshot(&self) -> RegistryDepartures {
+        self.registry.all_departures()
+    }
+
+    /// Records that all departures up to `number` are on this machine's disk.
+    pub fn record_departures_synced(&mut self, number: u64) {
+        self.registry.record_departures_synced(number);
+    }
+
+    /// Number up to which departures must be synced until those of all of `ids` are on this machine's disk. `None` if
+    /// they are.
+    pub fn unsynced_departure(&self, ids: &[String]) -> Option<u64> {
+        let log = self.registry.departure_log();
+        ids.iter().filter_map(|id| log.unsynced_number(id)).max()
+    }
+
     /// Counts a heartbeat whose body could not be decoded.
     pub fn count_undecodable_heartbeat(&mut self) {
         self.registry.count_undecodable_heartbeat();
--- a/crates/tier/discovery/src/departure.rs
+++ b/crates/tier/discovery/src/departure.rs
@@ -1,21 +1,21 @@
 //! Decides when a replica's departure is acknowledged. [`CoreState`](crate::core_state::CoreState) starts the
 //! notification, and [`CoreDiscovery`](crate::CoreDiscovery) calls the peers.
 //!
-//! After the acknowledgement, observers must soon stop sending new requests to the replica. A core machine therefore
-//! notifies the other core machines first. A peer publishes the departure to its pending polls before it answers the
-//! notification.
+//! After the acknowledgement, observers must soon stop sending new requests to the replica, even if every core process is
+//! killed or loses power at once. A core machine therefore notifies the other core machines first. A machine confirms
+//! the departure when it has published it to its pending polls and has it on disk; this machine confirms its own, too.
 //!
 //! | state | event | next |
 //! | --- | --- | --- |
-//! | notifying | every peer has answered, and a majority of the voters is notified | acknowledged |
-//! | notifying, [`ALL_PEERS_TIMEOUT`] has passed | a majority of the voters is notified | acknowledged |
+//! | notifying | every core machine has confirmed, among them a majority of the voters | acknowledged |
+//! | notifying, [`ALL_MACHINES_TIMEOUT`] has passed | a majority of the voters has confirmed | acknowledged |
 //! | notifying | [`MAJORITY_TIMEOUT`] has passed without a majority | unconfirmed |
-//! | notifying | every peer has answered, without a majority | unconfirmed |
+//! | notifying | every core machine has confirmed, without a majority | unconfirmed |
 //!
 //! If the departure is unconfirmed, the replica has to call another machine.
 //!
-//! Without the answers of a majority, this machine may be partitioned from the others, and the departure may not reach
-//! the observers of those machines.
+//! Without the confirmations of a majority, this machine may be partitioned from the others, and the departure may not
+//! reach the observers of those machines. With them, it is still on a disk after as many losses as the core tolerates.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -23,8 +23,8 @@
 
 use crate::committed::ViewSummary;
 
-/// Time to wait for the answers of all peers. After it, a majority of the voters suffices.
-pub const ALL_PEERS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time to wait for the confirmations of all core machines. After it, a majority of the voters suffices.
+pub const ALL_MACHINES_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time to wait for a majority of the voters. Must be shorter than one second, the time-out after which a replica calls
 /// another machine.
 pub const MAJORITY_TIMEOUT: Duration = Duration::from_millis(700);
@@ -43,14 +43,14 @@
     Unconfirmed,
 }
 
-/// Progress of notifying the other core machines of one departure.
+/// Progress of bringing one departure to the core machines and their disks.
 #[derive(Clone, Debug)]
 pub struct DepartureNotification {
     started_at: Duration,
-    /// Peers that have not answered yet.
-    pending_peers: BTreeSet<SocketAddr>,
-    /// Number of voters that have applied the departure, including this machine if it is a voter.
-    notified_voters: usize,
+    /// Core machines, this one included, that have not confirmed yet.
+    pending_machines: BTreeSet<SocketAddr>,
+    /// Number of voters that have confirmed.
+    confirmed_voters: usize,
     /// Voters of the view; all peers and this machine before the first view.
     voters: BTreeSet<SocketAddr>,
 }
@@ -64,34 +64,33 @@
             voters.extend(peers);
             voters.insert(own);
         }
-        let notified_voters = usize::from(voters.contains(&own));
         Self {
             started_at: now,
-            pending_peers: peers.iter().copied().collect(),
-            notified_voters,
+            pending_machines: peers.iter().copied().chain([own]).collect(),
+            confirmed_voters: 0,
             voters,
         }
     }
 
-    /// Records the answer of `peer`.
-    pub fn record_answer(&mut self, peer: SocketAddr) {
-        if self.pending_peers.remove(&peer) && self.voters.contains(&peer) {
-            self.notified_voters += 1;
+    /// Records that `machine`, a peer or this machine, has the departure on disk and has published it.
+    pub fn record_confirmation(&mut self, machine: SocketAddr) {
+        if self.pending_machines.remove(&machine) && self.voters.contains(&machine) {
+            self.confirmed_voters += 1;
         }
     }
 
     /// Whether the departure may be acknowledged at `now`.
     pub fn decision(&self, now: Duration) -> DepartureDecision {
-        let is_known_to_majority = 2 * self.notified_voters > self.voters.len();
-        let all_answered = self.pending_peers.is_empty();
+        let has_majority = 2 * self.confirmed_voters > self.voters.len();
+        let all_confirmed = self.pending_machines.is_empty();
         let waited = now.saturating_sub(self.started_at);
-        if is_known_to_majority && (all_answered || waited >= ALL_PEERS_TIMEOUT) {
+        if has_majority && (all_confirmed || waited >= ALL_MACHINES_TIMEOUT) {
             DepartureDecision::Acknowledged
-        } else if waited >= MAJORITY_TIMEOUT || all_answered {
+        } else if waited >= MAJORITY_TIMEOUT || all_confirmed {
             DepartureDecision::Unconfirmed
-        } else if waited < ALL_PEERS_TIMEOUT {
+        } else if waited < ALL_MACHINES_TIMEOUT {
             DepartureDecision::Wait {
-                until: self.started_at + ALL_PEERS_TIMEOUT,
+                until: self.started_at + ALL_MACHINES_TIMEOUT,
             }
         } else {
             DepartureDecision::Wait {
--- a/crates/tier/discovery/src/exchange.rs
+++ b/crates/tier/discovery/src/exchange.rs
@@ -11,8 +11,7 @@
 
 use crate::messages::{Batch, StatusEntry};
 use crate::registry::{RefreshResult, Registry, RegistryVersion};
-use crate::replica::ReplicaState;
-use crate::status::{IdentifiedStatus, ReplicaStatus};
+use crate::status::IdentifiedStatus;
 
 /// Minimum interval between batches that contain only heartbeats without changes.
 pub const BATCH_INTERVAL: Duration = Duration::from_millis(250);
@@ -119,12 +118,6 @@
     .collect()
 }
 
-fn is_departing(status: &ReplicaStatus) -> bool {
-    status
-        .record()
-        .is_none_or(|record| record.heartbeat.state == ReplicaState::Draining)
-}
-
 /// How soon pending polls have to be answered after a change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Urgency {
@@ -180,7 +173,7 @@
         }
         for entry in batch.statuses {
             let IdentifiedStatus { id, status } = entry.into_status();
-            let urgency = if is_departing(&status) {
+            let urgency = if status.is_departure() {
                 Urgency::Now
             } else {
                 Urgency::Soon
--- a/crates/tier/discovery/src/lib.rs
+++ b/crates/tier/discovery/src/lib.rs
@@ -1,8 +1,8 @@
 //! Discovery of replicas and nodes, and distribution of the control plane's state to its observers.
 //!
 //! Replicas register by sending heartbeats to any core machine. Each core machine keeps the registered replicas in its
-//! [`Registry`] as soft state: it exchanges changes with the other core machines ([`exchange`]) and rebuilds the
-//! registry from heartbeats after a restart. Every observing process long-polls three core machines
+//! [`Registry`]: it exchanges changes with the other core machines ([`exchange`]), and after a restart it rebuilds the
+//! registry from heartbeats and from the departures on its disk. Every observing process long-polls three core machines
 //! ([`messages::PollRequest`]). A core machine answers as soon as its state is newer than the versions in the poll
 //! ([`poll_response`]).
 //!
@@ -15,7 +15,8 @@
 //! | [`ControlWatch`] | [`watcher::Watcher`] | an observer of the core |
 //! | [`Sampler`] | [`sampling::PartialView`] | peer sampling, on every process |
 //!
-//! `CoreState` uses [`registry`], [`exchange`], [`failure_detector`] and [`departure`]; `Watcher` uses [`selection`]
+//! `CoreState` uses [`registry`], [`exchange`], [`failure_detector`] and [`departure`]. The departures in the registry are
+//! also on disk ([`departure_log`], [`departure_journal`]). `Watcher` uses [`selection`]
 //! and [`replica_table`].
 //!
 //! The protocol is described in `docs/discovery.md`.
@@ -25,6 +26,9 @@
 pub mod core_discovery;
 pub mod core_state;
 pub mod departure;
+pub mod departure_journal;
+pub mod departure_log;
+pub mod departure_record;
 pub mod exchange;
 pub mod failure_detector;
 mod fnv;
@@ -46,6 +50,7 @@
 pub use committed::{CommittedState, CommittedValue, ViewSummary};
 pub use control_watch::ControlWatch;
 pub use core_discovery::{AcknowledgeError, CoreDiscovery, RegistryReport};
+pub use departure_journal::DepartureJournal;
 pub use registry::{HeartbeatError, HeartbeatOutcome, Registry};
 pub use replica::{Heartbeat, ModelRecord, ReplicaRecord, ReplicaState};
 pub use sampler::Sampler;
--- a/crates/tier/discovery/src/registry/mod.rs
+++ b/crates/tier/discovery/src/registry/mod.rs
@@ -1,17 +1,23 @@
-//! Registry of the replicas known to one core machine: soft state, built from heartbeats and from the registries of the
-//! other core machines. [`CoreState`](crate::core_state::CoreState) owns it and answers polls and peers from it.
+//! Registry of the replicas known to one core machine, built from heartbeats and from the registries of the other core
+//! machines. [`CoreState`](crate::core_state::CoreState) owns it and answers polls and peers from it.
+//!
+//! Ready replicas are soft state: they announce themselves again. Departures (tombstones and draining replicas) are also
+//! kept on disk, because a replica that has left does not repeat that. [`DepartureLog`] tracks which of them are there.
 //!
 //! Every change of a replica's content is assigned the next `revision`. Observers and other core machines request the
 //! changes since the last revision that they have received. Departures remain as tombstones for [`TOMBSTONE_TTL`], so
 //! that neither a delayed heartbeat nor a delayed message of a core machine restores a departed replica.
 
 mod changes;
+mod departures;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 pub use self::changes::{Refresh, RefreshResult, RegistryChanges, RegistryVersion};
+pub use self::departures::RegistryDepartures;
+use crate::departure_log::DepartureLog;
 use crate::heartbeat_check::{DepartedSnafu, StaleSnafu, check_heartbeat, check_id};
 pub use crate::heartbeat_check::{HeartbeatError, MAX_ID_BYTES, MAX_MODELS, MAX_NAME_BYTES};
 use crate::replica::{Heartbeat, ReplicaRecord, ReplicaState};
@@ -20,8 +26,9 @@
 /// Time for which a tombstone is retained.
 pub const TOMBSTONE_TTL: Duration = Duration::from_secs(300);
 /// Limit on the number of tombstones in a registry without replicas. Each registered replica raises the limit by one.
-/// The oldest tombstones are dropped first.
-pub const MIN_TOMBSTONE_LIMIT: usize = 4096;
+/// The oldest tombstones are dropped first. After a restart no replica is registered yet, but the tombstones on disk are
+/// needed.
+pub const MIN_TOMBSTONE_LIMIT: usize = 16_384;
 
 /// Effect of an accepted heartbeat or deregistration, which determines how it is propagated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,6 +98,7 @@
     /// Number of registered replicas; the other entries are tombstones.
     registered_count: usize,
     counters: RegistryCounters,
+    departure_log: DepartureLog,
 }
 
 impl Registry {
@@ -107,6 +115,7 @@
             by_address: BTreeMap::new(),
             registered_count: 0,
             counters: RegistryCounters::default(),
+            departure_log: DepartureLog::default(),
         }
     }
 
@@ -426,6 +435,9 @@
                 .or_default()
                 .insert(id.to_owned());
         }
+        if status.is_new_departure(previous.as_ref().map(|entry| &entry.status)) {
+            self.departure_log.record(id);
+        }
         let revision = previous.map_or(0, |entry| entry.revision);
         self.entries.insert(
             id.to_owned(),
--- a/crates/tier/discovery/src/status.rs
+++ b/crates/tier/discovery/src/status.rs
@@ -8,7 +8,7 @@
 
 use std::cmp::Ordering;
 
-use crate::replica::ReplicaRecord;
+use crate::replica::{ReplicaRecord, ReplicaState};
 
 /// Why a replica has departed. Encoded by position, so the order of the variants must not change.
 #[derive(
@@ -72,6 +72,26 @@
         }
     }
 
+    /// Whether the replica is draining or has departed, so that it must receive no new requests.
+    pub fn is_departure(&self) -> bool {
+        self.record()
+            .is_none_or(|record| record.heartbeat.state == ReplicaState::Draining)
+    }
+
+    /// Whether this status, which replaces `previous`, is a departure that `previous` does not cover. A draining replica
+    /// repeats its heartbeat; only the first one is new.
+    pub fn is_new_departure(&self, previous: Option<&Self>) -> bool {
+        let is_covered = previous.is_some_and(|previous| {
+            previous == self || (previous.is_draining() && self.is_draining())
+        });
+        self.is_departure() && !is_covered
+    }
+
+    fn is_draining(&self) -> bool {
+        self.record()
+            .is_some_and(|record| record.heartbeat.state == ReplicaState::Draining)
+    }
+
     /// Whether this status replaces `other`.
     pub fn is_newer_than(&self, other: &Self) -> bool {
         self.compare(other) == Ordering::Greater
--- a/crates/tier/discovery/tests/bad_input.rs
+++ b/crates/tier/discovery/tests/bad_input.rs
@@ -7,11 +7,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use common::{FixedState, settings};
+use common::{FixedState, departure_journal, settings};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use woadreach_discovery::messages::{MESSAGE_VERSION, Request, encode};
 use woadreach_discovery::{ControlWatch, CoreDiscovery};
+use woadreach_journal::SimulatedDisk;
 use woadreach_rpc::{CallError, Client, ClientOptions, Router, ServiceId, serve};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -29,7 +30,13 @@
     let settings = settings("core-51", 51, address.port(), &[51]);
     let committed = Arc::new(FixedState::new(vec![address]));
     committed.commit_configuration(7);
-    let discovery = CoreDiscovery::new(&settings, 1, rpc(), committed);
+    let discovery = CoreDiscovery::new(
+        &settings,
+        1,
+        rpc(),
+        committed,
+        departure_journal(&SimulatedDisk::default()),
+    );
     let router = discovery.handlers(Router::new());
     let rejected = router.rejected();
     tokio::spawn(serve(listener, router));
--- a/crates/tier/discovery/tests/common/mod.rs
+++ b/crates/tier/discovery/tests/common/mod.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::sync::watch;
-use woadreach_discovery::{CommittedState, CommittedValue, Heartbeat, ReplicaState, ViewSummary};
+use woadreach_discovery::{
+    CommittedState, CommittedValue, DepartureJournal, Heartbeat, ReplicaState, ViewSummary,
+};
+use woadreach_journal::{Journal, JournalOptions, SimulatedDisk};
 use woadreach_settings::NodeSettings;
 
 /// Heartbeat of a ready replica of the service `svc` at port `port`.
@@ -66,6 +69,13 @@
     NodeSettings::parse(&text).expect("the settings of the test are valid")
 }
 
+/// Departures on `disk`, as a process that starts finds them.
+pub(crate) fn departure_journal(disk: &SimulatedDisk) -> DepartureJournal {
+    let (journal, found) =
+        Journal::with_disk(Box::new(disk.clone()), JournalOptions::default()).expect("a journal");
+    DepartureJournal::new(journal, &found).expect("departures of this version")
+}
+
 /// View whose members are all voters.
 pub(crate) fn view(epoch: u64, in_quorum: bool, members: Vec<SocketAddr>) -> ViewSummary {
     ViewSummary {
--- a/crates/tier/discovery/tests/common/world/acknowledgement.rs
+++ b/crates/tier/discovery/tests/common/world/acknowledgement.rs
@@ -1,11 +1,14 @@
 //! Handling of heartbeats at core machines, up to the acknowledgement.
 
+use std::net::SocketAddr;
+
 use woadreach_discovery::departure::DepartureDecision;
 use woadreach_discovery::messages::{Request, encode};
 use woadreach_discovery::registry::HeartbeatOutcome;
 use woadreach_discovery::{CommittedState, Heartbeat, HeartbeatError};
 
 use super::core_node::PendingAcknowledgement;
+use super::disk::Confirmation;
 use super::event::{Event, Message, Node};
 use super::{LINK_DELAY, World};
 
@@ -39,6 +42,7 @@
         match result {
             Ok(HeartbeatOutcome::Departing) => {
                 self.answer_polls(core);
+                self.write_departures(core);
                 self.notify_peers(core, call, id);
                 match self.cores[core].state.start_departure(self.now, &view) {
                     Some(notification) => {
@@ -50,6 +54,8 @@
                             },
                         );
                         self.decide_departure(core, call);
+                        let own = Confirmation::Own { call };
+                        self.confirm_when_on_disk(core, &[id.to_owned()], own);
                     }
                     None => self.send_acknowledgement(replica, call, false),
                 }
@@ -84,6 +90,14 @@
         }
     }
 
+    /// Records that `machine` has the departure of a call on disk.
+    pub(super) fn departure_confirmed(&mut self, core: usize, call: u64, machine: SocketAddr) {
+        if let Some(pending) = self.cores[core].pending_acknowledgements.get_mut(&call) {
+            pending.notification.record_confirmation(machine);
+            self.decide_departure(core, call);
+        }
+    }
+
     pub(super) fn decide_departure(&mut self, core: usize, call: u64) {
         let Some(pending) = self.cores[core].pending_acknowledgements.get(&call) else {
             return;
--- a/crates/tier/discovery/tests/common/world/core_node.rs
+++ b/crates/tier/discovery/tests/common/world/core_node.rs
@@ -16,6 +16,7 @@
 use woadreach_discovery::registry::RegistryVersion;
 use woadreach_discovery::{CommittedState, ViewSummary};
 
+use super::disk::{Confirmation, CoreDisk, PendingConfirmation};
 use super::event::{Event, Message, Node};
 use super::{
     HEARTBEAT, LINK_DELAY, REGISTRY_RETRY_INTERVAL, REGISTRY_TIMEOUT, TICK_INTERVAL, World,
@@ -27,6 +28,10 @@
     pub(crate) committed: Arc<FixedState>,
     pub(crate) node_state: NodeState,
     pub(crate) incarnation: u64,
+    pub(crate) disk: CoreDisk,
+    /// Whether a write of departures is in progress.
+    pub(super) is_writing: bool,
+    pub(super) pending_confirmations: Vec<PendingConfirmation>,
     pub(super) polls: BTreeMap<u64, PendingPoll>,
     pub(super) pending_acknowledgements: BTreeMap<u64, PendingAcknowledgement>,
     pub(super) pending_pulls: BTreeSet<usize>,
@@ -47,6 +52,9 @@
             committed,
             node_state: NodeState::Up,
             incarnation: 1,
+            disk: CoreDisk::default(),
+            is_writing: false,
+            pending_confirmations: Vec::new(),
             polls: BTreeMap::new(),
             pending_acknowledgements: BTreeMap::new(),
             pending_pulls: BTreeSet::new(),
@@ -120,7 +128,7 @@
 }
 
 impl World {
-    /// Restarts the core machine with empty state.
+    /// Restarts the core machine with the departures on its disk and no other state.
     pub(crate) fn restart_core(&mut self, core: usize) {
         let cores = self.cores.len();
         let node = &mut self.cores[core];
@@ -133,6 +141,7 @@
         node.deferred_events.clear();
         node.polls_checked_for = None;
         node.is_flush_due = false;
+        self.recover_departures(core);
         self.start_core(core);
     }
 
@@ -217,6 +226,7 @@
 
     pub(super) fn after_change(&mut self, core: usize) {
         self.answer_polls(core);
+        self.write_departures(core);
         self.pull_if_incomplete(core);
     }
 
@@ -376,26 +386,26 @@
                 incarnation,
                 body,
             } => self.receive_request(from, core, call, incarnation, &body),
-            Message::Batch { body } => self.receive(core, &body),
+            Message::Batch { body } => {
+                self.receive(core, &body);
+            }
             Message::Urgent {
                 call,
                 incarnation,
                 body,
             } => {
-                self.receive(core, &body);
-                self.send(
-                    Node::Core(core),
-                    from,
-                    Message::UrgentAcknowledged { call, incarnation },
-                );
+                let ids = self.receive(core, &body);
+                self.write_departures(core);
+                let confirmation = Confirmation::Peer {
+                    to: from,
+                    call,
+                    incarnation,
+                };
+                self.confirm_when_on_disk(core, &ids, confirmation);
             }
             Message::UrgentAcknowledged { call, incarnation } if incarnation == own_incarnation => {
-                let Some(pending) = self.cores[core].pending_acknowledgements.get_mut(&call) else {
-                    return;
-                };
                 let Node::Core(peer) = from else { return };
-                pending.notification.record_answer(core_address(peer));
-                self.decide_departure(core, call);
+                self.departure_confirmed(core, call, core_address(peer));
             }
             Message::RegistryRequest { incarnation, known } => {
                 let body = encode(&self.cores[core].state.registry_since(self.now, known));
@@ -463,15 +473,22 @@
         }
     }
 
-    pub(super) fn receive(&mut self, core: usize, body: &[u8]) {
+    /// Applies a batch. Returns the ids of the replicas whose statuses it has.
+    pub(super) fn receive(&mut self, core: usize, body: &[u8]) -> Vec<String> {
         let batch: Batch = match decode::<Request>(body) {
             Ok(Request::Batch(batch) | Request::Urgent(batch)) => batch,
             other => panic!("expected a batch, got {other:?}"),
         };
+        let ids = batch
+            .statuses
+            .iter()
+            .map(|entry| entry.id.clone())
+            .collect();
         match self.cores[core].state.receive(self.now, batch) {
             Urgency::Unchanged => self.pull_if_incomplete(core),
             Urgency::Soon => self.flush_soon(core),
             Urgency::Now => self.after_change(core),
         }
+        ids
     }
 }
--- a/crates/tier/discovery/tests/common/world/dispatch.rs
+++ b/crates/tier/discovery/tests/common/world/dispatch.rs
@@ -40,6 +40,11 @@
         if self.is_of_earlier_incarnation(&event) {
             return;
         }
+        if let Some(Node::Edge(edge)) = event.node()
+            && self.edges[edge].is_paused
+        {
+            return self.edges[edge].deferred_events.push_back(event);
+        }
         match event {
             Event::CoreTick { core, .. } => self.core_tick(core),
             Event::CoreFlush { core, .. } => self.flush(core),
@@ -47,6 +52,12 @@
             Event::PullFailed { core, peer, .. } => self.pull_done(core, peer, None),
             Event::PollDeadline { core, poll, .. } => self.answer_poll(core, poll),
             Event::AcknowledgementDeadline { core, call, .. } => self.decide_departure(core, call),
+            Event::DeparturesWritten {
+                core,
+                number,
+                record,
+                ..
+            } => self.departures_written(core, number, record),
             Event::EdgeWake { edge, .. } => self.wake_edge(edge),
             Event::EdgeTimeout { edge, call, .. } | Event::Refused { edge, call, .. } => {
                 self.edge_call_failed(edge, call);
@@ -82,6 +93,9 @@
             }
             | Event::AcknowledgementDeadline {
                 core, incarnation, ..
+            }
+            | Event::DeparturesWritten {
+                core, incarnation, ..
             } => self.cores[*core].incarnation != *incarnation,
             Event::EdgeWake { edge, incarnation }
             | Event::EdgeTimeout {
--- a/crates/tier/discovery/tests/common/world/event.rs
+++ b/crates/tier/discovery/tests/common/world/event.rs
@@ -39,6 +39,12 @@
         incarnation: u64,
         call: u64,
     },
+    DeparturesWritten {
+        core: usize,
+        incarnation: u64,
+        number: u64,
+        record: Vec<u8>,
+    },
     EdgeWake {
         edge: usize,
         incarnation: u64,
@@ -152,6 +158,7 @@
             | Self::PullFailed { core, .. }
             | Self::PollDeadline { core, .. }
             | Self::AcknowledgementDeadline { core, .. }
+            | Self::DeparturesWritten { core, .. }
             | Self::HeartbeatReceived { core, .. }
             | Self::Deliver {
                 to: Node::Core(core),
--- a/crates/tier/discovery/tests/common/world/mod.rs
+++ b/crates/tier/discovery/tests/common/world/mod.rs
@@ -2,12 +2,14 @@
 //! generator.
 //!
 //! A message takes [`LINK_DELAY`] one way. A machine that is down refuses connections. A machine that is unreachable or
-//! partitioned does not answer. A paused machine handles all events when it resumes.
+//! partitioned does not answer. A paused machine handles all events when it resumes. The disk of a core machine outlasts
+//! its processes.
 // Each test program uses only a part of this module.
 #![allow(dead_code, unused_imports)]
 
 mod acknowledgement;
 mod core_node;
+mod disk;
 mod dispatch;
 mod event;
 mod observer;
@@ -122,6 +124,11 @@
         quota.stalled_until(process as u64, self.now)
     }
 
+    /// A number below `bound`.
+    pub(crate) fn draw(&mut self, bound: u32) -> u32 {
+        self.random.rand_range(0..bound)
+    }
+
     fn random_core(&mut self) -> usize {
         self.random.rand_range(0..self.cores.len() as u32) as usize
     }
--- a/crates/tier/discovery/tests/common/world/observer.rs
+++ b/crates/tier/discovery/tests/common/world/observer.rs
@@ -1,6 +1,6 @@
 //! Observers of the core.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
     pub(crate) messages: u64,
     pub(crate) configuration: u64,
     pub(super) wake: Option<Duration>,
+    pub(crate) is_paused: bool,
+    /// Events that the process handles when it resumes.
+    pub(super) deferred_events: VecDeque<Event>,
 }
 
 impl EdgeNode {
@@ -35,6 +38,8 @@
             messages: 0,
             configuration: 0,
             wake: None,
+            is_paused: false,
+            deferred_events: VecDeque::new(),
         }
     }
 }
@@ -53,10 +58,30 @@
         node.calls.clear();
         node.configuration = 0;
         node.wake = None;
+        node.is_paused = false;
+        node.deferred_events.clear();
         let incarnation = node.incarnation;
         self.schedule(self.now, Event::EdgeWake { edge, incarnation });
     }
 
+    /// Pauses the observer until [`Self::resume_edge`] or [`Self::restart_edge`].
+    pub(crate) fn pause_edge(&mut self, edge: usize) {
+        self.edges[edge].is_paused = true;
+    }
+
+    /// Lets the observer handle what happened while it was paused. If `answers_are_late`, the time-outs that have passed
+    /// come first, so that the answers to those calls are not read any more.
+    pub(crate) fn resume_edge(&mut self, edge: usize, answers_are_late: bool) {
+        self.edges[edge].is_paused = false;
+        let mut deferred: Vec<Event> = self.edges[edge].deferred_events.drain(..).collect();
+        if answers_are_late {
+            deferred.sort_by_key(|event| matches!(event, Event::Deliver { .. }));
+        }
+        for event in deferred {
+            self.schedule(self.now, event);
+        }
+    }
+
     /// Whether the observer would send new requests to the replica.
     pub(crate) fn edge_routes_to(&self, edge: usize, replica: usize) -> bool {
         let present = self.edges[edge].watcher.table().replicas();
--- a/crates/tier/discovery/tests/common/world/replica.rs
+++ b/crates/tier/discovery/tests/common/world/replica.rs
@@ -18,11 +18,25 @@
     pub(crate) deregistered_at: Option<Duration>,
     /// Core machine that the replica calls first at every heartbeat; `None` for a random one.
     pub(crate) first_core: Option<usize>,
+    /// Whether the replica sends no heartbeats after its departure was acknowledged, until it deregisters.
+    pub(crate) is_silent_after_acknowledgement: bool,
+    /// Time that the replica's next call takes beyond [`LINK_DELAY`].
+    next_call_delay: Duration,
     pub(super) is_deregistering: bool,
     pub(super) core: usize,
     pub(super) call: u64,
 }
 
+impl Replica {
+    pub(crate) fn is_deregistering(&self) -> bool {
+        self.is_deregistering
+    }
+
+    fn is_silent(&self) -> bool {
+        self.is_silent_after_acknowledgement && self.drained_at.is_some()
+    }
+}
+
 impl World {
     /// Starts a replica at the address that follows from `address_index`. Returns the index of the replica.
     pub(crate) fn add_replica(&mut self, id: &str, address_index: usize) -> usize {
@@ -43,6 +57,8 @@
             drained_at: None,
             deregistered_at: None,
             first_core: None,
+            is_silent_after_acknowledgement: false,
+            next_call_delay: Duration::ZERO,
             is_deregistering: false,
             core,
             call: 0,
@@ -66,13 +82,20 @@
         self.send_heartbeat(replica);
     }
 
+    /// Makes the replica send a heartbeat now that arrives at `core` after `delay`.
+    pub(crate) fn send_late_heartbeat(&mut self, replica: usize, core: usize, delay: Duration) {
+        self.replicas[replica].core = core;
+        self.replicas[replica].next_call_delay = delay;
+        self.send_heartbeat(replica);
+    }
+
     pub(super) fn send_due_heartbeat(&mut self, replica: usize) {
         if !self.replicas[replica].is_running {
             return;
         }
         let next = self.now + HEARTBEAT.mul_f32(0.9 + 0.2 * self.random.rand_float());
         self.schedule(next, Event::HeartbeatDue { replica });
-        if self.replicas[replica].call == 0 {
+        if self.replicas[replica].call == 0 && !self.replicas[replica].is_silent() {
             let drawn = self.random_core();
             self.replicas[replica].core = self.replicas[replica].first_core.unwrap_or(drawn);
             self.send_heartbeat(replica);
@@ -86,12 +109,13 @@
         node.call = call;
         let core = node.core;
         let heartbeat = (!node.is_deregistering).then(|| node.heartbeat.clone());
+        let delay = std::mem::take(&mut node.next_call_delay);
         self.schedule(
             self.now + ACKNOWLEDGEMENT_TIMEOUT,
             Event::HeartbeatTimeout { replica, call },
         );
         if !self.unreachable_from_replicas.contains(&core) {
-            let at = self.now + LINK_DELAY;
+            let at = self.now + LINK_DELAY + delay;
             self.schedule(
                 at,
                 Event::HeartbeatReceived {
--- a/crates/tier/discovery/tests/distribution.rs
+++ b/crates/tier/discovery/tests/distribution.rs
@@ -9,6 +9,8 @@
 
 /// Maximum time from the acknowledgement of a departure, or from a commit, until all observers have applied it.
 const PROPAGATION_BOUND: Duration = Duration::from_millis(20);
+/// Time without a fault after which machines are in touch.
+const TOUCH: Duration = Duration::from_secs(3);
 /// Maximum time from the last heartbeat of a replica until it has expired at all observers.
 const EXPIRY: Duration = Duration::from_millis(4200 + 500);
 
@@ -218,6 +220,75 @@
     assert_eq!(world.edges[0].watcher.table().replicas().len(), 11);
 }
 
+/// A departure that a test lets replica 0 announce.
+#[derive(Clone, Copy, Debug)]
+enum Announcement {
+    /// The replica says that it is draining, and is not heard again.
+    Draining,
+    /// The replica deregisters without having drained.
+    Deregistration,
+}
+
+/// Guards against a departure that only processes remember: an edge that was paused when it was acknowledged went on
+/// sending to the replica after a restart of all core machines, since no heartbeat tells them about it.
+#[test]
+fn an_acknowledged_departure_outlasts_the_kill_of_every_core_machine() {
+    for seed in 0..12 {
+        for announcement in [Announcement::Draining, Announcement::Deregistration] {
+            for lost_disk in [None, Some(0), Some(1), Some(2)] {
+                let case = format!("seed {seed}, {announcement:?}, lost disk {lost_disk:?}");
+                let mut world = settled_world(seed, 3, 6, 12);
+                world.pause_edge(0);
+                // This heartbeat of the ready replica arrives when the core machines have restarted.
+                world.send_late_heartbeat(0, 2, seconds(2));
+                world.replicas[0].is_silent_after_acknowledgement = true;
+                match announcement {
+                    Announcement::Draining => world.drain(0, seed as usize % 3),
+                    Announcement::Deregistration => world.deregister_replica(0, seed as usize % 3),
+                }
+                world.run_for(millis(20));
+                let replica = &world.replicas[0];
+                let left_at = replica.drained_at.or(replica.deregistered_at);
+                assert!(left_at.is_some(), "{case}: not acknowledged");
+                (0..3).for_each(|core| world.set_node_state(core, NodeState::Down));
+                lost_disk.into_iter().for_each(|core| world.lose_disk(core));
+                world.run_for(millis(500));
+                (0..3).for_each(|core| world.restart_core(core));
+                world.run_for(millis(1500));
+                world.resume_edge(0, true);
+                world.run_for(TOUCH);
+                let until = world.now + seconds(12);
+                world.run_checked(until, |world| {
+                    assert_eq!(world.edges_using(0), 0, "{case} at {:?}", world.now);
+                });
+            }
+        }
+    }
+}
+
+/// A core machine whose disk stalls confirms no departure; the two others suffice, in less than a second.
+#[test]
+fn a_departure_is_acknowledged_while_one_disk_stalls_and_not_while_two_do() {
+    for core in 0..3 {
+        let mut world = settled_world(1, 3, 6, 12);
+        world.set_disk_stalled(2, true);
+        let drain_started_at = world.now;
+        world.drain(0, core);
+        world.run_for(seconds(1));
+        let drained_at = world.replicas[0].drained_at.expect("acknowledged");
+        assert!(drained_at - drain_started_at < millis(350), "core {core}");
+        world.set_disk_stalled(1, true);
+        world.drain(1, core);
+        world.run_for(PROPAGATION_BOUND);
+        assert_eq!(world.edges_using(1), 0, "observers receive it at once");
+        world.run_for(seconds(5));
+        assert_eq!(world.replicas[1].drained_at, None, "core {core}");
+        world.set_disk_stalled(1, false);
+        world.run_for(seconds(4));
+        assert!(world.replicas[1].drained_at.is_some(), "core {core}");
+    }
+}
+
 #[test]
 fn an_observer_that_starts_while_the_core_warms_up_waits_for_a_complete_list() {
     for seed in 0..30 {
--- a/crates/tier/discovery/tests/partitions.rs
+++ b/crates/tier/discovery/tests/partitions.rs
@@ -9,7 +9,7 @@
 use common::world::{HEARTBEAT, Node, World, core_address};
 use woadreach_discovery::core_state::{CoreIdentity, CoreState};
 use woadreach_discovery::departure::{
-    ALL_PEERS_TIMEOUT, DepartureDecision, DepartureNotification, MAJORITY_TIMEOUT,
+    ALL_MACHINES_TIMEOUT, DepartureDecision, DepartureNotification, MAJORITY_TIMEOUT,
 };
 use woadreach_discovery::selection::rank;
 use woadreach_discovery::{HeartbeatOutcome, ViewSummary};
@@ -247,9 +247,9 @@
     };
     let mut notification =
         DepartureNotification::new(Duration::ZERO, core_address(8), &members[..8], &view);
-    (3..8).for_each(|core| notification.record_answer(core_address(core)));
-    notification.record_answer(core_address(0));
-    notification.record_answer(core_address(0));
+    (3..8).for_each(|core| notification.record_confirmation(core_address(core)));
+    notification.record_confirmation(core_address(0));
+    notification.record_confirmation(core_address(0));
     assert_eq!(
         notification.decision(millis(400)),
         wait_until(MAJORITY_TIMEOUT)
@@ -258,16 +258,22 @@
         notification.decision(MAJORITY_TIMEOUT),
         DepartureDecision::Unconfirmed
     );
-    notification.record_answer(core_address(1));
+    notification.record_confirmation(core_address(1));
     assert_eq!(
         notification.decision(millis(100)),
-        wait_until(ALL_PEERS_TIMEOUT)
+        wait_until(ALL_MACHINES_TIMEOUT)
     );
     assert_eq!(
-        notification.decision(ALL_PEERS_TIMEOUT),
+        notification.decision(ALL_MACHINES_TIMEOUT),
         DepartureDecision::Acknowledged
     );
-    notification.record_answer(core_address(2));
+    notification.record_confirmation(core_address(2));
+    assert_eq!(
+        notification.decision(millis(100)),
+        wait_until(ALL_MACHINES_TIMEOUT),
+        "this machine's own disk does not have it yet"
+    );
+    notification.record_confirmation(core_address(8));
     assert_eq!(
         notification.decision(millis(100)),
         DepartureDecision::Acknowledged
--- a/crates/tier/discovery/tests/recorded_bytes.rs
+++ b/crates/tier/discovery/tests/recorded_bytes.rs
@@ -7,6 +7,7 @@
 
 use recorded::{RecordedBytes, assert_other_versions_are_named, outcome, outcomes_when_cut};
 use speedy::{LittleEndian, Readable};
+use woadreach_discovery::departure_record::{decode_departures, encode_departures};
 use woadreach_discovery::messages::{
     Batch, BatchResponse, ConfigurationResponse, CoreStatus, CoreView, Endpoint, MessageError,
     PollRequest, PollResponse, RegistryResponse, Request, StatusEntry, VersionedBytes, decode,
@@ -266,6 +267,30 @@
     recorded.finish();
 }
 
+/// Departures on the disk of a core machine.
+#[test]
+fn departures_on_disk_are_decoded_and_encoded_as_recorded() {
+    let recorded = RecordedBytes::open("departures");
+    let departures = statuses()
+        .into_iter()
+        .map(StatusEntry::into_status)
+        .collect();
+    recorded.check(
+        "every kind of status",
+        &departures,
+        |departures: &Vec<IdentifiedStatus>| encode_departures(departures.clone()),
+        decode_departures,
+    );
+    let none = Vec::new();
+    recorded.check(
+        "no departures",
+        &none,
+        |departures: &Vec<IdentifiedStatus>| encode_departures(departures.clone()),
+        decode_departures,
+    );
+    recorded.finish();
+}
+
 /// A decoded status contains every field that the replica reported.
 #[test]
 fn statuses_of_replicas_are_decoded_completely() {
--- a/crates/tier/journal/src/disk.rs
+++ b/crates/tier/journal/src/disk.rs
@@ -40,25 +40,34 @@
     fn sync(&mut self, slot: Slot) -> io::Result<()>;
 }
 
-/// The two slots as files in one folder, named by [`Slot::file_name`].
+/// The two slots as files in one folder, named by a prefix and [`Slot::file_name`].
 #[derive(Debug)]
 pub struct FileDisk {
     files: [File; 2],
 }
 
 impl FileDisk {
-    /// Opens the two files in `folder`. Creates the folder and the files if they do not exist.
+    /// Opens the two files without a prefix in `folder`. Creates the folder and the files if they do not exist.
     ///
     /// # Errors
     /// [`JournalError::Open`] if the folder cannot be created or a file cannot be opened.
     pub fn open(folder: &Path) -> Result<FileDisk, JournalError> {
+        FileDisk::open_with_prefix(folder, "")
+    }
+
+    /// Opens the two files whose names begin with `prefix` in `folder`, so that several journals can share a folder.
+    /// Creates the folder and the files if they do not exist.
+    ///
+    /// # Errors
+    /// [`JournalError::Open`] if the folder cannot be created or a file cannot be opened.
+    pub fn open_with_prefix(folder: &Path, prefix: &str) -> Result<FileDisk, JournalError> {
         let failed = |path: &Path, error: &io::Error| JournalError::Open {
             path: path.to_path_buf(),
             kind: error.kind(),
         };
         std::fs::create_dir_all(folder).map_err(|error| failed(folder, &error))?;
         let open = |slot: Slot| {
-            let path = folder.join(slot.file_name());
+            let path = folder.join(format!("{prefix}{slot}"));
             OpenOptions::new()
                 .read(true)
                 .write(true)
--- a/crates/tier/journal/src/journal/mod.rs
+++ b/crates/tier/journal/src/journal/mod.rs
@@ -102,7 +102,14 @@
     /// # Errors
     /// [`JournalError::Open`] or [`JournalError::Io`].
     pub fn discard(folder: &Path) -> Result<(), JournalError> {
-        let mut disk = FileDisk::open(folder)?;
+        Journal::discard_disk(&mut FileDisk::open(folder)?)
+    }
+
+    /// Deletes all state of the journal on `disk`, for use after [`JournalError::Corrupt`]. Blocks on disk I/O.
+    ///
+    /// # Errors
+    /// [`JournalError::Io`].
+    pub fn discard_disk(disk: &mut dyn Disk) -> Result<(), JournalError> {
         for slot in Slot::ALL {
             let emptied = disk.truncate(slot, 0).and_then(|()| disk.sync(slot));
             emptied.map_err(|error| JournalError::Io {
