Discovery: request the rest of a registry whose first part was received

Found while looking for other departures that a machine may lack. A machine that missed a batch requests the sender's registry in parts of 2,000 statuses. The first part already counted as the complete registry: if the next request failed, nothing asked for the rest, and the machine lacked those departures in memory and on disk until the sender or it restarted.

The registry counts as received with its last part. Until then the sender's next batch leads to another request.

a_registry_of_which_only_the_first_part_was_received_is_requested_again failed before ("the rest is requested") and passes now.

--- a/crates/tier/discovery/src/core_state.rs
+++ b/crates/tier/discovery/src/core_state.rs
@@ -292,7 +292,8 @@
 
     /// Merges one response to a request for the registry of `peer`.
     pub fn merge_registry(&mut self, now: Duration, peer: SocketAddr, response: RegistryResponse) {
-        self.inbox.record_registry(peer, response.version);
+        self.inbox
+            .record_registry(peer, response.version, response.has_more);
         self.has_received_heartbeats |= !response.statuses.is_empty() && !response.warming;
         for entry in response.statuses {
             let IdentifiedStatus { id, status } = entry.into_status();
--- a/crates/tier/discovery/src/exchange.rs
+++ b/crates/tier/discovery/src/exchange.rs
@@ -196,10 +196,11 @@
             .unwrap_or_default()
     }
 
-    /// Records that the registry of `peer` has been received up to `version`.
-    pub fn record_registry(&mut self, peer: SocketAddr, version: RegistryVersion) {
+    /// Records that the registry of `peer` has been received up to `version`. `has_more` is set if the peer has more
+    /// changes: if the next request fails, the next batch leads to another one.
+    pub fn record_registry(&mut self, peer: SocketAddr, version: RegistryVersion, has_more: bool) {
         let peer = self.peers.entry(peer).or_default();
         peer.version = version;
-        peer.incomplete = false;
+        peer.incomplete = has_more;
     }
 }
--- a/crates/tier/discovery/tests/partitions.rs
+++ b/crates/tier/discovery/tests/partitions.rs
@@ -11,6 +11,7 @@
 use woadreach_discovery::departure::{
     ALL_MACHINES_TIMEOUT, DepartureDecision, DepartureNotification, MAJORITY_TIMEOUT,
 };
+use woadreach_discovery::poll_response::MAX_STATUSES;
 use woadreach_discovery::selection::rank;
 use woadreach_discovery::{HeartbeatOutcome, ViewSummary};
 
@@ -201,16 +202,51 @@
     }
 }
 
-#[test]
-fn heartbeats_beyond_the_refusal_limit_are_acknowledged_out_of_quorum() {
+fn core_state(core: usize) -> CoreState {
     let identity = CoreIdentity {
-        incarnation: 1,
-        address: core_address(0),
-        seeds: vec![core_address(0)],
+        incarnation: 1 + core as u64,
+        address: core_address(core),
+        seeds: vec![core_address(core)],
         heartbeat_interval: HEARTBEAT,
         reuse_after: seconds(2),
     };
-    let mut state = CoreState::new(Duration::ZERO, identity);
+    CoreState::new(Duration::ZERO, identity)
+}
+
+/// A registry may need several responses. Guards against a machine that lacks departures for good, in memory and on
+/// disk, because its peer failed to answer after the first response.
+#[test]
+fn a_registry_of_which_only_the_first_part_was_received_is_requested_again() {
+    let (mut sender, mut receiver) = (core_state(0), core_state(1));
+    for replica in 0..MAX_STATUSES + 1 {
+        sender
+            .deregister(seconds(1), &format!("r{replica}"))
+            .unwrap();
+    }
+    let first_batch = sender.next_batch(seconds(1)).expect("a batch is due");
+    receiver.receive(seconds(1), first_batch);
+    receiver.take_incomplete_peers();
+    let known = receiver.version_of_peer(core_address(0));
+    let first_part = sender.registry_since(seconds(1), known);
+    assert!(first_part.has_more);
+    receiver.merge_registry(seconds(1), core_address(0), first_part);
+    // The request for the second part fails.
+    let next_batch = sender.next_batch(seconds(3)).expect("a batch is due");
+    receiver.receive(seconds(3), next_batch);
+    assert!(receiver.has_incomplete_peers(), "the rest is requested");
+    receiver.take_incomplete_peers();
+    let known = receiver.version_of_peer(core_address(0));
+    let second_part = sender.registry_since(seconds(3), known);
+    assert!(!second_part.has_more);
+    receiver.merge_registry(seconds(3), core_address(0), second_part);
+    let last_batch = sender.next_batch(seconds(5)).expect("a batch is due");
+    receiver.receive(seconds(5), last_batch);
+    assert!(!receiver.has_incomplete_peers());
+}
+
+#[test]
+fn heartbeats_beyond_the_refusal_limit_are_acknowledged_out_of_quorum() {
+    let mut state = core_state(0);
     let view = view(1, false, vec![core_address(0), core_address(1)]);
     let refused = (0..10_000)
         .filter(|_| !state.may_acknowledge(millis(500), HeartbeatOutcome::Unchanged, &view))
