Discovery: forget an unwritten departure when its tombstone is dropped

A disk that stands still for longer than the tombstones are kept (5 minutes) let the list of unwritten departures grow with every deregistration.

--- a/crates/tier/discovery/src/departure_log.rs
+++ b/crates/tier/discovery/src/departure_log.rs
@@ -43,6 +43,13 @@
         self.unsynced.insert(id.to_owned(), self.last_number);
     }
 
+    /// Removes the departure of `id`, whose tombstone was dropped, so that a stalled disk does not let the log grow without
+    /// limit.
+    pub fn forget(&mut self, id: &str) {
+        self.queued.remove(id);
+        self.unsynced.remove(id);
+    }
+
     /// Whether any departure is queued.
     pub fn has_queued(&self) -> bool {
         !self.queued.is_empty()
--- a/crates/tier/discovery/tests/departures_on_disk.rs
+++ b/crates/tier/discovery/tests/departures_on_disk.rs
@@ -11,7 +11,7 @@
 use woadreach_discovery::departure_record::{
     DepartureRecordError, decode_departures, encode_departures,
 };
-use woadreach_discovery::registry::Registry;
+use woadreach_discovery::registry::{Registry, TOMBSTONE_TTL};
 use woadreach_discovery::{CoreDiscovery, ReplicaStatus};
 use woadreach_journal::SimulatedDisk;
 use woadreach_rpc::{Client, ClientOptions};
@@ -119,6 +119,19 @@
     );
 }
 
+/// A disk that stands still for long must not cost memory without limit.
+#[test]
+fn departures_whose_tombstones_are_dropped_do_not_wait_for_the_disk() {
+    let mut registry = Registry::new(1, Duration::from_secs(2));
+    registry.deregister(Duration::ZERO, "r1").unwrap();
+    let _taken_by_a_stalled_disk = registry.next_departures();
+    registry.deregister(Duration::ZERO, "r2").unwrap();
+    assert_eq!(registry.departure_log().unsynced_count(), 2);
+    registry.drop_tombstones(TOMBSTONE_TTL + Duration::from_secs(1));
+    assert_eq!(registry.departure_log().unsynced_count(), 0);
+    assert!(registry.next_departures().is_none());
+}
+
 #[test]
 fn records_of_another_version_or_form_are_rejected_with_the_reason() {
     let mut registry = Registry::new(1, Duration::from_secs(2));
