--- a/crates/testing/local-tier/tests/departure_soak.rs
+++ b/crates/testing/local-tier/tests/departure_soak.rs
@@ -27,7 +27,7 @@
 const TOUCH: Duration = Duration::from_millis(3000);
 /// Time for which requests are watched after all machines are in touch.
 const WATCHED: Duration = Duration::from_millis(2500);
-/// Time after which a departure that nobody acknowledges is given up.
+/// Time-out of a departure without an acknowledgement.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
@@ -93,8 +93,9 @@
             0 => DepartureNotice::Draining,
             _ => DepartureNotice::Deregistration,
         };
-        let left_at = leaver.depart(notice, ACKNOWLEDGEMENT_TIMEOUT).await;
-        let left_at = left_at.unwrap_or_else(|| panic!("{id}: no answer\n{}", logs(&self.tier)));
+        let departed_at = leaver.depart(notice, ACKNOWLEDGEMENT_TIMEOUT).await;
+        let departed_at =
+            departed_at.unwrap_or_else(|| panic!("{id}: no answer\n{}", logs(&self.tier)));
         sleep(self.draw_millis(0, 200)).await;
         self.draw_faults().await;
         sleep_until(suspended_at + self.draw_millis(1500, 4000)).await;
@@ -109,7 +110,7 @@
         sleep_until(self.disturbed_at + TOUCH + WATCHED).await;
 
         let in_touch_from = self.disturbed_at + TOUCH;
-        let bound = in_touch_from.max(Instant::from_std(left_at) + DRAIN_TIMEOUT);
+        let bound = in_touch_from.max(Instant::from_std(departed_at) + DRAIN_TIMEOUT);
         let received = leaver.received().into_iter();
         let late = received.filter(|request| Instant::from_std(request.received_at) > bound);
         let late = late.count();
--- a/crates/tier/discovery/tests/common/world/replica.rs
+++ b/crates/tier/discovery/tests/common/world/replica.rs
@@ -19,7 +19,7 @@
     /// Core machine that the replica calls first at every heartbeat; `None` for a random one.
     pub(crate) first_core: Option<usize>,
     /// Whether the replica sends no heartbeats after its departure was acknowledged, until it deregisters.
-    pub(crate) is_silent_after_acknowledgement: bool,
+    pub(crate) ends_heartbeats_after_acknowledgement: bool,
     /// Time that the replica's next call takes beyond [`LINK_DELAY`].
     next_call_delay: Duration,
     pub(super) is_deregistering: bool,
@@ -32,8 +32,8 @@
         self.is_deregistering
     }
 
-    fn is_silent(&self) -> bool {
-        self.is_silent_after_acknowledgement && self.drained_at.is_some()
+    fn has_ended_heartbeats(&self) -> bool {
+        self.ends_heartbeats_after_acknowledgement && self.drained_at.is_some()
     }
 }
 
@@ -57,7 +57,7 @@
             drained_at: None,
             deregistered_at: None,
             first_core: None,
-            is_silent_after_acknowledgement: false,
+            ends_heartbeats_after_acknowledgement: false,
             next_call_delay: Duration::ZERO,
             is_deregistering: false,
             core,
@@ -95,7 +95,7 @@
         }
         let next = self.now + HEARTBEAT.mul_f32(0.9 + 0.2 * self.random.rand_float());
         self.schedule(next, Event::HeartbeatDue { replica });
-        if self.replicas[replica].call == 0 && !self.replicas[replica].is_silent() {
+        if self.replicas[replica].call == 0 && !self.replicas[replica].has_ended_heartbeats() {
             let drawn = self.random_core();
             self.replicas[replica].core = self.replicas[replica].first_core.unwrap_or(drawn);
             self.send_heartbeat(replica);
--- a/crates/tier/discovery/tests/departure_world/oracle.rs
+++ b/crates/tier/discovery/tests/departure_world/oracle.rs
@@ -82,9 +82,9 @@
             0 | 1 => world.deregister_replica(replica, core),
             _ => world.drain(replica, core),
         }
-        // The heartbeats of a draining replica come late, so that nobody hears it again.
+        // No further heartbeat of the draining replica is received in time.
         if kind == 2 {
-            world.replicas[replica].is_silent_after_acknowledgement = true;
+            world.replicas[replica].ends_heartbeats_after_acknowledgement = true;
         }
         self.departures.push(Departure {
             replica,
@@ -116,10 +116,10 @@
     pub(crate) fn check(&mut self, world: &World, faults: &Faults) -> Result<(), Violation> {
         self.check_acknowledgements(world, faults)?;
         for departure in &self.departures {
-            let Some(left_at) = left_at(world, departure.replica) else {
+            let Some(departed_at) = departed_at(world, departure.replica) else {
                 continue;
             };
-            if world.now <= left_at + DRAIN_TIMEOUT {
+            if world.now <= departed_at + DRAIN_TIMEOUT {
                 continue;
             }
             for edge in 0..world.edges.len() {
@@ -128,7 +128,7 @@
                     let id = &world.replicas[departure.replica].id;
                     return violation(
                         world,
-                        format!("edge {edge} sends to {id}, acknowledged at {left_at:?}"),
+                        format!("edge {edge} sends to {id}, acknowledged at {departed_at:?}"),
                     );
                 }
             }
@@ -147,7 +147,7 @@
             }
             departure.is_checked = true;
             let was_calm = faults.core_disturbed_at() + TOUCH <= departure.started_at;
-            if was_calm && left_at(world, departure.replica).is_none() {
+            if was_calm && departed_at(world, departure.replica).is_none() {
                 let id = &world.replicas[departure.replica].id;
                 let started_at = departure.started_at;
                 return violation(world, format!("{id} not acknowledged since {started_at:?}"));
@@ -178,7 +178,7 @@
 }
 
 /// Time of the first acknowledgement of the replica's departure.
-pub(crate) fn left_at(world: &World, replica: usize) -> Option<Duration> {
+pub(crate) fn departed_at(world: &World, replica: usize) -> Option<Duration> {
     let replica = &world.replicas[replica];
     replica.drained_at.or(replica.deregistered_at)
 }
--- a/crates/tier/discovery/tests/departure_world/run.rs
+++ b/crates/tier/discovery/tests/departure_world/run.rs
@@ -4,7 +4,7 @@
 
 use crate::common::world::World;
 use crate::faults::Faults;
-use crate::oracle::{Oracle, Violation, left_at};
+use crate::oracle::{Oracle, Violation, departed_at};
 
 pub(crate) const STEP: Duration = Duration::from_millis(50);
 /// Time before the first fault, in which all edges reach a current state.
@@ -59,7 +59,7 @@
     }
     for _ in 0..STEP.as_millis() {
         world.run_for(Duration::from_millis(1));
-        if left_at(world, replica).is_some() {
+        if departed_at(world, replica).is_some() {
             return faults.kill_all_cores(world);
         }
     }
--- a/crates/tier/discovery/tests/departures_on_disk.rs
+++ b/crates/tier/discovery/tests/departures_on_disk.rs
@@ -60,10 +60,10 @@
 async fn departures_of_11000_replicas_share_syncs_stay_within_the_disk_and_are_recovered() {
     let disk = SimulatedDisk::default();
     let machine = Machine::start(&disk);
-    let mut most_bytes = 0;
+    let mut max_bytes = 0;
     for group in 0..55 {
         machine.replace_all(group * 200..(group + 1) * 200).await;
-        most_bytes = most_bytes.max(disk.used_bytes());
+        max_bytes = max_bytes.max(disk.used_bytes());
     }
     machine.task.abort();
     let syncs = disk.operations().syncs;
@@ -71,11 +71,11 @@
     let recovered = departure_journal(&disk.fork());
     let read_time = started.elapsed();
     println!(
-        "{syncs} syncs, {most_bytes} bytes at most, {} statuses read in {read_time:?}",
+        "{syncs} syncs, {max_bytes} bytes at most, {} statuses read in {read_time:?}",
         recovered.recovered_count()
     );
     assert!(syncs < 11_000, "{syncs} syncs for 22,000 departures");
-    assert!(most_bytes < MAX_DISK_BYTES, "{most_bytes} bytes");
+    assert!(max_bytes < MAX_DISK_BYTES, "{max_bytes} bytes");
     let restarted = Machine::start(&disk.fork());
     assert_eq!(restarted.discovery.report().replicas, 0, "all have left");
     for replica in (0..11_000).step_by(100) {
--- a/crates/tier/discovery/tests/distribution.rs
+++ b/crates/tier/discovery/tests/distribution.rs
@@ -230,7 +230,7 @@
 }
 
 /// Guards against a departure that only processes remember: an edge that was paused when it was acknowledged went on
-/// sending to the replica after a restart of all core machines, since no heartbeat tells them about it.
+/// sending to the replica after a restart of all core machines, since none of its heartbeats are sent.
 #[test]
 fn an_acknowledged_departure_outlasts_the_kill_of_every_core_machine() {
     for seed in 0..12 {
@@ -241,15 +241,15 @@
                 world.pause_edge(0);
                 // This heartbeat of the ready replica arrives when the core machines have restarted.
                 world.send_late_heartbeat(0, 2, seconds(2));
-                world.replicas[0].is_silent_after_acknowledgement = true;
+                world.replicas[0].ends_heartbeats_after_acknowledgement = true;
                 match announcement {
                     Announcement::Draining => world.drain(0, seed as usize % 3),
                     Announcement::Deregistration => world.deregister_replica(0, seed as usize % 3),
                 }
                 world.run_for(millis(20));
                 let replica = &world.replicas[0];
-                let left_at = replica.drained_at.or(replica.deregistered_at);
-                assert!(left_at.is_some(), "{case}: not acknowledged");
+                let departed_at = replica.drained_at.or(replica.deregistered_at);
+                assert!(departed_at.is_some(), "{case}: not acknowledged");
                 (0..3).for_each(|core| world.set_node_state(core, NodeState::Down));
                 lost_disk.into_iter().for_each(|core| world.lose_disk(core));
                 world.run_for(millis(500));
--- a/crates/tier/discovery/tests/replacement.rs
+++ b/crates/tier/discovery/tests/replacement.rs
@@ -24,11 +24,11 @@
 struct Replacement {
     world: World,
     replicas: usize,
-    /// Replicas that drain already.
+    /// Number of replicas that have started to drain.
     draining: usize,
-    /// Replicas that have been told to deregister.
+    /// Number of replicas that have started to deregister.
     deregistering: usize,
-    /// Times at which the replicas were told to drain and to deregister.
+    /// Times at which the replicas started to drain and to deregister.
     drain_started_at: Vec<Duration>,
     deregistration_started_at: Vec<Duration>,
 }
