--- a/crates/testing/local-tier/src/replica.rs
+++ b/crates/testing/local-tier/src/replica.rs
@@ -217,6 +217,16 @@
 }
 
 impl Shared {
+    /// Records a request that is executed now.
+    fn record_request(&self, line: String, request_id: &str, body: Bytes) {
+        self.received.lock().push(ReceivedRequest {
+            line,
+            request_id: request_id.to_owned(),
+            body,
+            received_at: Instant::now(),
+        });
+    }
+
     /// Next heartbeat in this state.
     fn heartbeat(&self, state: &str) -> serde_json::Value {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -281,12 +291,7 @@
     let signature = format!("{}.{request_id}", shared.id);
     let first_event = header(&head.headers, "last-event-id").parse().unwrap_or(0);
     let line = format!("{} {}", head.method, head.uri);
-    shared.received.lock().push(ReceivedRequest {
-        line,
-        request_id: request_id.clone(),
-        body,
-        received_at: Instant::now(),
-    });
+    shared.record_request(line, &request_id, body);
     let response = Response::builder()
         .header("request-id", &request_id)
         .header("response-signature", signature);
