Discovery: replace the log of departures on disk once the registry has dropped some

What callers saw: after a restart of the core machines, the departures of long ago were sent to every edge for 5 minutes more, and a heartbeat under one of those ids was refused with 410.

Evidence: departures_that_the_registry_has_dropped_leave_the_disk failed with the old rule alone ("the disk still has the old departure", after 10 s) and passes.

--- a/crates/tier/discovery/src/departure_journal.rs
+++ b/crates/tier/discovery/src/departure_journal.rs
@@ -2,7 +2,8 @@
 //! writes them. The [`departure_log`](crate::departure_log) in the registry says which ones are not on disk.
 //!
 //! One batch is written at a time. Departures that are recorded meanwhile share the next write and sync. After a failed
-//! write, a snapshot of all departures in the registry replaces the log, with retries until that succeeds.
+//! write, a snapshot of all departures in the registry replaces the log, with retries until that succeeds. So does one
+//! when the log is long or old ([`departure_compaction`](crate::departure_compaction)); batches are appended meanwhile.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -14,13 +15,12 @@
 use woadreach_journal::{Journal, JournalError, Recovered, Synced};
 
 use crate::core_state::CoreState;
+use crate::departure_compaction::{DepartureCompaction, LogState, RETRY_INTERVAL};
 use crate::departure_record::{DepartureRecordError, decode_departures, encode_departures};
 use crate::status::IdentifiedStatus;
 
-/// Length of the log in bytes above which a snapshot replaces it, if the log is also longer than the last snapshot.
-const COMPACTION_BYTES: u64 = 1 << 20;
-/// Interval between attempts to write a snapshot, if the last one failed.
-const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which an idle machine checks whether its log has to be compacted.
+const COMPACTION_CHECK_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Completes when a snapshot is synced, or when its write fails.
 type SnapshotFuture = Pin<Box<dyn Future<Output = Result<Synced, JournalError>> + Send>>;
@@ -97,26 +97,39 @@
 
     /// Writes the departures that `state` queues, until the future is dropped.
     pub(crate) async fn run(&self, state: &Mutex<CoreState>) {
-        let mut compaction = Compaction::Idle {
-            snapshot_bytes: 0,
-            not_before: Instant::now(),
-        };
+        let started = Instant::now();
+        let mut compaction = DepartureCompaction::default();
+        let mut running = None;
         loop {
             self.write_queued(state).await;
-            if compaction.is_due(Instant::now(), self.journal.log_bytes()) {
+            let log = self.log_state(state);
+            if compaction.is_due(started.elapsed(), log) {
                 let snapshot = self.queue_snapshot(state);
-                compaction = Compaction::Running {
-                    snapshot_bytes: snapshot.bytes,
-                    written: snapshot.written,
-                };
+                compaction.begin(started.elapsed(), log, snapshot.bytes);
+                running = Some(snapshot.written);
             }
             tokio::select! {
                 () = self.queued.notified() => {}
-                () = compaction.finish() => {}
+                () = tokio::time::sleep(COMPACTION_CHECK_INTERVAL) => {}
+                outcome = finish(&mut running) => match outcome {
+                    Ok(_) | Err(JournalError::Superseded) => compaction.end(),
+                    Err(error) => {
+                        tracing::warn!(%error, "compaction of departures failed");
+                        compaction.fail(started.elapsed());
+                    }
+                }
             }
         }
     }
 
+    fn log_state(&self, state: &Mutex<CoreState>) -> LogState {
+        let dropped_departures = state.lock().registry().departure_log().dropped_count();
+        LogState {
+            log_bytes: self.journal.log_bytes(),
+            dropped_departures,
+        }
+    }
+
     /// Writes batches until no departure is queued.
     async fn write_queued(&self, state: &Mutex<CoreState>) {
         loop {
@@ -185,49 +198,12 @@
     written: SnapshotFuture,
 }
 
-/// Replacement of a long log by a snapshot. Records are appended meanwhile.
-enum Compaction {
-    /// No snapshot is queued. `snapshot_bytes` is the length of the last one.
-    Idle {
-        snapshot_bytes: u64,
-        not_before: Instant,
-    },
-    /// A snapshot is queued.
-    Running {
-        snapshot_bytes: u64,
-        written: SnapshotFuture,
-    },
-}
-
-impl Compaction {
-    /// Whether a log of `log_bytes` bytes has to be replaced at `now`.
-    fn is_due(&self, now: Instant, log_bytes: u64) -> bool {
-        match self {
-            Self::Idle {
-                snapshot_bytes,
-                not_before,
-            } => now >= *not_before && log_bytes > COMPACTION_BYTES.max(*snapshot_bytes),
-            Self::Running { .. } => false,
-        }
-    }
-
-    /// Waits until the queued snapshot is written or has failed. Never returns if there is none.
-    async fn finish(&mut self) {
-        let Self::Running {
-            snapshot_bytes,
-            written,
-        } = self
-        else {
-            return std::future::pending().await;
-        };
-        let mut not_before = Instant::now();
-        if let Err(error) = written.await {
-            tracing::warn!(%error, "compaction of departures failed");
-            not_before += RETRY_INTERVAL;
-        }
-        *self = Self::Idle {
-            snapshot_bytes: *snapshot_bytes,
-            not_before,
-        };
-    }
+/// Waits until the compaction that is running, if any, is written or has failed, and removes it.
+async fn finish(running: &mut Option<SnapshotFuture>) -> Result<Synced, JournalError> {
+    let Some(written) = running else {
+        return std::future::pending().await;
+    };
+    let outcome = written.await;
+    *running = None;
+    outcome
 }
--- a/crates/tier/discovery/src/departure_log.rs
+++ b/crates/tier/discovery/src/departure_log.rs
@@ -33,6 +33,8 @@
     queued: BTreeSet<String>,
     /// Numbers of the newest departures that are not on disk, by the id of the replica.
     unsynced: BTreeMap<String, u64>,
+    /// Number of departures that the registry has dropped.
+    dropped_count: u64,
 }
 
 impl DepartureLog {
@@ -43,13 +45,20 @@
         self.unsynced.insert(id.to_owned(), self.last_number);
     }
 
-    /// Removes the departure of `id`, whose tombstone was dropped, so that a stalled disk does not let the log grow without
-    /// limit.
-    pub fn forget(&mut self, id: &str) {
+    /// Removes the departure of `id`, whose tombstone the registry has dropped, so that a stalled disk does not let the log
+    /// grow without limit.
+    pub fn drop_departure(&mut self, id: &str) {
+        self.dropped_count += 1;
         self.queued.remove(id);
         self.unsynced.remove(id);
     }
 
+    /// Number of departures that the registry has dropped since the start of the process. The disk has them until a
+    /// snapshot replaces its log.
+    pub fn dropped_count(&self) -> u64 {
+        self.dropped_count
+    }
+
     /// Whether any departure is queued.
     pub fn has_queued(&self) -> bool {
         !self.queued.is_empty()
--- a/crates/tier/discovery/src/lib.rs
+++ b/crates/tier/discovery/src/lib.rs
@@ -16,7 +16,7 @@
 //! | [`Sampler`] | [`sampling::PartialView`] | peer sampling, on every process |
 //!
 //! `CoreState` uses [`registry`], [`exchange`], [`failure_detector`] and [`departure`]. The departures in the registry are
-//! also on disk ([`departure_log`], [`departure_journal`]). `Watcher` uses [`selection`]
+//! also on disk ([`departure_log`], [`departure_journal`], [`departure_compaction`]). `Watcher` uses [`selection`]
 //! and [`replica_table`].
 //!
 //! The protocol is described in `docs/discovery.md`.
@@ -26,6 +26,7 @@
 pub mod core_discovery;
 pub mod core_state;
 pub mod departure;
+pub mod departure_compaction;
 pub mod departure_journal;
 pub mod departure_log;
 pub mod departure_record;
--- a/crates/tier/discovery/src/registry/expiry.rs
+++ b/crates/tier/discovery/src/registry/expiry.rs
@@ -56,7 +56,7 @@
         for revision in dropped {
             if let Some(id) = self.by_revision.remove(&revision) {
                 self.entries.remove(&id);
-                self.departure_log.forget(&id);
+                self.departure_log.drop_departure(&id);
             }
             self.dropped_tombstone_revision = self.dropped_tombstone_revision.max(revision);
         }
--- a/crates/tier/discovery/tests/departures_on_disk.rs
+++ b/crates/tier/discovery/tests/departures_on_disk.rs
@@ -6,8 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{FixedState, departure_journal, draining, settings};
+use common::{FixedState, departure_journal, draining, heartbeat, settings};
 use tokio::task::{JoinHandle, JoinSet};
+use woadreach_discovery::departure_compaction::{
+    COMPACTION_BYTES, DepartureCompaction, LogState, RETRY_INTERVAL,
+};
 use woadreach_discovery::departure_record::{
     DepartureRecordError, decode_departures, encode_departures,
 };
@@ -119,6 +122,63 @@
     );
 }
 
+/// A start must not restore departures of long ago, however short the log is: each of them would be sent to every edge
+/// again, and would reject the heartbeats of a replica that uses the id again.
+#[tokio::test]
+async fn departures_that_the_registry_has_dropped_leave_the_disk() {
+    let disk = SimulatedDisk::default();
+    let machine = Machine::start(&disk);
+    machine.discovery.deregister("old").await.unwrap();
+    tokio::time::pause();
+    let step = Duration::from_millis(250);
+    for _ in 0..2 * TOMBSTONE_TTL.as_secs() * 4 {
+        tokio::time::advance(step).await;
+        tokio::task::yield_now().await;
+    }
+    tokio::time::resume();
+    machine.discovery.deregister("new").await.unwrap();
+    let compacted = async {
+        while departure_journal(&disk.fork()).recovered_count() > 1 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let compacted = tokio::time::timeout(Duration::from_secs(10), compacted).await;
+    machine.task.abort();
+    assert!(compacted.is_ok(), "the disk still has the old departure");
+    let restarted = Machine::start(&disk.fork());
+    let discovery = &restarted.discovery;
+    assert!(discovery.heartbeat("old", heartbeat(1, 1)).await.is_ok());
+    assert!(discovery.heartbeat("new", heartbeat(2, 1)).await.is_err());
+}
+
+#[test]
+fn a_log_is_replaced_when_it_is_long_or_has_what_the_registry_dropped_long_ago() {
+    let second = Duration::from_secs(1);
+    let log = |log_bytes, dropped_departures| LogState {
+        log_bytes,
+        dropped_departures,
+    };
+    let mut compaction = DepartureCompaction::default();
+    assert!(!compaction.is_due(second, log(COMPACTION_BYTES, 0)));
+    assert!(compaction.is_due(second, log(COMPACTION_BYTES + 1, 0)));
+    assert!(!compaction.is_due(second, log(1, 1)), "compacted recently");
+    assert!(!compaction.is_due(TOMBSTONE_TTL, log(1, 0)), "none dropped");
+    assert!(compaction.is_due(TOMBSTONE_TTL, log(0, 1)), "a snapshot");
+
+    let snapshot_bytes = 2 * COMPACTION_BYTES;
+    compaction.begin(TOMBSTONE_TTL, log(1, 1), snapshot_bytes);
+    assert!(!compaction.is_due(2 * TOMBSTONE_TTL, log(2 * snapshot_bytes, 2)));
+    compaction.end();
+    assert!(!compaction.is_due(2 * TOMBSTONE_TTL, log(snapshot_bytes, 1)));
+    assert!(compaction.is_due(2 * TOMBSTONE_TTL, log(snapshot_bytes + 1, 1)));
+    assert!(compaction.is_due(2 * TOMBSTONE_TTL, log(1, 2)));
+
+    compaction.begin(2 * TOMBSTONE_TTL, log(1, 2), snapshot_bytes);
+    compaction.fail(2 * TOMBSTONE_TTL);
+    assert!(!compaction.is_due(2 * TOMBSTONE_TTL, log(1, 2)));
+    assert!(compaction.is_due(2 * TOMBSTONE_TTL + RETRY_INTERVAL, log(1, 2)));
+}
+
 /// A disk that stands still for long must not cost memory without limit.
 #[test]
 fn departures_whose_tombstones_are_dropped_do_not_wait_for_the_disk() {
