Local tier: let the faults of the soak of departures overlap, with SIGTERM and kills of edges

The faults of a round came one after the other, and no process was terminated. They have times now and overlap: kills, SIGTERM with a start 0.2 to 2.5 s later, SIGSTOP, SIGHUP and lost disks of core machines, storage machines and edges, and changes of the configuration beside them, each of which must be acknowledged. The size of the tier can be set for storage machines, too. The rule and its bounds are as they were; at most one core machine loses its disk in a round, as before.

--- a/crates/testing/local-tier/src/process.rs
+++ b/crates/testing/local-tier/src/process.rs
@@ -90,6 +90,11 @@
         Ok(())
     }
 
+    /// Sends SIGTERM, as an upgrade does, and does not wait for the process to exit.
+    pub fn terminate(&self) -> Result<(), TierError> {
+        self.signal("-TERM")
+    }
+
     /// Suspends the process with SIGSTOP; its sockets stay open.
     pub fn suspend(&self) -> Result<(), TierError> {
         self.signal("-STOP")
--- a/crates/testing/local-tier/src/replica.rs
+++ b/crates/testing/local-tier/src/replica.rs
@@ -84,9 +84,9 @@
 /// How a fake replica tells the core that it departs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DepartureNotice {
-    /// It sends one heartbeat with the state `draining`, and no further ones.
+    /// One heartbeat with the state `draining`, and no further ones.
     Draining,
-    /// It deregisters without draining first.
+    /// Deregistration without draining first.
     Deregistration,
 }
 
--- a/crates/testing/local-tier/tests/departure_soak.rs
+++ b/crates/testing/local-tier/tests/departure_soak.rs
@@ -1,10 +1,13 @@
-//! Seeded runs of real processes in which replicas depart while edges are suspended and core machines are killed,
-//! suspended and lose their disks, beside changes of the configuration. Clients keep their connections open. Guards
-//! against requests that edges send to a replica long after its departure was acknowledged.
+//! Seeded runs of real processes in which replicas depart while edges are suspended, and processes are killed, terminated,
+//! suspended and reloaded, core machines lose their disks and the configuration changes, one beside the other. Clients use
+//! the connections that they have until the edge's process is gone. Guards against requests that edges send to a replica
+//! long after its departure was acknowledged.
 //!
 //! `SOAK_SEEDS` is the number of runs, `SOAK_FIRST_SEED` the first one; runs beside each other need different values of
-//! `SOAK_NETWORK`. `SOAK_EDGES` and `SOAK_CORES` set the size of the tier.
+//! `SOAK_NETWORK`. `SOAK_EDGES`, `SOAK_CORES` and `SOAK_STORAGE` set the size of the tier.
 
+#[path = "departure_soak/faults.rs"]
+mod faults;
 mod support;
 
 use std::net::SocketAddr;
@@ -12,13 +15,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use faults::{FaultDraw, Step};
 use oorandom::Rand32;
 use support::{bring_up, configuration, logs};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 use woadreach_local_tier::{
-    Client, DepartureNotice, FakeReplica, MachineClass, Operator, ReplicaKind, Tier, TierSize,
-    built_programs, example,
+    Client, DepartureNotice, FakeReplica, MachineClass, NodeProcess, Operator, ReplicaKind, Tier,
+    TierSize, built_programs, example,
 };
 
 /// Time after the acknowledgement in which requests may still reach the replica.
@@ -29,6 +34,8 @@
 const WATCHED: Duration = Duration::from_millis(2500);
 /// Time-out of a departure without an acknowledgement.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time-out of a change of the configuration.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 const ROUNDS: u32 = 3;
@@ -42,6 +49,7 @@
 /// A run of one seed.
 struct Soak {
     tier: Tier,
+    size: TierSize,
     random: Rand32,
     generation: u64,
     /// Time of the last event that put machines out of touch.
@@ -57,21 +65,11 @@
         Duration::from_millis(u64::from(self.random.rand_range(from..to)))
     }
 
-    fn draw_index(&mut self, class: MachineClass) -> u8 {
-        let nodes = self.tier.nodes.iter();
-        let count = nodes.filter(|node| node.spec.class == class).count();
-        1 + self.draw(count as u32) as u8
-    }
-
     fn draw_control(&mut self) -> SocketAddr {
         let control = self.tier.control();
         control[self.draw(control.len() as u32) as usize]
     }
 
-    fn disturb(&mut self) {
-        self.disturbed_at = Instant::now();
-    }
-
     /// Lets a new replica depart among faults. Panics if requests reach it too late.
     async fn play_round(&mut self, round: u32, seed: u32) {
         let id = format!("i-leaves-{seed}-{round}");
@@ -83,7 +81,7 @@
             (!leaver.received().is_empty()).then_some(())
         })
         .await;
-        let edge = self.draw_index(MachineClass::Edge);
+        let edge = 1 + self.draw(u32::from(self.size.edges)) as u8;
         let suspended_at = Instant::now();
         self.node(MachineClass::Edge, edge)
             .suspend()
@@ -96,13 +94,12 @@
         let departed_at = leaver.depart(notice, ACKNOWLEDGEMENT_TIMEOUT).await;
         let departed_at =
             departed_at.unwrap_or_else(|| panic!("{id}: no answer\n{}", logs(&self.tier)));
-        sleep(self.draw_millis(0, 200)).await;
-        self.draw_faults().await;
+        self.play_faults().await;
         sleep_until(suspended_at + self.draw_millis(1500, 4000)).await;
         self.node(MachineClass::Edge, edge)
             .resume()
             .expect("resumed");
-        self.disturb();
+        self.disturbed_at = Instant::now();
         if self.draw(2) == 0 {
             let control = self.draw_control();
             leaver.send_late_heartbeat(control).await;
@@ -122,94 +119,64 @@
         );
     }
 
-    fn node(&mut self, class: MachineClass, index: u8) -> &mut woadreach_local_tier::NodeProcess {
+    fn node(&mut self, class: MachineClass, index: u8) -> &mut NodeProcess {
         self.tier.node(class, index).expect("a machine of the tier")
     }
 
-    /// One to three faults or changes in series, the first a kill of all core machines in half of the cases.
-    async fn draw_faults(&mut self) {
-        let mut may_lose_disk = true;
-        if self.draw(2) == 0 {
-            may_lose_disk = !self.kill_all_cores().await;
-        }
-        for _ in 0..self.draw(3) {
-            match self.draw(5) {
-                0 if may_lose_disk => {
-                    may_lose_disk = false;
-                    let core = self.draw_index(MachineClass::Core);
-                    self.restart(MachineClass::Core, core, true).await;
-                }
-                1 if may_lose_disk => {
-                    may_lose_disk = false;
-                    let core = self.draw_index(MachineClass::Core);
-                    self.node(MachineClass::Core, core)
-                        .suspend()
-                        .expect("suspended");
-                    sleep(self.draw_millis(300, 1500)).await;
-                    self.node(MachineClass::Core, core)
-                        .resume()
-                        .expect("resumed");
-                }
-                2 => {
-                    let storage = self.draw_index(MachineClass::Storage);
-                    self.restart(MachineClass::Storage, storage, false).await;
-                }
-                3 => self.change_configuration().await,
-                _ => {
-                    let edge = self.draw_index(MachineClass::Edge);
-                    self.node(MachineClass::Edge, edge)
-                        .reload()
-                        .expect("signalled");
-                }
+    /// Plays the faults of a round, beside changes of the configuration. Returns once the changes are acknowledged.
+    async fn play_faults(&mut self) {
+        let steps = FaultDraw::new(&mut self.random, self.size).draw();
+        let is_change = |(_, step): &&(Duration, Step)| *step == Step::ChangeConfiguration;
+        let change_count = steps.iter().filter(is_change).count() as u64;
+        let (next_change, changes) = mpsc::unbounded_channel();
+        let operator = Operator::new(self.tier.control());
+        let changing = tokio::spawn(change_configurations(operator, self.generation, changes));
+        self.generation += change_count;
+        let started = Instant::now();
+        for (at, step) in steps {
+            sleep_until(started + at).await;
+            if step == Step::ChangeConfiguration {
+                next_change.send(()).expect("the operator is running");
+            } else {
+                self.apply(step).await;
+                self.disturbed_at = Instant::now();
             }
-            self.disturb();
         }
+        drop(next_change);
+        let changed = changing.await.expect("the operator has ended");
+        changed.unwrap_or_else(|error| panic!("{error}\n{}", logs(&self.tier)));
     }
 
-    /// Kills all core machines. Returns whether one of them has lost its disk.
-    async fn kill_all_cores(&mut self) -> bool {
-        let cores: Vec<u8> = self
-            .tier
-            .nodes
-            .iter()
-            .filter(|node| node.spec.class == MachineClass::Core)
-            .map(|node| node.spec.index)
-            .collect();
-        let wiped = (self.draw(3) == 0).then(|| self.draw_index(MachineClass::Core));
-        for core in &cores {
-            self.node(MachineClass::Core, *core)
-                .kill()
-                .await
-                .expect("killed");
-        }
-        sleep(self.draw_millis(50, 800)).await;
-        for core in cores {
-            self.restart(MachineClass::Core, core, wiped == Some(core))
-                .await;
-        }
-        self.disturb();
-        wiped.is_some()
-    }
-
-    async fn restart(&mut self, class: MachineClass, index: u8, wipe: bool) {
-        let restarted = self.tier.restart(class, index, wipe).await;
-        restarted.unwrap_or_else(|error| panic!("{error}\n{}", logs(&self.tier)));
+    async fn apply(&mut self, step: Step) {
+        let applied = match step {
+            Step::Kill(class, index) => self.node(class, index).kill().await,
+            Step::Terminate(class, index) => self.node(class, index).terminate(),
+            Step::Start { class, index, wipe } => self.tier.restart(class, index, wipe).await,
+            Step::Suspend(class, index) => self.node(class, index).suspend(),
+            Step::Resume(class, index) => self.node(class, index).resume(),
+            Step::Reload(class, index) => self.node(class, index).reload(),
+            Step::ChangeConfiguration => Ok(()),
+        };
+        applied.unwrap_or_else(|error| panic!("{step:?}: {error}\n{}", logs(&self.tier)));
     }
+}
 
-    async fn change_configuration(&mut self) {
-        let next = self.generation + 1;
-        let operator = Operator::new(self.tier.control());
-        let timeout = Duration::from_secs(20);
-        let status = operator
-            .put(self.generation, &configuration(next), timeout)
-            .await;
-        assert!(
-            status.is_ok_and(|status| status.is_success()),
-            "{}",
-            logs(&self.tier)
-        );
-        self.generation = next;
+/// Changes the configuration once for each message, beginning on top of `generation`. Fails unless all are acknowledged.
+async fn change_configurations(
+    operator: Operator,
+    mut generation: u64,
+    mut changes: mpsc::UnboundedReceiver<()>,
+) -> Result<(), String> {
+    while changes.recv().await.is_some() {
+        let next = generation + 1;
+        let body = configuration(next);
+        let status = operator.put(generation, &body, CHANGE_TIMEOUT).await;
+        if !status.as_ref().is_ok_and(|status| status.is_success()) {
+            return Err(format!("configuration {next}: {status:?}"));
+        }
+        generation = next;
     }
+    Ok(())
 }
 
 /// Sends requests to one edge over the connections that it has open, until it is aborted.
@@ -229,7 +196,7 @@
     let size = TierSize {
         edges: variable("SOAK_EDGES", 2) as u8,
         core: variable("SOAK_CORES", 3) as u8,
-        storage: 3,
+        storage: variable("SOAK_STORAGE", 3) as u8,
     };
     let network = variable("SOAK_NETWORK", 61) as u8;
     let tier = Tier::start(&built_programs(), network, size).expect("a tier");
@@ -242,6 +209,7 @@
         .collect();
     let mut soak = Soak {
         tier,
+        size,
         random: Rand32::new(u64::from(seed)),
         generation: 1,
         disturbed_at: Instant::now(),
